--- /dev/null
+++ b/crates/admit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission: priorities, bounded queues, limits and the retry budget.
--- /dev/null
+++ b/crates/base/src/answer.rs
@@ -0,0 +1,187 @@
+//! The table from error kind to the answer that a caller receives.
+
+use crate::error_kind::ErrorKind;
+use crate::outcome::Outcome;
+
+/// Whether a caller should send a refused request again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetryAdvice {
+    /// The same request will be refused again.
+    Never,
+    /// The caller may send the same request again, with the same idempotency key, after the given time.
+    AfterMs(u64),
+    /// The caller should send the request to another entry host at once.
+    OtherHost,
+}
+
+/// The row of one error kind.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// The HTTP status code.
+    pub status: u16,
+    /// The outcome that the caller is told.
+    pub outcome: Outcome,
+    /// Whether sending again makes sense.
+    pub retry: RetryAdvice,
+    /// What went wrong and what to do, in one sentence.
+    pub message: &'static str,
+}
+
+/// Returns the row of `kind`.
+#[must_use]
+pub fn answer_for(kind: ErrorKind) -> Answer {
+    use ErrorKind as E;
+    use Outcome::{NotRun, Unknown};
+    use RetryAdvice::{AfterMs, Never, OtherHost};
+
+    let (status, outcome, retry, message) = match kind {
+        E::BadRequest => (400, NotRun, Never, "the request is malformed"),
+        E::Unauthorized => (
+            401,
+            NotRun,
+            Never,
+            "the customer's credential is missing or wrong",
+        ),
+        E::HeadersTooLarge => (431, NotRun, Never, "the headers are too large"),
+        E::BodyTooLarge => (413, NotRun, Never, "the body is too large"),
+        E::UnknownService => (404, NotRun, Never, "no service has this name"),
+        E::KeyMissing => (
+            400,
+            NotRun,
+            Never,
+            "send Idempotency-Key: <region>.<uuid v7>",
+        ),
+        E::KeyMalformed => (
+            400,
+            NotRun,
+            Never,
+            "Idempotency-Key must be <region>.<uuid v7> with a known region and a current issue time",
+        ),
+        E::KeyExpired => (
+            409,
+            Unknown,
+            Never,
+            "the idempotency key is older than the time that outcomes are remembered",
+        ),
+        E::KeyReused => (
+            422,
+            NotRun,
+            Never,
+            "the idempotency key was already used for a different request",
+        ),
+        E::Misdirected => (
+            421,
+            NotRun,
+            OtherHost,
+            "the request is bound to another region; use an entry host of that region",
+        ),
+        E::ResidencyRefused => (
+            403,
+            NotRun,
+            Never,
+            "no region that the residency rule allows serves this request",
+        ),
+        E::LoopDetected => (
+            508,
+            NotRun,
+            Never,
+            "the request already passed through this system",
+        ),
+        E::LimitExceeded => (
+            429,
+            NotRun,
+            AfterMs(1_000),
+            "the customer is over its limit",
+        ),
+        E::QueueFull => (
+            503,
+            NotRun,
+            AfterMs(2_000),
+            "the queue of this service is full",
+        ),
+        E::DeadlineUnreachable => (
+            503,
+            NotRun,
+            AfterMs(5_000),
+            "the request would wait past its deadline",
+        ),
+        E::DeadlineBeforeSend => (
+            504,
+            NotRun,
+            AfterMs(5_000),
+            "the deadline passed before the request was sent",
+        ),
+        E::DeadlineAfterSend => (
+            504,
+            Unknown,
+            AfterMs(5_000),
+            "the deadline passed after the request was sent",
+        ),
+        E::NoTarget => (
+            503,
+            NotRun,
+            AfterMs(5_000),
+            "no target can take the request now",
+        ),
+        E::ConnectFailed => (502, NotRun, AfterMs(1_000), "no target could be reached"),
+        E::TargetRefused => (
+            503,
+            NotRun,
+            AfterMs(1_000),
+            "the target refused before starting",
+        ),
+        E::AnswerLost => (
+            502,
+            Unknown,
+            AfterMs(1_000),
+            "the connection broke after the request was sent",
+        ),
+        E::AnswerIncomplete => (502, Unknown, AfterMs(1_000), "the answer was cut short"),
+        E::OwnerUnreachable => (
+            503,
+            Unknown,
+            AfterMs(2_000),
+            "the host that keeps the record of this key cannot be reached",
+        ),
+        E::ClaimRefused => (
+            503,
+            Unknown,
+            AfterMs(2_000),
+            "the record of this key cannot be written now",
+        ),
+        E::OutcomeUnknown => (
+            409,
+            Unknown,
+            Never,
+            "this key was sent once and its answer is not known; check before sending a new key",
+        ),
+        E::AnswerNotKept => (
+            409,
+            Unknown,
+            Never,
+            "the request with this key ran to its end, but its answer is not kept",
+        ),
+        E::Isolated => (
+            503,
+            NotRun,
+            OtherHost,
+            "this host is cut off; use another entry host",
+        ),
+        E::NotReady => (503, NotRun, OtherHost, "this host has no configuration yet"),
+        E::Leaving => (
+            503,
+            NotRun,
+            OtherHost,
+            "this host is leaving; use another entry host",
+        ),
+        E::RetryBudgetSpent => (503, NotRun, AfterMs(2_000), "the retry budget is spent"),
+        E::CallerGone => (499, Unknown, Never, "the caller closed the connection"),
+        E::Internal => (500, Unknown, AfterMs(1_000), "a fault inside the gateway"),
+    };
+    Answer {
+        status,
+        outcome,
+        retry,
+        message,
+    }
+}
--- /dev/null
+++ b/crates/base/src/class.rs
@@ -0,0 +1,42 @@
+//! Priority classes of requests.
+
+use serde::{Deserialize, Serialize};
+
+/// The priority class of a request, most urgent first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum PriorityClass {
+    /// Short lookups that must be answered in working hours every time.
+    Lookup,
+    /// Short questions that a person waits for.
+    Interactive,
+    /// Long work that may wait but must never vanish.
+    Batch,
+}
+
+impl PriorityClass {
+    /// Every class, most urgent first.
+    pub const ALL: [Self; 3] = [Self::Lookup, Self::Interactive, Self::Batch];
+
+    /// Returns the position of the class in [`Self::ALL`].
+    #[must_use]
+    pub fn index(self) -> usize {
+        self as usize
+    }
+
+    /// Returns the name that documents and headers use.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Lookup => "lookup",
+            Self::Interactive => "interactive",
+            Self::Batch => "batch",
+        }
+    }
+
+    /// Finds the class with the given name.
+    #[must_use]
+    pub fn from_name(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|class| class.as_str() == name)
+    }
+}
--- /dev/null
+++ b/crates/base/src/invariant.rs
@@ -0,0 +1,82 @@
+//! Invariants that the program checks while it runs, with a counter each.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// An invariant of the design page.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Invariant {
+    /// A request never leaves the regions that its residency rule allows.
+    Residency,
+    /// No request is forwarded in a loop.
+    NoLoop,
+    /// An isolated region keeps serving its own callers.
+    IsolatedRegionServes,
+    /// Each caller receives the whole answer to its own request.
+    WholeAnswer,
+    /// A request that was answered "not run" did not run.
+    NotRunIsTrue,
+    /// A non-idempotent request runs at most once.
+    AtMostOnce,
+    /// A leaving target receives no new work after 3 s.
+    LeavingTargetIdle,
+    /// A planned stop cuts off no request in flight.
+    GracefulStop,
+    /// A configuration revision never goes back on a host.
+    RevisionNeverReverts,
+    /// Every accepted request ends in exactly one outcome.
+    OneOutcome,
+    /// No two holders act under the same authority.
+    OneHolder,
+}
+
+impl Invariant {
+    /// Every invariant.
+    pub const ALL: [Self; 11] = [
+        Self::Residency,
+        Self::NoLoop,
+        Self::IsolatedRegionServes,
+        Self::WholeAnswer,
+        Self::NotRunIsTrue,
+        Self::AtMostOnce,
+        Self::LeavingTargetIdle,
+        Self::GracefulStop,
+        Self::RevisionNeverReverts,
+        Self::OneOutcome,
+        Self::OneHolder,
+    ];
+
+    /// Returns the metric label of the invariant.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Residency => "residency",
+            Self::NoLoop => "no-loop",
+            Self::IsolatedRegionServes => "isolated-region-serves",
+            Self::WholeAnswer => "whole-answer",
+            Self::NotRunIsTrue => "not-run-is-true",
+            Self::AtMostOnce => "at-most-once",
+            Self::LeavingTargetIdle => "leaving-target-idle",
+            Self::GracefulStop => "graceful-stop",
+            Self::RevisionNeverReverts => "revision-never-reverts",
+            Self::OneOutcome => "one-outcome",
+            Self::OneHolder => "one-holder",
+        }
+    }
+}
+
+static COUNTS: [AtomicU64; 11] = [const { AtomicU64::new(0) }; 11];
+
+/// Counts a violation of `invariant` and logs `detail`.
+///
+/// The process goes on: a crash would turn one wrong request into many lost ones. Tests and benches assert that the
+/// counts are zero.
+pub fn violate(invariant: Invariant, detail: impl std::fmt::Display) {
+    COUNTS[invariant as usize].fetch_add(1, Ordering::Relaxed);
+    log::error!("invariant: {} violated: {detail}", invariant.as_str());
+}
+
+/// Returns how often `invariant` was violated in this process.
+#[must_use]
+pub fn invariant_count(invariant: Invariant) -> u64 {
+    COUNTS[invariant as usize].load(Ordering::Relaxed)
+}
--- /dev/null
+++ b/crates/base/src/prelude.rs
@@ -0,0 +1,7 @@
+//! The common types, for `use lw_base::prelude::*`.
+
+pub use crate::{
+    Answer, Arena, ArenaKey, AttemptId, CustomerKey, ErrorKind, FastMap, FastSet, Hop, HostKey,
+    Invariant, MonoMs, NamedArena, Outcome, PriorityClass, RegionKey, RequestId, ServiceKey,
+    TargetKey, WallMs, ZoneKey,
+};
--- /dev/null
+++ b/crates/base/src/time.rs
@@ -0,0 +1,43 @@
+//! Points in time. Deciding functions take them as arguments and never read a clock.
+
+use serde::{Deserialize, Serialize};
+
+/// A point on the monotonic clock of this process, in milliseconds.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct MonoMs(pub u64);
+
+/// A point on the wall clock, in milliseconds since the Unix epoch.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct WallMs(pub u64);
+
+impl MonoMs {
+    /// Returns the point `span_ms` milliseconds later.
+    #[must_use]
+    pub fn plus_ms(self, span_ms: u64) -> Self {
+        Self(self.0.saturating_add(span_ms))
+    }
+
+    /// Returns the milliseconds since `earlier`, or zero when `earlier` lies ahead.
+    #[must_use]
+    pub fn since_ms(self, earlier: Self) -> u64 {
+        self.0.saturating_sub(earlier.0)
+    }
+}
+
+impl WallMs {
+    /// Returns the point `span_ms` milliseconds later.
+    #[must_use]
+    pub fn plus_ms(self, span_ms: u64) -> Self {
+        Self(self.0.saturating_add(span_ms))
+    }
+
+    /// Returns the milliseconds since `earlier`, or zero when `earlier` lies ahead.
+    #[must_use]
+    pub fn since_ms(self, earlier: Self) -> u64 {
+        self.0.saturating_sub(earlier.0)
+    }
+}
--- /dev/null
+++ b/crates/base/tests/rendezvous.rs
@@ -0,0 +1,48 @@
+//! Rendezvous hashing: order, balance and movement.
+
+use lw_base::{ranked, stable_hash, top_ranked};
+
+fn names(count: usize) -> Vec<String> {
+    (0..count).map(|index| format!("host-{index}")).collect()
+}
+
+/// Guards against two functions that disagree about the best candidate.
+#[test]
+fn the_top_is_the_first_of_the_ranking() {
+    let names = names(13);
+    for key in 0..500u64 {
+        let key = stable_hash(&key.to_le_bytes());
+        assert_eq!(
+            top_ranked(key, &names),
+            ranked(key, &names).first().copied()
+        );
+    }
+}
+
+/// Guards against a choice that depends on the order in which members were learned.
+#[test]
+fn the_order_of_members_does_not_matter() {
+    let forward = names(8);
+    let mut backward = forward.clone();
+    backward.reverse();
+    for key in 0..500u64 {
+        let key = stable_hash(&key.to_le_bytes());
+        let first = top_ranked(key, &forward).map(|index| &forward[index]);
+        let second = top_ranked(key, &backward).map(|index| &backward[index]);
+        assert_eq!(first, second);
+    }
+}
+
+/// Guards against movement of keys between members that both stay.
+#[test]
+fn only_the_keys_of_a_lost_member_move() {
+    let before = names(8);
+    let mut after = before.clone();
+    let lost = after.remove(3);
+    for key in 0..2_000u64 {
+        let key = stable_hash(&key.to_le_bytes());
+        let old = &before[top_ranked(key, &before).expect("members")];
+        let new = &after[top_ranked(key, &after).expect("members")];
+        assert!(old == new || *old == lost);
+    }
+}
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Benchmarks of the decisions.
--- /dev/null
+++ b/crates/conf/src/lib.rs
@@ -0,0 +1,1 @@
+//! Configuration revisions: publishing, audit chain and distribution.
--- /dev/null
+++ b/crates/console/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' console of forms.
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon as a library, so that the demo embeds it.
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! The binary `lacewingstiled`.
+
+fn main() {}
--- /dev/null
+++ b/crates/demo/src/lib.rs
@@ -0,0 +1,1 @@
+//! A whole system in one process.
--- /dev/null
+++ b/crates/demo/src/main.rs
@@ -0,0 +1,3 @@
+//! The binary `lacewingstile-demo`.
+
+fn main() {}
--- /dev/null
+++ b/crates/flow/src/lib.rs
@@ -0,0 +1,1 @@
+//! The lifecycle of a request and its attempts.
--- /dev/null
+++ b/crates/gate/src/lib.rs
@@ -0,0 +1,1 @@
+//! The HTTP side of an entry host.
--- /dev/null
+++ b/crates/idem/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once execution of non-idempotent requests.
--- /dev/null
+++ b/crates/lease/src/lib.rs
@@ -0,0 +1,1 @@
+//! Leases with epochs and fencing numbers on the monotonic clock.
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership inside a region and summaries of other regions.
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between hosts: codec, authentication, replay protection and transport.
--- /dev/null
+++ b/crates/place/src/lib.rs
@@ -0,0 +1,1 @@
+//! Model placement and commands to engines.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! The choice of region and target.
--- /dev/null
+++ b/crates/stand/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins of the platform and of targets.
