Add HTTP clients of the platform services

Cause: the key-value service, host list, directory and weight store had types but no client.

Change: clients over a pooled hyper-util client with connect and call limits as arguments, a reconnect schedule with full jitter up to 10 s, and counters of key-value calls per kind. A connect failure is Unreachable; a break or a time-out after that is ReplyLost. 410, or 404 on a lease, maps to LeaseLapsed.

Conclusion: callers can tell a call that was not done from one that may have been.

--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -2,10 +2,29 @@
 //!
 //! Each client is a struct with a closure, so a fake in a test is a closure too.
 
+mod call_counts;
+mod directory;
 mod host_entry;
+mod host_list;
+mod http_client;
+mod http_kv;
+mod http_timeouts;
 mod kv;
+mod kv_call_kind;
 mod kv_error;
+mod platform_error;
+mod reconnect;
+mod weight_store;
 
+pub use call_counts::CallCounts;
+pub use directory::Directory;
 pub use host_entry::{HostEntry, HostState};
+pub use host_list::HostList;
+pub use http_kv::http_kv;
+pub use http_timeouts::HttpTimeouts;
 pub use kv::{Kv, KvCall, KvFuture, KvReply};
+pub use kv_call_kind::KvCallKind;
 pub use kv_error::KvError;
+pub use platform_error::{PlatformError, PlatformFuture};
+pub use reconnect::Reconnect;
+pub use weight_store::WeightStore;
--- /dev/null
+++ b/crates/plat/tests/reconnect.rs
@@ -0,0 +1,36 @@
+//! The reconnect schedule is spread and bounded.
+
+use lw_plat::Reconnect;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const SEED: u64 = 11;
+
+/// Guards against reconnects that pile up at one moment or wait longer than 10 s.
+#[test]
+fn delays_fill_the_whole_range() {
+    println!("seed {SEED}");
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let mut reconnect = Reconnect::default();
+    let delays: Vec<u64> = (0..1_000).map(|_| reconnect.failed(&mut rng)).collect();
+    assert!(delays.iter().all(|delay_ms| *delay_ms <= 10_000));
+    let late = &delays[10..];
+    for tenth in 0..10u64 {
+        let range = tenth * 1_000..(tenth + 1) * 1_000;
+        let hits = late.iter().filter(|delay| range.contains(delay)).count();
+        assert!((50..=150).contains(&hits), "{range:?} has {hits}");
+    }
+}
+
+/// Guards against a schedule that stays slow after the service came back.
+#[test]
+fn a_success_starts_over() {
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let mut reconnect = Reconnect::default();
+    for _ in 0..20 {
+        reconnect.failed(&mut rng);
+    }
+    assert_eq!(reconnect.failures(), 20);
+    reconnect.succeeded();
+    assert!(reconnect.failed(&mut rng) <= 200);
+}
