--- /dev/null
+++ b/crates/stand/tests/platform.rs
@@ -0,0 +1,72 @@
+//! The host list, the directory and the weight store work with the clients of `lw_plat`.
+
+use std::net::SocketAddr;
+
+use lw_plat::{
+    Directory, HostEntry, HostList, HostState, HttpTimeouts, PlatformError, WeightStore,
+};
+use lw_stand::{HostListStand, WeightStand};
+
+const TIMEOUTS: HttpTimeouts = HttpTimeouts {
+    connect_ms: 5_000,
+    call_ms: 5_000,
+};
+
+fn loopback() -> SocketAddr {
+    "127.0.0.1:0".parse().expect("address")
+}
+
+fn host(name: &str, region: &str) -> HostEntry {
+    HostEntry {
+        host: name.into(),
+        region: region.into(),
+        zone: "z".into(),
+        caller_address: "127.0.0.1:1".into(),
+        peer_address: "127.0.0.1:2".into(),
+        state: HostState::Live,
+    }
+}
+
+/// Guards against a list that shows changes at once, which would hide faults that depend on the lag.
+#[tokio::test]
+async fn the_host_list_lags() {
+    let stand = HostListStand::default();
+    let server = stand.start(loopback()).await.expect("start");
+    let list = HostList::over_http(&server.address().to_string(), TIMEOUTS);
+    stand.set_hosts(vec![host("a", "r")]);
+    assert_eq!(list.list().await, Ok(vec![host("a", "r")]));
+    stand.set_lag_ms(3_600_000);
+    stand.set_hosts(Vec::new());
+    assert_eq!(list.list().await, Ok(Vec::new()));
+    stand.set_lag_ms(0);
+    stand.set_outage(true);
+    assert_eq!(list.list().await, Err(PlatformError::Unavailable));
+}
+
+/// Guards against a leaving host that stays in the directory, or a repeated removal that fails.
+#[tokio::test]
+async fn the_directory_forgets_removed_hosts() {
+    let stand = HostListStand::default();
+    let server = stand.start(loopback()).await.expect("start");
+    let directory = Directory::over_http(&server.address().to_string(), TIMEOUTS);
+    directory.put(host("a", "r")).await.expect("put");
+    directory.put(host("b", "other")).await.expect("put");
+    assert_eq!(directory.list("r").await, Ok(vec![host("a", "r")]));
+    directory.remove("a").await.expect("remove");
+    directory.remove("a").await.expect("repeated remove");
+    assert_eq!(directory.list("r").await, Ok(Vec::new()));
+}
+
+/// Guards against a store without a rate limit.
+#[tokio::test]
+async fn the_weight_store_has_a_rate() {
+    let stand = WeightStand::new(0.001);
+    stand.add("grade", "3", "weights");
+    let server = stand.start(loopback()).await.expect("start");
+    let store = WeightStore::over_http(&server.address().to_string(), TIMEOUTS, 1 << 20);
+    assert_eq!(store.fetch("grade", "4").await, Err(PlatformError::Absent));
+    assert_eq!(store.fetch("grade", "3").await, Ok("weights".into()));
+    let refused = store.fetch("grade", "3").await;
+    assert_eq!(refused, Err(PlatformError::Unavailable));
+    assert_eq!(stand.loads(), (1, 1));
+}
