Add stand-ins of the model engine and of a plain service

Change: the engine models slots with priorities, prefill and decode times, a bounded prefix cache, streams, resume, cancel, lagging load reports, late cache events with gaps, and fenced or unfenced commands. The plain service counts runs per idempotency key. Both echo X-Attempt-Id and mark a refusal before start with X-Not-Started.

Conclusion: each knob has a test that shows its fault to a client.

--- /dev/null
+++ b/crates/stand/src/engine_job.rs
@@ -0,0 +1,129 @@
+//! One request in the engine stand-in: waits for a slot, processes the prompt, produces tokens.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tokio::sync::{mpsc, oneshot};
+
+use crate::engine_chat::{ChatRequest, answer_token};
+use crate::engine_shared::EngineShared;
+
+/// How far tokens may lag behind their time before the rest of the stream moves.
+const MAX_CATCH_UP: Duration = Duration::from_millis(20);
+
+/// What a job produces.
+pub(crate) enum JobItem {
+    /// A token.
+    Token { text: String, is_last: bool },
+    /// The end, with the numbers for the usage report.
+    End {
+        prompt_tokens: usize,
+        cached_tokens: usize,
+    },
+}
+
+/// The stream of a job; a job that is cut short closes it before [`JobItem::End`].
+pub(crate) type JobSender = mpsc::Sender<JobItem>;
+
+/// A request to run.
+pub(crate) struct Job {
+    pub(crate) request: ChatRequest,
+    pub(crate) attempt: String,
+    pub(crate) priority: usize,
+}
+
+/// Adds the time in a slot to the totals, also when the job is dropped half way.
+struct SlotTimer {
+    shared: Arc<EngineShared>,
+    since: Instant,
+}
+
+impl Drop for SlotTimer {
+    fn drop(&mut self) {
+        let slot_ms = self.since.elapsed().as_secs_f64() * 1_000.0;
+        self.shared.totals.lock().slot_ms += slot_ms;
+    }
+}
+
+/// Runs a job until it ends, is cancelled, or its reader goes away.
+pub(crate) async fn run(shared: Arc<EngineShared>, job: Job, items: JobSender) {
+    let (cancel, cancelled) = oneshot::channel::<()>();
+    let attempt = job.attempt.clone();
+    shared.cancels.lock().insert(attempt.clone(), cancel);
+    shared.sample_load();
+    let finished = tokio::select! {
+        finished = work(&shared, job, &items) => finished,
+        () = items.closed() => false,
+        // An error means that another request took over the same attempt id.
+        _ = cancelled => false,
+    };
+    if !finished {
+        shared.totals.lock().cut_short += 1;
+    }
+    shared.cancels.lock().remove(&attempt);
+    shared.sample_load();
+}
+
+async fn work(shared: &Arc<EngineShared>, job: Job, items: &JobSender) -> bool {
+    let _slot = shared.slots.acquire(job.priority).await;
+    let _timer = SlotTimer {
+        shared: shared.clone(),
+        since: Instant::now(),
+    };
+    shared.sample_load();
+    let prompt = job.request.prompt();
+    let (prompt_tokens, cached_tokens) = prefill(shared, &job.request, &prompt).await;
+    if !decode(shared, &job.request, &prompt, items).await {
+        return false;
+    }
+    let end = JobItem::End {
+        prompt_tokens,
+        cached_tokens,
+    };
+    items.send(end).await.is_ok()
+}
+
+async fn prefill(shared: &EngineShared, request: &ChatRequest, prompt: &str) -> (usize, usize) {
+    let words: Vec<&str> = prompt.split_whitespace().collect();
+    let cached = shared.cache.lock().admit(&words, Instant::now());
+    // A resumed stream processes its earlier tokens again.
+    let to_process = words.len() - cached + request.resume_from;
+    {
+        let mut totals = shared.totals.lock();
+        totals.started += 1;
+        totals.cached_tokens += cached as u64;
+        totals.prefilled_tokens += to_process as u64;
+    }
+    tokio::time::sleep(shared.prefill_time(to_process)).await;
+    (words.len(), cached)
+}
+
+async fn decode(
+    shared: &EngineShared,
+    request: &ChatRequest,
+    prompt: &str,
+    items: &JobSender,
+) -> bool {
+    let break_after = shared.takes_break();
+    let mut due = tokio::time::Instant::now();
+    for index in request.resume_from..request.max_tokens {
+        if break_after.is_some_and(|tokens| index >= request.resume_from + tokens) {
+            return false;
+        }
+        shared.unpaused().await;
+        let (_, running) = shared.slots.counts();
+        // Makes up for coarse timers, not for a pause.
+        due = due.max(tokio::time::Instant::now() - MAX_CATCH_UP);
+        due += shared.token_time(running);
+        tokio::time::sleep_until(due).await;
+        let item = JobItem::Token {
+            text: answer_token(prompt, index),
+            is_last: index + 1 == request.max_tokens,
+        };
+        shared.totals.lock().decoded_tokens += 1;
+        if items.send(item).await.is_err() {
+            return false;
+        }
+    }
+    true
+}
--- /dev/null
+++ b/crates/stand/src/engine_shared.rs
@@ -0,0 +1,146 @@
+//! What the parts of the engine stand-in share.
+
+use std::time::{Duration, Instant};
+
+use lw_base::FastMap;
+use parking_lot::Mutex;
+use tokio::sync::{oneshot, watch};
+
+use crate::engine_commands::{CommandLog, EngineState};
+use crate::engine_load::{LoadHistory, LoadReport, wall_ms};
+use crate::engine_options::EngineOptions;
+use crate::plain_stand::take_one;
+use crate::prefix_cache::PrefixCache;
+use crate::slot_queue::SlotQueue;
+
+/// What an engine did since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct EngineTotals {
+    /// Requests that got a slot.
+    pub started: u64,
+    /// Requests that ended before their last token: cancelled, broken, or given up by the client.
+    pub cut_short: u64,
+    /// Prompt tokens that had to be processed.
+    pub prefilled_tokens: u64,
+    /// Prompt tokens that the prefix cache held.
+    pub cached_tokens: u64,
+    /// Tokens that were produced.
+    pub decoded_tokens: u64,
+    /// Time that slots were in use, in milliseconds, summed over the slots.
+    pub slot_ms: f64,
+}
+
+/// Faults to produce.
+#[derive(Debug)]
+pub(crate) struct Knobs {
+    pub(crate) slow_factor: f64,
+    pub(crate) to_refuse: u32,
+    pub(crate) to_mislabel: u32,
+    pub(crate) to_break: u32,
+    pub(crate) break_after_tokens: usize,
+}
+
+/// The state of one engine.
+pub(crate) struct EngineShared {
+    pub(crate) options: EngineOptions,
+    pub(crate) slots: SlotQueue,
+    pub(crate) cache: Mutex<PrefixCache>,
+    pub(crate) commands: Mutex<CommandLog>,
+    pub(crate) knobs: Mutex<Knobs>,
+    pub(crate) totals: Mutex<EngineTotals>,
+    pub(crate) cancels: Mutex<FastMap<String, oneshot::Sender<()>>>,
+    pub(crate) paused: watch::Sender<bool>,
+    load: Mutex<LoadHistory>,
+}
+
+impl EngineShared {
+    /// Builds an idle engine.
+    pub(crate) fn new(options: EngineOptions) -> Self {
+        let state = EngineState {
+            model: options.model.clone(),
+            version: options.version.clone(),
+            ..EngineState::default()
+        };
+        let commands = CommandLog {
+            state,
+            ..CommandLog::default()
+        };
+        Self {
+            slots: SlotQueue::new(options.slots),
+            cache: Mutex::new(PrefixCache::new(options.cache_tokens)),
+            commands: Mutex::new(commands),
+            knobs: Mutex::new(Knobs {
+                slow_factor: 1.0,
+                to_refuse: 0,
+                to_mislabel: 0,
+                to_break: 0,
+                break_after_tokens: 0,
+            }),
+            totals: Mutex::default(),
+            cancels: Mutex::default(),
+            paused: watch::Sender::new(false),
+            load: Mutex::default(),
+            options,
+        }
+    }
+
+    /// Waits while the engine is paused.
+    pub(crate) async fn unpaused(&self) {
+        let mut paused = self.paused.subscribe();
+        // The sender lives in `self`, so this cannot fail.
+        let _ = paused.wait_for(|paused| !paused).await;
+    }
+
+    /// Returns whether the next request is refused by a knob.
+    pub(crate) fn takes_refusal(&self) -> bool {
+        take_one(&mut self.knobs.lock().to_refuse)
+    }
+
+    /// Returns whether the next request is answered with a wrong attempt id.
+    pub(crate) fn takes_mislabel(&self) -> bool {
+        take_one(&mut self.knobs.lock().to_mislabel)
+    }
+
+    /// Returns after how many tokens the next request breaks.
+    pub(crate) fn takes_break(&self) -> Option<usize> {
+        let mut knobs = self.knobs.lock();
+        take_one(&mut knobs.to_break).then_some(knobs.break_after_tokens)
+    }
+
+    /// Returns the present time between two tokens of one request.
+    pub(crate) fn token_time(&self, running: usize) -> Duration {
+        let share = running as f64 / self.options.slots.max(1) as f64;
+        let factor = 1.0 + self.options.batch_slowdown * share;
+        self.scaled_ms(self.options.decode_ms * factor)
+    }
+
+    /// Returns the present time to process so many prompt tokens.
+    pub(crate) fn prefill_time(&self, tokens: usize) -> Duration {
+        self.scaled_ms(tokens as f64 * 1_000.0 / self.options.prefill_tokens_per_s)
+    }
+
+    fn scaled_ms(&self, span_ms: f64) -> Duration {
+        Duration::from_secs_f64(span_ms * self.knobs.lock().slow_factor / 1_000.0)
+    }
+
+    /// Records the present load for later reports.
+    pub(crate) fn sample_load(&self) {
+        let (queued, running) = self.slots.counts();
+        let full_step_s = self.token_time(self.options.slots).as_secs_f64();
+        let report = LoadReport {
+            queued,
+            running,
+            tokens_per_s: self.options.slots as f64 / full_step_s.max(1e-6),
+            at_ms: wall_ms(),
+        };
+        let lag = Duration::from_millis(self.options.load_lag_ms);
+        self.load.lock().record(Instant::now(), report, lag);
+    }
+
+    /// Returns the load as it was some time ago.
+    pub(crate) fn lagged_load(&self) -> LoadReport {
+        let lag = Duration::from_millis(self.options.load_lag_ms);
+        let report = self.load.lock().lagged(Instant::now(), lag);
+        report.unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/stand/tests/targets.rs
@@ -0,0 +1,219 @@
+//! The engine and the plain service show the faults that the gateway must survive.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use lw_stand::{EngineOptions, EngineStand, PlainStand, answer_token, whole_answer};
+use serde_json::{Value, json};
+
+type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+fn loopback() -> SocketAddr {
+    "127.0.0.1:0".parse().expect("address")
+}
+
+fn client() -> HttpClient {
+    Client::builder(TokioExecutor::new()).build_http()
+}
+
+fn fast() -> EngineOptions {
+    EngineOptions {
+        prefill_tokens_per_s: 1e6,
+        decode_ms: 0.1,
+        load_lag_ms: 0,
+        event_lag_ms: 0,
+        ..EngineOptions::default()
+    }
+}
+
+async fn send(
+    client: &HttpClient,
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+    body: &Value,
+) -> Result<Response<Incoming>, hyper_util::client::legacy::Error> {
+    let request = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"))
+        .header("x-attempt-id", "r-1")
+        .header("idempotency-key", "k")
+        .body(Full::new(Bytes::from(body.to_string())))
+        .expect("request");
+    client.request(request).await
+}
+
+async fn text(response: Response<Incoming>) -> Option<String> {
+    let body = response.into_body().collect().await.ok()?;
+    String::from_utf8(body.to_bytes().to_vec()).ok()
+}
+
+fn chat(prompt: &str, stream: bool, resume_from: usize) -> Value {
+    json!({
+        "model": "grade", "max_tokens": 5, "stream": stream, "resume_from": resume_from,
+        "messages": [{"role": "user", "content": prompt}],
+    })
+}
+
+/// Waits until the engine has so many queued and running completions.
+async fn reach(engine: &EngineStand, counts: (usize, usize)) {
+    let reached = async {
+        while engine.queued_and_running() != counts {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    let limit = Duration::from_secs(20);
+    tokio::time::timeout(limit, reached).await.expect("counts");
+}
+
+const CHAT: &str = "/v1/chat/completions";
+
+/// Guards against an engine whose answers cannot be told apart by prompt, or that fakes completeness.
+#[tokio::test]
+async fn answers_streams_and_resumes() {
+    let engine = EngineStand::new(fast());
+    let server = engine.start(loopback()).await.expect("start");
+    let (client, at) = (client(), server.address());
+    let whole = send(&client, Method::POST, at, CHAT, &chat("a b", false, 0)).await;
+    let whole = whole.expect("answer");
+    assert_eq!(whole.headers()["x-attempt-id"], "r-1");
+    let body: Value = serde_json::from_str(&text(whole).await.expect("body")).expect("json");
+    let content = &body["choices"][0]["message"]["content"];
+    assert_eq!(content, &whole_answer("a b", 5));
+    let rest = send(&client, Method::POST, at, CHAT, &chat("a b", true, 3)).await;
+    let rest = text(rest.expect("stream")).await.expect("body");
+    let events: Vec<&str> = rest.split_terminator("\n\n").collect();
+    assert_eq!(events.len(), 3);
+    assert!(events[0].contains(answer_token("a b", 3).as_str()));
+    assert_eq!(events[2], "data: [DONE]");
+}
+
+/// Guards against broken streams that look complete, and refusals that ran.
+#[tokio::test]
+async fn engine_faults() {
+    let engine = EngineStand::new(fast());
+    let server = engine.start(loopback()).await.expect("start");
+    let (client, at) = (client(), server.address());
+    engine.refuse(1);
+    let refused = send(&client, Method::POST, at, CHAT, &chat("a", true, 0)).await;
+    let refused = refused.expect("refusal");
+    assert_eq!(refused.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(refused.headers()["x-not-started"], "true");
+    assert_eq!(engine.totals().started, 0);
+    engine.break_after_tokens(2, 1);
+    let broken = send(&client, Method::POST, at, CHAT, &chat("a", true, 0)).await;
+    assert_eq!(text(broken.expect("start")).await, None);
+    engine.break_after_tokens(2, 1);
+    let broken = send(&client, Method::POST, at, CHAT, &chat("a", false, 0)).await;
+    assert!(broken.is_err());
+    engine.answer_with_wrong_attempt(1);
+    let wrong = send(&client, Method::POST, at, CHAT, &chat("a", false, 0)).await;
+    assert_ne!(wrong.expect("answer").headers()["x-attempt-id"], "r-1");
+    assert_eq!(engine.totals().cut_short, 2);
+}
+
+/// Guards against work that goes on after a cancel, and a slot that is never given back.
+#[tokio::test]
+async fn a_cancel_frees_the_slot() {
+    let engine = EngineStand::new(EngineOptions { slots: 1, ..fast() });
+    let server = engine.start(loopback()).await.expect("start");
+    let (client, at) = (client(), server.address());
+    engine.slow_down(1e6);
+    let waiting = tokio::spawn({
+        let client = client.clone();
+        async move { send(&client, Method::POST, at, CHAT, &chat("a", true, 0)).await }
+    });
+    reach(&engine, (0, 1)).await;
+    let body = json!({"attempt": "r-1"});
+    let cancelled = send(&client, Method::POST, at, "/v1/cancel", &body).await;
+    assert_eq!(cancelled.expect("cancel").status(), StatusCode::OK);
+    assert!(waiting.await.expect("join").is_err());
+    reach(&engine, (0, 0)).await;
+    engine.slow_down(1.0);
+    let next = send(&client, Method::POST, at, CHAT, &chat("a", false, 0)).await;
+    assert_eq!(next.expect("answer").status(), StatusCode::OK);
+}
+
+/// Guards against a cache that never hits, never evicts, or reports each of its events.
+#[tokio::test]
+async fn the_cache_is_bounded_and_its_events_have_gaps() {
+    let options = EngineOptions {
+        cache_tokens: 32,
+        event_gap_every: 3,
+        ..fast()
+    };
+    let engine = EngineStand::new(options);
+    let server = engine.start(loopback()).await.expect("start");
+    let (client, at) = (client(), server.address());
+    let prompt = |name: &str| format!("{name} ").repeat(32);
+    for (name, cached) in [("a", 0), ("a", 32), ("b", 32), ("a", 32)] {
+        let request = chat(&prompt(name), false, 0);
+        let sent = send(&client, Method::POST, at, CHAT, &request).await;
+        assert_eq!(sent.expect("answer").status(), StatusCode::OK);
+        assert_eq!(engine.totals().cached_tokens, cached);
+    }
+    let events = send(
+        &client,
+        Method::GET,
+        at,
+        "/cache-events?after=1",
+        &Value::Null,
+    )
+    .await;
+    let events = text(events.expect("events")).await.expect("body");
+    let events: Vec<Value> = serde_json::from_str(&events).expect("json");
+    let numbers: Vec<u64> = events.iter().filter_map(|e| e["seq"].as_u64()).collect();
+    assert_eq!(numbers, [2, 4, 5, 7, 8, 10]);
+}
+
+/// Guards against an engine that applies an old command, and one that should ignore numbers but does not.
+#[tokio::test]
+async fn commands_with_old_numbers() {
+    for (fencing, status, stale) in [(true, StatusCode::CONFLICT, 0), (false, StatusCode::OK, 1)] {
+        let engine = EngineStand::new(EngineOptions { fencing, ..fast() });
+        let server = engine.start(loopback()).await.expect("start");
+        let (client, at) = (client(), server.address());
+        let command =
+            |number| json!({"fencing": number, "model": "m", "version": "2", "role": "r"});
+        for (number, expected) in [(5, StatusCode::OK), (5, StatusCode::OK), (4, status)] {
+            let sent = send(&client, Method::POST, at, "/command", &command(number)).await;
+            assert_eq!(sent.expect("answer").status(), expected);
+        }
+        assert_eq!(engine.stale_commands(), stale);
+        assert_eq!(
+            (engine.state().model.as_str(), engine.state().fencing),
+            ("m", 5)
+        );
+        let load = send(&client, Method::GET, at, "/load", &Value::Null).await;
+        assert_eq!(load.expect("load").status(), StatusCode::OK);
+    }
+}
+
+/// Guards against a plain service that miscounts runs, which would hide a doubled order.
+#[tokio::test]
+async fn the_plain_service_counts_runs() {
+    let plain = PlainStand::default();
+    let server = plain.start(loopback()).await.expect("start");
+    let (client, at) = (client(), server.address());
+    plain.refuse(1);
+    let refused = send(&client, Method::POST, at, "/orders", &Value::Null).await;
+    assert_eq!(refused.expect("refusal").headers()["x-not-started"], "true");
+    assert_eq!(plain.runs_of("k"), 0);
+    plain.break_after_run(1);
+    let broken = send(&client, Method::POST, at, "/orders", &Value::Null).await;
+    assert!(broken.is_err());
+    assert_eq!(plain.runs_of("k"), 1);
+    let again = send(&client, Method::POST, at, "/orders", &Value::Null).await;
+    assert_eq!(again.expect("answer").headers()["x-attempt-id"], "r-1");
+    assert_eq!(plain.max_runs(), 2);
+    let lookup = send(&client, Method::GET, at, "/stock", &Value::Null).await;
+    assert_eq!(lookup.expect("answer").status(), StatusCode::OK);
+    assert_eq!((plain.orders(), plain.lookups()), (2, 1));
+}
