--- a/crates/doc/src/document.rs
+++ b/crates/doc/src/document.rs
@@ -7,6 +7,7 @@
 use lw_base::PriorityClass;
 use serde::{Deserialize, Serialize};
 
+use crate::digest::Digest;
 use crate::service_kind::ServiceKind;
 
 /// The whole configuration document.
@@ -38,6 +39,24 @@
     pub engine: EngineEntry,
 }
 
+impl Document {
+    /// Returns the bytes that the digest covers: compact JSON with members in a fixed order.
+    ///
+    /// # Panics
+    ///
+    /// Never: every field has a JSON form, and the maps have text keys.
+    #[must_use]
+    pub fn canonical_bytes(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("a document has a JSON form")
+    }
+
+    /// Returns the SHA-256 digest of the canonical bytes.
+    #[must_use]
+    pub fn digest(&self) -> Digest {
+        Digest::of(&self.canonical_bytes())
+    }
+}
+
 /// The weights of the routing policy; each lies between 0 and 1.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/doc/src/fleet.rs
+++ b/crates/doc/src/fleet.rs
@@ -27,6 +27,8 @@
     pub customers: NamedArena<CustomerKey, Customer>,
     /// Planned stops of hosts by host name.
     pub host_stops: FastMap<Arc<str>, Vec<StopWindow>>,
+    /// The wanted model version of services that engines serve.
+    pub model_versions: FastMap<ServiceKey, Arc<str>>,
 }
 
 /// A region of a snapshot.
