Validate documents, compute differences and warn on dangerous changes

Cause: operators edit the document, and hosts exchange changes instead of whole documents. Conclusion: revisions can be published and distributed as differences.

--- /dev/null
+++ b/crates/doc/src/check_targets.rs
@@ -0,0 +1,77 @@
+//! Checks of targets.
+
+use std::net::SocketAddr;
+
+use lw_base::prelude::*;
+
+use crate::checker::Checker;
+use crate::document::TargetEntry;
+use crate::fault_kind::FaultKind;
+
+const MAX_SLOTS: f64 = 100_000.0;
+
+/// Checks the targets; `gateway_addresses` are the addresses of the gateway's own listeners.
+pub(crate) fn check_targets(checker: &mut Checker<'_>, gateway_addresses: &[SocketAddr]) {
+    let document = checker.document;
+    let gateway: FastSet<SocketAddr> = gateway_addresses.iter().copied().map(canonical).collect();
+    let mut used: FastMap<SocketAddr, &str> = FastMap::default();
+    checker.check_names("targets", &document.targets, true);
+    for (name, entry) in &document.targets {
+        let path = format!("targets/{name}");
+        check_place(checker, &path, entry);
+        checker.check_range(&format!("{path}/slots"), entry.slots.into(), 1.0, MAX_SLOTS);
+
+        let address_path = format!("{path}/address");
+        let address = entry.address.clone();
+        let Some(parsed) = usable_address(&entry.address) else {
+            checker.fault(address_path, FaultKind::InvalidAddress { address });
+            continue;
+        };
+        if gateway.contains(&parsed) {
+            checker.fault(address_path, FaultKind::AddressOfGateway { address });
+            continue;
+        }
+        if let Some(other) = used.insert(parsed, name) {
+            let target = other.to_owned();
+            checker.fault(address_path, FaultKind::AddressInUse { target });
+        }
+    }
+}
+
+fn check_place(checker: &mut Checker<'_>, path: &str, entry: &TargetEntry) {
+    let document = checker.document;
+    let region = checker.region_of_zone.get(entry.zone.as_str()).copied();
+    let service = document.services.get(&entry.service);
+    if region.is_none() {
+        let name = entry.zone.clone();
+        checker.fault(format!("{path}/zone"), FaultKind::UnknownZone { name });
+    }
+    if service.is_none() {
+        let name = entry.service.clone();
+        checker.fault(
+            format!("{path}/service"),
+            FaultKind::UnknownService { name },
+        );
+    }
+    let (Some(region), Some(service)) = (region, service) else {
+        return;
+    };
+    if !service.regions.iter().any(|listed| listed == region) {
+        let kind = FaultKind::TargetOutsideService {
+            region: region.to_owned(),
+            service: entry.service.clone(),
+        };
+        checker.fault(format!("{path}/zone"), kind);
+    }
+}
+
+fn usable_address(text: &str) -> Option<SocketAddr> {
+    let address: SocketAddr = text.parse().ok()?;
+    let usable = address.port() != 0 && !address.ip().is_unspecified();
+    usable.then(|| canonical(address))
+}
+
+/// Maps IPv4 addresses in IPv6 form to IPv4, so that both forms compare as equal.
+fn canonical(address: SocketAddr) -> SocketAddr {
+    SocketAddr::new(address.ip().to_canonical(), address.port())
+}
--- a/crates/doc/src/compile.rs
+++ b/crates/doc/src/compile.rs
@@ -5,9 +5,8 @@
 use lw_base::prelude::*;
 
 use crate::digest::Digest;
-use crate::document::{Document, PlannedStopEntry, RegionEntry, ServiceEntry, TargetEntry};
+use crate::document::{Document, RegionEntry, ServiceEntry, TargetEntry};
 use crate::fleet::{Customer, Fleet, Region, Service, Target, Zone};
-use crate::rfc3339::parse_rfc3339;
 use crate::stop_window::StopWindow;
 
 /// One-way delay between regions for which the document gives none; users measure some tens of ms.
@@ -95,7 +94,7 @@
 
 fn add_stops_of_zones_and_hosts(fleet: &mut Fleet, document: &Document) {
     for entry in document.planned_stops.values() {
-        let Some(window) = window_of(entry) else {
+        let Some(window) = StopWindow::of(entry) else {
             continue;
         };
         for zone in &entry.zones {
@@ -110,17 +109,6 @@
     }
 }
 
-fn window_of(entry: &PlannedStopEntry) -> Option<StopWindow> {
-    let end_wall_ms = match &entry.end {
-        Some(end) => Some(parse_rfc3339(end)?),
-        None => None,
-    };
-    Some(StopWindow {
-        start_wall_ms: parse_rfc3339(&entry.start)?,
-        end_wall_ms,
-    })
-}
-
 fn add_targets(fleet: &mut Fleet, document: &Document) {
     for (name, entry) in &document.targets {
         let Some(target) = compile_target(fleet, entry) else {
@@ -131,7 +119,7 @@
         fleet.services[service].targets_by_region[region.index()].push(key);
     }
     for entry in document.planned_stops.values() {
-        let Some(window) = window_of(entry) else {
+        let Some(window) = StopWindow::of(entry) else {
             continue;
         };
         for target in &entry.targets {
@@ -161,7 +149,7 @@
         let home_region = match &entry.home_region {
             Some(region) => match fleet.regions.key(region) {
                 Some(key) => Some(key),
-                // Without its region the customer would count as unbound, which could break residency.
+                // Compiled as unbound, the customer's requests could leave its home region.
                 None => continue,
             },
             None => None,
--- /dev/null
+++ b/crates/doc/src/difference.rs
@@ -0,0 +1,78 @@
+//! Differences between documents.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::change::Change;
+use crate::digest::Digest;
+use crate::document::Document;
+
+/// What leads from one document to another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Difference {
+    /// The digest of the document that the changes apply to.
+    pub base: Digest,
+    /// The digest of the document that results.
+    pub result: Digest,
+    /// The changed entities, each once.
+    pub changes: Vec<Change>,
+}
+
+/// Returns what leads from `base` to `next`.
+#[must_use]
+pub fn diff(base: &Document, next: &Document) -> Difference {
+    Difference {
+        base: base.digest(),
+        result: next.digest(),
+        changes: changes_between(base, next),
+    }
+}
+
+/// Returns the changed entities between `base` and `next`, without digests.
+#[must_use]
+pub fn changes_between(base: &Document, next: &Document) -> Vec<Change> {
+    let mut changes = Vec::new();
+    if base.format != next.format {
+        changes.push(changed("format".into(), &next.format));
+    }
+    if base.weights != next.weights {
+        changes.push(changed("weights".into(), &next.weights));
+    }
+    add_section(&mut changes, "regions", &base.regions, &next.regions);
+    add_section(&mut changes, "services", &base.services, &next.services);
+    add_section(&mut changes, "targets", &base.targets, &next.targets);
+    add_section(&mut changes, "customers", &base.customers, &next.customers);
+    let stops = (&base.planned_stops, &next.planned_stops);
+    add_section(&mut changes, "planned_stops", stops.0, stops.1);
+    let models = (&base.engine.models, &next.engine.models);
+    add_section(&mut changes, "engine/models", models.0, models.1);
+    changes
+}
+
+fn add_section<T: PartialEq + Serialize>(
+    changes: &mut Vec<Change>,
+    section: &str,
+    base: &BTreeMap<String, T>,
+    next: &BTreeMap<String, T>,
+) {
+    for name in base.keys().filter(|name| !next.contains_key(*name)) {
+        changes.push(Change {
+            path: format!("{section}/{name}"),
+            value: None,
+        });
+    }
+    for (name, entry) in next {
+        if base.get(name) != Some(entry) {
+            changes.push(changed(format!("{section}/{name}"), entry));
+        }
+    }
+}
+
+fn changed(path: String, value: &impl Serialize) -> Change {
+    let value = serde_json::to_value(value).expect("an entity has a JSON form");
+    Change {
+        path,
+        value: Some(value),
+    }
+}
--- /dev/null
+++ b/crates/doc/src/state_warnings.rs
@@ -0,0 +1,80 @@
+//! Dangerous states of one document.
+
+use lw_base::prelude::*;
+
+use crate::compile::compile;
+use crate::document::Document;
+use crate::fleet::{Fleet, Service};
+use crate::stop_window::StopWindow;
+use crate::warning::{Warning, WarningKind};
+
+/// Returns the dangerous states of a document.
+pub(crate) fn state_warnings(document: &Document) -> Vec<Warning> {
+    let fleet = compile(document, 0);
+    let mut found = Vec::new();
+    add_empty_regions(&mut found, &fleet);
+    add_unsatisfied_residency(&mut found, &fleet);
+    add_stops_of_last_targets(&mut found, document, &fleet);
+    found
+}
+
+fn add_empty_regions(found: &mut Vec<Warning>, fleet: &Fleet) {
+    for (_, name, service) in fleet.services.iter() {
+        for region in &service.regions {
+            if service.targets_by_region[region.index()].is_empty() {
+                let region = fleet.regions.name(*region).to_string();
+                found.push(Warning {
+                    path: format!("services/{name}"),
+                    kind: WarningKind::NoTargetInRegion { region },
+                });
+            }
+        }
+    }
+}
+
+fn add_unsatisfied_residency(found: &mut Vec<Warning>, fleet: &Fleet) {
+    let mut is_home = vec![false; fleet.regions.len()];
+    for (_, _, customer) in fleet.customers.iter() {
+        if let Some(home) = customer.home_region {
+            is_home[home.index()] = true;
+        }
+    }
+    for (_, name, service) in fleet.services.iter() {
+        for (region, region_name, _) in fleet.regions.iter() {
+            if is_home[region.index()] && !can_serve(service, region) {
+                let region = region_name.to_string();
+                found.push(Warning {
+                    path: format!("services/{name}"),
+                    kind: WarningKind::ResidencyUnsatisfied { region },
+                });
+            }
+        }
+    }
+}
+
+fn can_serve(service: &Service, region: RegionKey) -> bool {
+    let allowed = service.allowed_regions.as_ref();
+    let allowed = allowed.is_none_or(|regions| regions.contains(&region));
+    allowed && !service.targets_by_region[region.index()].is_empty()
+}
+
+/// Looks at the start of each stop: the set of stopped targets grows only there.
+fn add_stops_of_last_targets(found: &mut Vec<Warning>, document: &Document, fleet: &Fleet) {
+    for (name, entry) in &document.planned_stops {
+        let Some(window) = StopWindow::of(entry) else {
+            continue;
+        };
+        let start = window.start_wall_ms;
+        for (_, service_name, service) in fleet.services.iter() {
+            let mut targets = service.targets_by_region.iter().flatten().peekable();
+            let has_targets = targets.peek().is_some();
+            if has_targets && targets.all(|key| fleet.targets[*key].stopped(start)) {
+                let service = service_name.to_string();
+                found.push(Warning {
+                    path: format!("planned_stops/{name}"),
+                    kind: WarningKind::StopOfLastTargets { service },
+                });
+            }
+        }
+    }
+}
--- a/crates/doc/src/stop_window.rs
+++ b/crates/doc/src/stop_window.rs
@@ -2,6 +2,9 @@
 
 use lw_base::WallMs;
 
+use crate::document::PlannedStopEntry;
+use crate::rfc3339::parse_rfc3339;
+
 /// A span in which a target, host or availability zone takes no new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopWindow {
@@ -12,6 +15,18 @@
 }
 
 impl StopWindow {
+    /// Reads the window of a planned stop; returns `None` when a time is not RFC 3339.
+    pub(crate) fn of(entry: &PlannedStopEntry) -> Option<Self> {
+        let end_wall_ms = match &entry.end {
+            Some(end) => Some(parse_rfc3339(end)?),
+            None => None,
+        };
+        Some(Self {
+            start_wall_ms: parse_rfc3339(&entry.start)?,
+            end_wall_ms,
+        })
+    }
+
     /// Returns true when `now` lies in the window.
     #[must_use]
     pub fn contains(&self, now: WallMs) -> bool {
--- /dev/null
+++ b/crates/doc/src/warnings.rs
@@ -0,0 +1,104 @@
+//! Finding dangerous changes.
+
+use lw_base::prelude::*;
+
+use crate::document::{CustomerEntry, Document, ServiceEntry};
+use crate::state_warnings::state_warnings;
+use crate::warning::{Warning, WarningKind};
+
+/// Returns the warnings of the change from `base` to `next`; without a base all of `next` counts as new.
+///
+/// A state that is dangerous in both documents is not reported again, so that operators confirm only what they change.
+#[must_use]
+pub fn warnings(base: Option<&Document>, next: &Document) -> Vec<Warning> {
+    let Some(base) = base else {
+        return state_warnings(next);
+    };
+    let known: FastSet<Warning> = state_warnings(base).into_iter().collect();
+    let mut found = state_warnings(next);
+    found.retain(|warning| !known.contains(warning));
+    add_removed(&mut found, base, next);
+    add_removed_targets(&mut found, base, next);
+    add_relaxed_services(&mut found, base, next);
+    add_changed_customers(&mut found, base, next);
+    found
+}
+
+fn push(found: &mut Vec<Warning>, path: String, kind: WarningKind) {
+    found.push(Warning { path, kind });
+}
+
+fn add_removed(found: &mut Vec<Warning>, base: &Document, next: &Document) {
+    for name in base.regions.keys() {
+        if !next.regions.contains_key(name) {
+            push(found, format!("regions/{name}"), WarningKind::RegionRemoved);
+        }
+    }
+    for name in base.services.keys() {
+        if !next.services.contains_key(name) {
+            push(
+                found,
+                format!("services/{name}"),
+                WarningKind::ServiceRemoved,
+            );
+        }
+    }
+}
+
+fn add_removed_targets(found: &mut Vec<Warning>, base: &Document, next: &Document) {
+    let mut counts: FastMap<&str, (usize, usize)> = FastMap::default();
+    for (name, entry) in &base.targets {
+        let (removed, before) = counts.entry(&entry.service).or_default();
+        *before += 1;
+        let kept = next.targets.get(name);
+        if kept.is_none_or(|kept| kept.service != entry.service) {
+            *removed += 1;
+        }
+    }
+    for service in base.services.keys() {
+        let Some((removed, before)) = counts.get(service.as_str()).copied() else {
+            continue;
+        };
+        if removed * 2 > before {
+            let kind = WarningKind::MostTargetsRemoved { removed, before };
+            push(found, format!("services/{service}"), kind);
+        }
+    }
+}
+
+fn add_relaxed_services(found: &mut Vec<Warning>, base: &Document, next: &Document) {
+    for (name, before) in &base.services {
+        let Some(after) = next.services.get(name) else {
+            continue;
+        };
+        if relaxes(before, after) {
+            let path = format!("services/{name}/allowed_regions");
+            push(found, path, WarningKind::ResidencyRelaxed);
+        }
+    }
+}
+
+fn relaxes(before: &ServiceEntry, after: &ServiceEntry) -> bool {
+    // An empty list allows every region.
+    if before.allowed_regions.is_empty() {
+        return false;
+    }
+    let known = |region| before.allowed_regions.contains(region);
+    after.allowed_regions.is_empty() || !after.allowed_regions.iter().all(known)
+}
+
+fn add_changed_customers(found: &mut Vec<Warning>, base: &Document, next: &Document) {
+    let absent = CustomerEntry::default();
+    for (name, before) in &base.customers {
+        // Requests of a removed customer count as requests of an unknown one, which is bound to no region.
+        let after = next.customers.get(name).unwrap_or(&absent);
+        if before.home_region.is_some() && before.home_region != after.home_region {
+            let path = format!("customers/{name}/home_region");
+            push(found, path, WarningKind::HomeRegionChanged);
+        }
+        if !before.key_digest.is_empty() && after.key_digest.is_empty() {
+            let path = format!("customers/{name}/key_digest");
+            push(found, path, WarningKind::CredentialRemoved);
+        }
+    }
+}
