Add the routing and admission decisions

Cause: the gateway needs the interface of target selection and admission. Change: route decides between targets and regions from load estimates, ejection, stops and spill control; admit schedules by class, bounds queues, limits customers and budgets retries.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -1,1 +1,21 @@
-//! Admission: priorities, bounded queues, limits and the retry budget.
+//! Priorities, bounded queues, limits per customer and the retry budget.
+
+mod class_queue;
+mod counts;
+mod customer_limits;
+mod deadline_queue;
+mod offer;
+mod queue_config;
+mod retry_budget;
+mod service_queue;
+mod ticket;
+mod usage_board;
+mod wait_estimate;
+
+pub use counts::Counts;
+pub use customer_limits::{ACTIVE_CUSTOMERS, CustomerId, CustomerLimits, EXCHANGED_CUSTOMERS};
+pub use offer::{Offer, Verdict};
+pub use queue_config::QueueConfig;
+pub use retry_budget::RetryBudget;
+pub use service_queue::ServiceQueue;
+pub use ticket::Ticket;
--- /dev/null
+++ b/crates/admit/src/service_queue.rs
@@ -0,0 +1,394 @@
+//! The admission queue of one service on one host.
+
+use lw_base::prelude::*;
+use lw_base::violate;
+
+use crate::class_queue::ClassQueue;
+use crate::counts::Counts;
+use crate::deadline_queue::DeadlineQueue;
+use crate::offer::{Offer, Verdict};
+use crate::queue_config::QueueConfig;
+use crate::ticket::Ticket;
+use crate::wait_estimate::WaitEstimate;
+
+/// A waiting request counts as this much older than a request of the class above per class.
+///
+/// A batch request overtakes lookups that arrived a minute after it, so no class waits without bound.
+const AGEING_HEAD_START_MS: [u64; 3] = [0, 10_000, 60_000];
+/// While batch requests wait, one start in this many is a batch start (5%).
+const STARTS_PER_BATCH_START: u32 = 20;
+/// Bounds of `Retry-After`.
+const RETRY_AFTER_MS: std::ops::RangeInclusive<u64> = 1_000..=60_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Free,
+    Waiting,
+    Running,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    generation: u32,
+    state: State,
+    class: PriorityClass,
+    bytes: u64,
+    since: MonoMs,
+    deadline: MonoMs,
+}
+
+/// Decides which requests of a service run, wait or are rejected.
+///
+/// Each accepted ticket ends in exactly one of: started, refused, expired, cancelled. A second end of a ticket is
+/// counted as a violation of [`Invariant::OneOutcome`].
+#[derive(Debug)]
+pub struct ServiceQueue {
+    config: QueueConfig,
+    entries: Vec<Entry>,
+    free: Vec<u32>,
+    queues: [ClassQueue; 3],
+    deadlines: DeadlineQueue,
+    running: [u32; 3],
+    waiting_bytes: u64,
+    other_starts: u32,
+    wait: WaitEstimate,
+    counts: Counts,
+}
+
+impl ServiceQueue {
+    /// Creates an empty queue.
+    #[must_use]
+    pub fn new(config: QueueConfig) -> Self {
+        Self {
+            config,
+            entries: Vec::new(),
+            free: Vec::new(),
+            queues: Default::default(),
+            deadlines: DeadlineQueue::default(),
+            running: [0; 3],
+            waiting_bytes: 0,
+            other_starts: 0,
+            wait: WaitEstimate::default(),
+            counts: Counts::default(),
+        }
+    }
+
+    /// Replaces the bounds; waiting requests stay, also above lower bounds.
+    pub fn set_config(&mut self, config: QueueConfig) {
+        self.config = config;
+    }
+
+    /// Changes how many requests run at once; running requests are not stopped.
+    pub fn set_concurrency(&mut self, concurrency: u32) {
+        self.config.concurrency = concurrency;
+    }
+
+    /// Offers a request.
+    pub fn offer(&mut self, now: MonoMs, offer: Offer) -> Verdict {
+        self.counts.offered += 1;
+        if let Some(verdict) = self.refusal(now, &offer) {
+            self.counts.refused_at_once += 1;
+            return verdict;
+        }
+        let ticket = self.insert(now, &offer);
+        if self.starts_at_once(offer.class) {
+            self.start(now, ticket);
+            return Verdict::Start(ticket);
+        }
+        let latest = now.plus_ms(self.config.longest_wait_ms);
+        self.queues[offer.class.index()].push(ticket);
+        self.deadlines.push(offer.deadline.min(latest), ticket);
+        self.waiting_bytes += offer.bytes;
+        Verdict::Queued(ticket)
+    }
+
+    /// Notes that a running request ended, which frees its slot.
+    pub fn finished(&mut self, now: MonoMs, ticket: Ticket) {
+        let Some(entry) = self.running_entry(ticket) else {
+            violate(Invariant::OneOutcome, "a ticket finished that does not run");
+            return;
+        };
+        self.wait
+            .observe(entry.class, now.since_ms(entry.since) as f64);
+        self.running[entry.class.index()] -= 1;
+        self.release(ticket);
+    }
+
+    /// Appends the waiting requests that start now, in order.
+    pub fn next_starts(&mut self, now: MonoMs, out: &mut Vec<Ticket>) {
+        while let Some(ticket) = self.pick(now) {
+            self.leave_queue(ticket);
+            self.start(now, ticket);
+            out.push(ticket);
+        }
+    }
+
+    /// Appends the waiting requests whose deadline has come; they end as expired.
+    pub fn expire(&mut self, now: MonoMs, out: &mut Vec<Ticket>) {
+        while let Some(ticket) = self.deadlines.pop_due(now) {
+            if self.waits(ticket) {
+                self.leave_queue(ticket);
+                self.release(ticket);
+                self.counts.expired += 1;
+                out.push(ticket);
+            }
+        }
+        self.check_counts();
+    }
+
+    /// Ends a ticket whose caller went away. A running one gives its slot back.
+    pub fn cancel(&mut self, ticket: Ticket) {
+        if self.waits(ticket) {
+            self.leave_queue(ticket);
+            self.release(ticket);
+            self.counts.cancelled += 1;
+            return;
+        }
+        let Some(entry) = self.running_entry(ticket) else {
+            violate(
+                Invariant::OneOutcome,
+                "a ticket was cancelled after its end",
+            );
+            return;
+        };
+        self.running[entry.class.index()] -= 1;
+        self.release(ticket);
+    }
+
+    /// Refuses a waiting ticket, for example when a stricter residency rule takes effect.
+    pub fn refuse(&mut self, ticket: Ticket) {
+        if !self.waits(ticket) {
+            violate(
+                Invariant::OneOutcome,
+                "a ticket was refused that does not wait",
+            );
+            return;
+        }
+        self.leave_queue(ticket);
+        self.release(ticket);
+        self.counts.refused += 1;
+    }
+
+    /// Returns the wait that a new request of `class` has to expect, in milliseconds.
+    #[must_use]
+    pub fn expected_wait_ms(&self, class: PriorityClass) -> f64 {
+        if self.slot_free(class) && self.waiting_up_to(class) == 0 {
+            return 0.0;
+        }
+        let work_ms: f64 = PriorityClass::ALL
+            .into_iter()
+            .filter(|other| *other <= class)
+            .map(|other| self.queues[other.index()].waiting() as f64 * self.wait.hold_ms(other))
+            .sum();
+        (work_ms + self.wait.hold_ms(class)) / f64::from(self.config.concurrency.max(1))
+    }
+
+    /// Returns the earliest point at which [`Self::expire`] may have something to do.
+    #[must_use]
+    pub fn next_deadline(&self) -> Option<MonoMs> {
+        self.deadlines.next()
+    }
+
+    /// Returns how many requests wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.queues.iter().map(ClassQueue::waiting).sum()
+    }
+
+    /// Returns how many bytes wait.
+    #[must_use]
+    pub fn waiting_bytes(&self) -> u64 {
+        self.waiting_bytes
+    }
+
+    /// Returns how many requests run.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        self.running.iter().sum()
+    }
+
+    /// Returns the counts of all offers.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    fn refusal(&self, now: MonoMs, offer: &Offer) -> Option<Verdict> {
+        let wait_ms = self.expected_wait_ms(offer.class);
+        let left_ms = offer.deadline.since_ms(now);
+        if left_ms == 0 || wait_ms > left_ms as f64 {
+            let retry_after_ms = bounded_retry_after_ms(wait_ms - left_ms as f64);
+            return Some(Verdict::Refuse {
+                kind: ErrorKind::DeadlineUnreachable,
+                retry_after_ms,
+            });
+        }
+        if self.starts_at_once(offer.class) || self.fits(offer) {
+            return None;
+        }
+        Some(Verdict::Refuse {
+            kind: ErrorKind::QueueFull,
+            retry_after_ms: bounded_retry_after_ms(wait_ms),
+        })
+    }
+
+    fn fits(&self, offer: &Offer) -> bool {
+        let entries = self.config.entries_for(offer.class) as usize;
+        let bytes = self.waiting_bytes.saturating_add(offer.bytes);
+        self.waiting() < entries && bytes <= self.config.queue_bytes
+    }
+
+    fn starts_at_once(&self, class: PriorityClass) -> bool {
+        self.slot_free(class) && self.waiting_up_to(class) == 0 && !self.batch_is_due(class)
+    }
+
+    fn batch_is_due(&self, class: PriorityClass) -> bool {
+        class != PriorityClass::Batch
+            && self.queues[PriorityClass::Batch.index()].waiting() > 0
+            && self.other_starts + 1 >= STARTS_PER_BATCH_START
+            && self.slot_free(PriorityClass::Batch)
+    }
+
+    fn waiting_up_to(&self, class: PriorityClass) -> usize {
+        self.queues[..=class.index()]
+            .iter()
+            .map(ClassQueue::waiting)
+            .sum()
+    }
+
+    /// Lookups fill the reserved slots first; other classes only use what is left of the rest.
+    fn slot_free(&self, class: PriorityClass) -> bool {
+        let concurrency = self.config.concurrency;
+        if class == PriorityClass::Lookup {
+            return self.running() < concurrency;
+        }
+        let reserved = self.config.reserved_slots();
+        let lookups = self.running[PriorityClass::Lookup.index()];
+        let in_general = self.running() - lookups + lookups.saturating_sub(reserved);
+        in_general < concurrency - reserved
+    }
+
+    fn pick(&mut self, now: MonoMs) -> Option<Ticket> {
+        let mut best: Option<(MonoMs, Ticket)> = None;
+        for class in PriorityClass::ALL {
+            if !self.slot_free(class) {
+                continue;
+            }
+            let Some(ticket) = self.head(now, class) else {
+                continue;
+            };
+            if class == PriorityClass::Batch && self.other_starts + 1 >= STARTS_PER_BATCH_START {
+                return Some(ticket);
+            }
+            let arrived = self.entries[ticket.index as usize].since;
+            let rank = arrived.plus_ms(AGEING_HEAD_START_MS[class.index()]);
+            if best.is_none_or(|(best_rank, _)| rank < best_rank) {
+                best = Some((rank, ticket));
+            }
+        }
+        best.map(|(_, ticket)| ticket)
+    }
+
+    /// Returns the first request of `class` whose deadline has not come.
+    fn head(&mut self, now: MonoMs, class: PriorityClass) -> Option<Ticket> {
+        let entries = &self.entries;
+        let startable = |ticket: Ticket| {
+            let entry = &entries[ticket.index as usize];
+            entry.generation == ticket.generation
+                && entry.state == State::Waiting
+                && entry.deadline > now
+        };
+        self.queues[class.index()].head(startable)
+    }
+
+    fn insert(&mut self, now: MonoMs, offer: &Offer) -> Ticket {
+        let index = match self.free.pop() {
+            Some(index) => index,
+            None => {
+                self.entries.push(Entry {
+                    generation: 0,
+                    state: State::Free,
+                    class: offer.class,
+                    bytes: 0,
+                    since: now,
+                    deadline: now,
+                });
+                (self.entries.len() - 1) as u32
+            }
+        };
+        let entry = &mut self.entries[index as usize];
+        entry.state = State::Waiting;
+        entry.class = offer.class;
+        entry.bytes = offer.bytes;
+        entry.since = now;
+        entry.deadline = offer.deadline;
+        Ticket {
+            index,
+            generation: entry.generation,
+        }
+    }
+
+    fn start(&mut self, now: MonoMs, ticket: Ticket) {
+        let entry = &mut self.entries[ticket.index as usize];
+        entry.state = State::Running;
+        entry.since = now;
+        let class = entry.class;
+        self.running[class.index()] += 1;
+        self.counts.started += 1;
+        let batch_waits = self.queues[PriorityClass::Batch.index()].waiting() > 0;
+        if class == PriorityClass::Batch || !batch_waits {
+            self.other_starts = 0;
+        } else {
+            self.other_starts += 1;
+        }
+    }
+
+    fn waits(&self, ticket: Ticket) -> bool {
+        self.has_state(ticket, State::Waiting)
+    }
+
+    fn has_state(&self, ticket: Ticket, state: State) -> bool {
+        self.entries
+            .get(ticket.index as usize)
+            .is_some_and(|entry| entry.generation == ticket.generation && entry.state == state)
+    }
+
+    fn running_entry(&self, ticket: Ticket) -> Option<Entry> {
+        self.has_state(ticket, State::Running)
+            .then(|| self.entries[ticket.index as usize])
+    }
+
+    /// Takes a waiting ticket out of the accounts of its queue.
+    fn leave_queue(&mut self, ticket: Ticket) {
+        let entry = self.entries[ticket.index as usize];
+        self.waiting_bytes -= entry.bytes;
+        let entries = &self.entries;
+        let waits = |other: Ticket| {
+            let entry = &entries[other.index as usize];
+            other != ticket && entry.generation == other.generation && entry.state == State::Waiting
+        };
+        self.queues[entry.class.index()].left(waits);
+        let waiting = self.queues.iter().map(ClassQueue::waiting).sum();
+        self.deadlines.compact(waiting, waits);
+    }
+
+    fn release(&mut self, ticket: Ticket) {
+        let entry = &mut self.entries[ticket.index as usize];
+        entry.state = State::Free;
+        entry.generation = entry.generation.wrapping_add(1);
+        self.free.push(ticket.index);
+    }
+
+    fn check_counts(&self) {
+        if self.counts.ended() + self.waiting() as u64 != self.counts.offered {
+            violate(
+                Invariant::OneOutcome,
+                "the ends of tickets do not add up to the offers",
+            );
+        }
+    }
+}
+
+fn bounded_retry_after_ms(wait_ms: f64) -> u64 {
+    (wait_ms.max(0.0) as u64).clamp(*RETRY_AFTER_MS.start(), *RETRY_AFTER_MS.end())
+}
--- /dev/null
+++ b/crates/route/src/choose_region.rs
@@ -0,0 +1,114 @@
+//! Which other regions take a request, and how much spills into them.
+
+use lw_base::prelude::*;
+
+use crate::choose::serves;
+use crate::query::Query;
+use crate::region_set::RegionSet;
+use crate::region_summary::{RegionSummary, SHORT_USE};
+use crate::spill::SpillInput;
+use crate::view::RouteView;
+use crate::wait::queue_wait;
+
+impl RouteView {
+    /// Returns the regions that requests may spill into: allowed, serving, reachable and not short of capacity.
+    pub(crate) fn spill_regions(&self, now: MonoMs, query: &Query<'_>) -> RegionSet {
+        self.other_regions(now, query)
+            .iter()
+            .filter(|region| {
+                self.regions
+                    .fresh(now, *region)
+                    .is_some_and(|summary| summary.use_ratio() <= SHORT_USE)
+            })
+            .collect()
+    }
+
+    /// Returns the region for a request whose service has no targets here: the least used one that is reachable, or
+    /// one that nothing is known about.
+    pub(crate) fn required_region(&self, now: MonoMs, query: &Query<'_>) -> Option<RegionKey> {
+        /// A region without a recent summary is used when every known one is full.
+        const UNKNOWN_USE: f64 = 1.0;
+        let use_ratio = |region: RegionKey| {
+            let summary = self.regions.fresh(now, region);
+            summary.map_or(UNKNOWN_USE, |summary| summary.use_ratio())
+        };
+        self.other_regions(now, query)
+            .iter()
+            .min_by(|a, b| use_ratio(*a).total_cmp(&use_ratio(*b)))
+    }
+
+    /// Adjusts the spilled share of the service when it is due.
+    pub(crate) fn adjust_spill(&self, now: MonoMs, query: &Query<'_>) {
+        let shared = &self.services[query.service.index()].shared;
+        let mut spill = shared.spill.lock();
+        if spill.is_due(now) {
+            spill.update(now, &self.spill_input(now, query));
+        }
+    }
+
+    fn spill_input(&self, now: MonoMs, query: &Query<'_>) -> SpillInput {
+        let load = self.service_load(query.service);
+        let service_ms = load.service_ms.max(1.0);
+        let use_ratio = load.requests / load.slots.max(1.0);
+        let backlog = (use_ratio - 1.0).max(0.0);
+        let target_wait = queue_wait(load.slots, use_ratio).min(1.0) + backlog;
+        let regions = self.spill_regions(now, query);
+        let headroom: f64 = regions
+            .iter()
+            .filter_map(|region| self.regions.fresh(now, region))
+            .map(|summary| summary.headroom_slots())
+            .sum();
+        let remote_sum_ms = regions
+            .iter()
+            .filter_map(|region| {
+                let summary = self.regions.fresh(now, region)?;
+                Some(self.remote_sum_ms(region, &summary, query, service_ms))
+            })
+            .min_by(f64::total_cmp);
+        SpillInput {
+            local_wait_ms: query.local_wait_ms + target_wait * service_ms,
+            remote_sum_ms,
+            local_use: use_ratio + query.local_wait_ms / service_ms,
+            remote_headroom: headroom / load.slots.max(1.0),
+        }
+    }
+
+    /// Returns remote wait + wide-area delay both ways + cold-cache cost, the latter two raised by their weights.
+    fn remote_sum_ms(
+        &self,
+        region: RegionKey,
+        summary: &RegionSummary,
+        query: &Query<'_>,
+        service_ms: f64,
+    ) -> f64 {
+        let weights = &self.fleet.weights;
+        let wait_ms = queue_wait(summary.capacity_slots, summary.use_ratio()) * service_ms;
+        let delay_ms = 2.0 * self.delay_ms(region);
+        let cold_ms = query.prefix_prefill_ms;
+        wait_ms + delay_ms * (1.0 + weights.cross_region) + cold_ms * (1.0 + weights.cost)
+    }
+
+    fn delay_ms(&self, region: RegionKey) -> f64 {
+        let Some(local) = self.local else {
+            return 0.0;
+        };
+        let delays = &self.fleet.regions[local].delay_ms;
+        delays.get(region.index()).copied().unwrap_or(0.0)
+    }
+
+    fn other_regions(&self, now: MonoMs, query: &Query<'_>) -> RegionSet {
+        let service = &self.fleet.services[query.service];
+        let shared = &self.services[query.service.index()].shared;
+        let own = self.local.map_or(RegionSet::EMPTY, RegionSet::single);
+        let excluded = shared.paused_regions(now);
+        self.fleet
+            .regions
+            .keys()
+            .filter(|region| serves(service, *region))
+            .collect::<RegionSet>()
+            .intersect(query.allowed)
+            .without(own)
+            .without(query.tried_regions)
+            .without(excluded)
+    }
+}
--- /dev/null
+++ b/crates/route/src/choose_target.rs
@@ -0,0 +1,181 @@
+//! The choice of a target in the own region.
+
+use lw_base::prelude::*;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::explain::{Considered, RuledOut, Source};
+use crate::query::{Now, Query};
+use crate::target_cell::TargetView;
+use crate::view::{RouteView, ServiceView};
+
+/// Random candidates per decision.
+const RANDOM_CANDIDATES: usize = 2;
+/// Draws for them; with half of the targets out of service, eight draws miss both in 4% of the decisions.
+const RANDOM_DRAWS: usize = 8;
+/// A home above this ratio of the mean load loses its affinity bonus.
+const OVERLOADED_HOME: f64 = 1.25;
+/// A home below this use keeps its bonus: on a nearly idle service one request is above any ratio of the mean.
+const BUSY_USE: f64 = 0.5;
+/// How much a full batch slows a request, in service times.
+const BATCH_SLOWDOWN: f64 = 0.5;
+
+/// The best candidate so far.
+struct Best {
+    target: Option<TargetKey>,
+    score: f64,
+}
+
+impl RouteView {
+    /// Chooses among the two homes of the prefix and two random targets, whatever the number of targets.
+    ///
+    /// Only when none of them takes new work, the targets are searched from a random position on.
+    pub(crate) fn choose_target(
+        &self,
+        now: Now,
+        query: &Query<'_>,
+        rng: &mut ChaCha8Rng,
+        trace: &mut impl FnMut(&Considered),
+    ) -> Option<TargetKey> {
+        let service = &self.services[query.service.index()];
+        let count = service.targets.len();
+        if count == 0 {
+            return None;
+        }
+        let mut best = Best {
+            target: None,
+            score: f64::INFINITY,
+        };
+        let homes = query
+            .prefix
+            .and_then(|prefix| service.targets.homes.homes(prefix));
+        if let Some((first, second)) = homes {
+            let draw = rng.random();
+            self.consider(now, query, first, Source::FirstHome, draw, &mut best, trace);
+            if second != first {
+                let draw = rng.random();
+                self.consider(
+                    now,
+                    query,
+                    second,
+                    Source::SecondHome,
+                    draw,
+                    &mut best,
+                    trace,
+                );
+            }
+        }
+        let mut found = 0;
+        for _ in 0..RANDOM_DRAWS {
+            if found == RANDOM_CANDIDATES {
+                break;
+            }
+            let index = rng.random_range(0..count);
+            if homes.is_some_and(|(first, second)| index == first || index == second) {
+                found += usize::from(count <= 2);
+                continue;
+            }
+            let draw = rng.random();
+            let usable = self.consider(now, query, index, Source::Random, draw, &mut best, trace);
+            found += usize::from(usable);
+        }
+        if best.target.is_none() {
+            let start = rng.random_range(0..count);
+            self.search(now, query, start, &mut best, trace);
+        }
+        best.target
+    }
+
+    fn search(
+        &self,
+        now: Now,
+        query: &Query<'_>,
+        start: usize,
+        best: &mut Best,
+        trace: &mut impl FnMut(&Considered),
+    ) {
+        let count = self.services[query.service.index()].targets.len();
+        for step in 0..count {
+            let index = (start + step) % count;
+            if self.consider(now, query, index, Source::Search, 0.0, best, trace) {
+                return;
+            }
+        }
+    }
+
+    /// Looks at one target; returns true when it takes new work. `draw` lies between 0 and 1 and decides on slow start.
+    #[allow(clippy::too_many_arguments)] // the candidate, its draw and the two sinks belong to one step
+    fn consider(
+        &self,
+        now: Now,
+        query: &Query<'_>,
+        index: usize,
+        source: Source,
+        draw: f64,
+        best: &mut Best,
+        trace: &mut impl FnMut(&Considered),
+    ) -> bool {
+        let service = &self.services[query.service.index()];
+        let target = service.targets.keys[index];
+        let view = service.targets.cells[index].view(now);
+        let ruled_out = if query.tried.contains(&target) {
+            Some(RuledOut::Tried)
+        } else if view.ruled_out.is_some() {
+            view.ruled_out
+        } else if view.share < 1.0 && draw >= view.share {
+            Some(RuledOut::SlowStart)
+        } else {
+            None
+        };
+        let wait_ms = wait_ms(service, &view);
+        let miss_ms = miss_ms(service, &view, source, query);
+        let weights = &self.fleet.weights;
+        let score = weights.latency * wait_ms + weights.cost * miss_ms;
+        trace(&Considered {
+            target,
+            source,
+            ruled_out,
+            requests: view.requests,
+            wait_ms,
+            miss_ms,
+            score,
+        });
+        if ruled_out.is_some() {
+            return false;
+        }
+        // A due probe is sent with the next request that meets the target; otherwise its load of zero or its
+        // failures would keep deciding whether it ever returns.
+        let score = if view.probe { f64::NEG_INFINITY } else { score };
+        if score < best.score {
+            best.score = score;
+            best.target = Some(target);
+        }
+        true
+    }
+}
+
+/// Returns the expected wait and slowdown at a target, in milliseconds.
+fn wait_ms(service: &ServiceView, view: &TargetView) -> f64 {
+    let service_ms = service.shared.service_ms();
+    let slowness = match (service.shared.speed(), view.speed_tokens_per_s) {
+        (Some(mean), Some(speed)) => (mean / speed).max(1.0),
+        _ => 1.0,
+    };
+    let queued = (view.requests + 1.0 - view.slots).max(0.0) / view.slots;
+    let batch = BATCH_SLOWDOWN * view.requests / view.slots;
+    service_ms * (slowness * (1.0 + queued + batch) - 1.0)
+}
+
+/// Returns the prefill time that a request has to expect for its prefix, in milliseconds.
+fn miss_ms(service: &ServiceView, view: &TargetView, source: Source, query: &Query<'_>) -> f64 {
+    let is_home = matches!(source, Source::FirstHome | Source::SecondHome);
+    if !is_home {
+        return query.prefix_prefill_ms;
+    }
+    let mean_use = service.shared.requests() / service.targets.slots.max(1.0);
+    let use_ratio = view.requests / view.slots;
+    if use_ratio > (OVERLOADED_HOME * mean_use).max(BUSY_USE) {
+        return query.prefix_prefill_ms;
+    }
+    0.0
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,1 +1,40 @@
-//! The choice of region and target.
+//! Selection of the region and the target of a request, load estimates, ejection and slow start.
+
+mod choose;
+mod choose_region;
+mod choose_target;
+mod decision;
+mod ejection;
+mod explain;
+mod home_table;
+mod in_flight;
+mod load_board;
+mod load_estimate;
+mod load_report;
+mod query;
+mod region_set;
+mod region_summary;
+mod region_table;
+mod residency;
+mod router;
+mod service_shared;
+mod spill;
+mod stop_state;
+mod target_cell;
+mod target_set;
+mod view;
+mod wait;
+
+pub use decision::{Decision, LocalDecision, Refusal};
+pub use explain::{Considered, Explanation, RegionConsidered, RuledOut, Source};
+pub use home_table::HomeTable;
+pub use in_flight::{AttemptEnd, InFlight};
+pub use load_board::{decode_load, encode_load};
+pub use load_report::LoadReport;
+pub use query::{Now, Query};
+pub use region_set::RegionSet;
+pub use region_summary::RegionSummary;
+pub use residency::allowed_regions;
+pub use router::Router;
+pub use spill::{SpillControl, SpillInput};
+pub use view::{RouteView, ServiceLoad};
--- /dev/null
+++ b/crates/route/src/router.rs
@@ -0,0 +1,43 @@
+//! The owner of the current view.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use lw_base::prelude::*;
+use lw_doc::Fleet;
+
+use crate::view::RouteView;
+
+/// Holds the view of the newest revision; decisions read it without a lock.
+#[derive(Debug)]
+pub struct Router {
+    view: ArcSwap<RouteView>,
+    local: Arc<str>,
+    seed: u64,
+}
+
+impl Router {
+    /// Creates a router for the region with the name `local`. Random draws derive from `seed`.
+    #[must_use]
+    pub fn new(now: MonoMs, fleet: &Arc<Fleet>, local: &str, seed: u64) -> Self {
+        let view = RouteView::build(now, fleet, local, seed, None);
+        Self {
+            view: ArcSwap::from_pointee(view),
+            local: local.into(),
+            seed,
+        }
+    }
+
+    /// Takes a new revision. Load, ejection and marks of targets that stay are kept.
+    pub fn apply(&self, now: MonoMs, fleet: &Arc<Fleet>) {
+        let old = self.view.load_full();
+        let view = RouteView::build(now, fleet, &self.local, self.seed, Some(&old));
+        self.view.store(Arc::new(view));
+    }
+
+    /// Returns the current view; keys of its fleet are valid with this view only.
+    #[must_use]
+    pub fn view(&self) -> Arc<RouteView> {
+        self.view.load_full()
+    }
+}
--- /dev/null
+++ b/crates/route/src/service_shared.rs
@@ -0,0 +1,107 @@
+//! The state of a service that outlives a revision.
+
+use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
+
+use lw_base::prelude::*;
+use parking_lot::Mutex;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::region_set::RegionSet;
+use crate::spill::SpillControl;
+
+/// The assumed service time before the first response.
+const FIRST_SERVICE_MS: f64 = 1_000.0;
+/// Weight of the newest service time.
+const NEWEST: f64 = 0.05;
+/// A region that failed or rejected a forwarded request gets no spilled request for this time.
+const REGION_PAUSE_MS: u64 = 5_000;
+
+#[derive(Debug)]
+pub(crate) struct ServiceShared {
+    pub(crate) rng: Mutex<ChaCha8Rng>,
+    pub(crate) spill: Mutex<SpillControl>,
+    paused_regions: Mutex<Vec<(RegionKey, MonoMs)>>,
+    load_milli: AtomicI64,
+    own_requests: AtomicI64,
+    service_us: AtomicU64,
+    /// The average reported speed in thousandths of a token per second; zero before the first report.
+    speed_milli: AtomicU64,
+}
+
+impl ServiceShared {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self {
+            rng: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
+            spill: Mutex::new(SpillControl::default()),
+            paused_regions: Mutex::new(Vec::new()),
+            load_milli: AtomicI64::new(0),
+            own_requests: AtomicI64::new(0),
+            speed_milli: AtomicU64::new(0),
+            service_us: AtomicU64::new((FIRST_SERVICE_MS * 1_000.0) as u64),
+        }
+    }
+
+    pub(crate) fn add_load(&self, milli: i64) {
+        self.load_milli.fetch_add(milli, Ordering::Relaxed);
+    }
+
+    pub(crate) fn add_own(&self, requests: i64) {
+        self.own_requests.fetch_add(requests, Ordering::Relaxed);
+    }
+
+    pub(crate) fn own_requests(&self) -> u32 {
+        u32::try_from(self.own_requests.load(Ordering::Relaxed)).unwrap_or(0)
+    }
+
+    /// Takes a reported speed of one target.
+    pub(crate) fn observe_speed(&self, tokens_per_s: f64) {
+        let old = self.speed();
+        let new = old.map_or(tokens_per_s, |old| old + NEWEST * (tokens_per_s - old));
+        self.speed_milli
+            .store((new * 1_000.0).max(1.0) as u64, Ordering::Relaxed);
+    }
+
+    /// Returns the average speed over the targets, in tokens per second of one request.
+    pub(crate) fn speed(&self) -> Option<f64> {
+        let milli = self.speed_milli.load(Ordering::Relaxed);
+        (milli > 0).then_some(milli as f64 / 1_000.0)
+    }
+
+    /// Returns the estimated number of requests at all targets.
+    pub(crate) fn requests(&self) -> f64 {
+        self.load_milli.load(Ordering::Relaxed).max(0) as f64 / 1_000.0
+    }
+
+    /// Takes the duration of a completed request; concurrent updates may overwrite each other.
+    pub(crate) fn observe(&self, service_ms: f64) {
+        let old = self.service_ms();
+        let new = old + NEWEST * (service_ms - old);
+        self.service_us
+            .store((new * 1_000.0).max(1.0) as u64, Ordering::Relaxed);
+    }
+
+    pub(crate) fn service_ms(&self) -> f64 {
+        self.service_us.load(Ordering::Relaxed) as f64 / 1_000.0
+    }
+
+    pub(crate) fn pause_region(&self, now: MonoMs, region: RegionKey) {
+        let mut paused = self.paused_regions.lock();
+        paused.retain(|(other, until)| *other != region && *until > now);
+        paused.push((region, now.plus_ms(REGION_PAUSE_MS)));
+    }
+
+    pub(crate) fn paused_regions(&self, now: MonoMs) -> RegionSet {
+        let paused = self.paused_regions.lock();
+        paused
+            .iter()
+            .filter(|(_, until)| *until > now)
+            .map(|(region, _)| *region)
+            .collect()
+    }
+
+    /// Forgets pauses when keys of regions change their meaning.
+    pub(crate) fn forget_regions(&self) {
+        self.paused_regions.lock().clear();
+    }
+}
