--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -9,6 +9,7 @@
 mod retry_budget;
 mod service_queue;
 mod ticket;
+mod ticket_table;
 mod usage_board;
 mod wait_estimate;
 
--- a/crates/admit/src/service_queue.rs
+++ b/crates/admit/src/service_queue.rs
@@ -9,6 +9,7 @@
 use crate::offer::{Offer, Verdict};
 use crate::queue_config::QueueConfig;
 use crate::ticket::Ticket;
+use crate::ticket_table::TicketTable;
 use crate::wait_estimate::WaitEstimate;
 
 /// A waiting request counts as this much older than a request of the class above per class.
@@ -20,23 +21,6 @@
 /// Bounds of `Retry-After`.
 const RETRY_AFTER_MS: std::ops::RangeInclusive<u64> = 1_000..=60_000;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum State {
-    Free,
-    Waiting,
-    Running,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Entry {
-    generation: u32,
-    state: State,
-    class: PriorityClass,
-    bytes: u64,
-    since: MonoMs,
-    deadline: MonoMs,
-}
-
 /// Decides which requests of a service run, wait or are rejected.
 ///
 /// Each accepted ticket ends in exactly one of: started, refused, expired, cancelled. A second end of a ticket is
@@ -44,8 +28,7 @@
 #[derive(Debug)]
 pub struct ServiceQueue {
     config: QueueConfig,
-    entries: Vec<Entry>,
-    free: Vec<u32>,
+    tickets: TicketTable,
     queues: [ClassQueue; 3],
     deadlines: DeadlineQueue,
     running: [u32; 3],
@@ -61,8 +44,7 @@
     pub fn new(config: QueueConfig) -> Self {
         Self {
             config,
-            entries: Vec::new(),
-            free: Vec::new(),
+            tickets: TicketTable::default(),
             queues: Default::default(),
             deadlines: DeadlineQueue::default(),
             running: [0; 3],
@@ -90,7 +72,7 @@
             self.counts.refused_at_once += 1;
             return verdict;
         }
-        let ticket = self.insert(now, &offer);
+        let ticket = self.tickets.insert(now, &offer);
         if self.starts_at_once(offer.class) {
             self.start(now, ticket);
             return Verdict::Start(ticket);
@@ -104,14 +86,14 @@
 
     /// Notes that a running request ended, which frees its slot.
     pub fn finished(&mut self, now: MonoMs, ticket: Ticket) {
-        let Some(entry) = self.running_entry(ticket) else {
+        let Some(entry) = self.tickets.running(ticket).copied() else {
             violate(Invariant::OneOutcome, "a ticket finished that does not run");
             return;
         };
         self.wait
             .observe(entry.class, now.since_ms(entry.since) as f64);
         self.running[entry.class.index()] -= 1;
-        self.release(ticket);
+        self.tickets.end(ticket);
     }
 
     /// Appends the waiting requests that start now, in order.
@@ -128,7 +110,7 @@
         while let Some(ticket) = self.deadlines.pop_due(now) {
             if self.waits(ticket) {
                 self.leave_queue(ticket);
-                self.release(ticket);
+                self.tickets.end(ticket);
                 self.counts.expired += 1;
                 out.push(ticket);
             }
@@ -140,11 +122,11 @@
     pub fn cancel(&mut self, ticket: Ticket) {
         if self.waits(ticket) {
             self.leave_queue(ticket);
-            self.release(ticket);
+            self.tickets.end(ticket);
             self.counts.cancelled += 1;
             return;
         }
-        let Some(entry) = self.running_entry(ticket) else {
+        let Some(entry) = self.tickets.running(ticket).copied() else {
             violate(
                 Invariant::OneOutcome,
                 "a ticket was cancelled after its end",
@@ -152,7 +134,7 @@
             return;
         };
         self.running[entry.class.index()] -= 1;
-        self.release(ticket);
+        self.tickets.end(ticket);
     }
 
     /// Refuses a waiting ticket, for example when a stricter residency rule takes effect.
@@ -165,7 +147,7 @@
             return;
         }
         self.leave_queue(ticket);
-        self.release(ticket);
+        self.tickets.end(ticket);
         self.counts.refused += 1;
     }
 
@@ -180,7 +162,12 @@
             .filter(|other| *other <= class)
             .map(|other| self.queues[other.index()].waiting() as f64 * self.wait.hold_ms(other))
             .sum();
-        (work_ms + self.wait.hold_ms(class)) / f64::from(self.config.concurrency.max(1))
+        let reserved = match class {
+            PriorityClass::Lookup => 0,
+            PriorityClass::Interactive | PriorityClass::Batch => self.config.reserved_slots(),
+        };
+        let slots = self.config.concurrency.saturating_sub(reserved).max(1);
+        (work_ms + self.wait.hold_ms(class)) / f64::from(slots)
     }
 
     /// Returns the earliest point at which [`Self::expire`] may have something to do.
@@ -280,8 +267,10 @@
             if class == PriorityClass::Batch && self.other_starts + 1 >= STARTS_PER_BATCH_START {
                 return Some(ticket);
             }
-            let arrived = self.entries[ticket.index as usize].since;
-            let rank = arrived.plus_ms(AGEING_HEAD_START_MS[class.index()]);
+            let Some(entry) = self.tickets.waiting(ticket) else {
+                continue;
+            };
+            let rank = entry.since.plus_ms(AGEING_HEAD_START_MS[class.index()]);
             if best.is_none_or(|(best_rank, _)| rank < best_rank) {
                 best = Some((rank, ticket));
             }
@@ -291,48 +280,20 @@
 
     /// Returns the first request of `class` whose deadline has not come.
     fn head(&mut self, now: MonoMs, class: PriorityClass) -> Option<Ticket> {
-        let entries = &self.entries;
-        let startable = |ticket: Ticket| {
-            let entry = &entries[ticket.index as usize];
-            entry.generation == ticket.generation
-                && entry.state == State::Waiting
-                && entry.deadline > now
+        let tickets = &self.tickets;
+        let startable = |ticket| {
+            tickets
+                .waiting(ticket)
+                .is_some_and(|entry| entry.deadline > now)
         };
         self.queues[class.index()].head(startable)
     }
 
-    fn insert(&mut self, now: MonoMs, offer: &Offer) -> Ticket {
-        let index = match self.free.pop() {
-            Some(index) => index,
-            None => {
-                self.entries.push(Entry {
-                    generation: 0,
-                    state: State::Free,
-                    class: offer.class,
-                    bytes: 0,
-                    since: now,
-                    deadline: now,
-                });
-                (self.entries.len() - 1) as u32
-            }
-        };
-        let entry = &mut self.entries[index as usize];
-        entry.state = State::Waiting;
-        entry.class = offer.class;
-        entry.bytes = offer.bytes;
-        entry.since = now;
-        entry.deadline = offer.deadline;
-        Ticket {
-            index,
-            generation: entry.generation,
-        }
-    }
-
     fn start(&mut self, now: MonoMs, ticket: Ticket) {
-        let entry = &mut self.entries[ticket.index as usize];
-        entry.state = State::Running;
-        entry.since = now;
-        let class = entry.class;
+        let Some(class) = self.tickets.get(ticket).map(|entry| entry.class) else {
+            return;
+        };
+        self.tickets.run(now, ticket);
         self.running[class.index()] += 1;
         self.counts.started += 1;
         let batch_waits = self.queues[PriorityClass::Batch.index()].waiting() > 0;
@@ -344,41 +305,22 @@
     }
 
     fn waits(&self, ticket: Ticket) -> bool {
-        self.has_state(ticket, State::Waiting)
-    }
-
-    fn has_state(&self, ticket: Ticket, state: State) -> bool {
-        self.entries
-            .get(ticket.index as usize)
-            .is_some_and(|entry| entry.generation == ticket.generation && entry.state == state)
-    }
-
-    fn running_entry(&self, ticket: Ticket) -> Option<Entry> {
-        self.has_state(ticket, State::Running)
-            .then(|| self.entries[ticket.index as usize])
+        self.tickets.waiting(ticket).is_some()
     }
 
     /// Takes a waiting ticket out of the accounts of its queue.
     fn leave_queue(&mut self, ticket: Ticket) {
-        let entry = self.entries[ticket.index as usize];
-        self.waiting_bytes -= entry.bytes;
-        let entries = &self.entries;
-        let waits = |other: Ticket| {
-            let entry = &entries[other.index as usize];
-            other != ticket && entry.generation == other.generation && entry.state == State::Waiting
+        let Some(entry) = self.tickets.waiting(ticket).copied() else {
+            return;
         };
+        self.waiting_bytes -= entry.bytes;
+        let tickets = &self.tickets;
+        let waits = |other| other != ticket && tickets.waiting(other).is_some();
         self.queues[entry.class.index()].left(waits);
         let waiting = self.queues.iter().map(ClassQueue::waiting).sum();
         self.deadlines.compact(waiting, waits);
     }
 
-    fn release(&mut self, ticket: Ticket) {
-        let entry = &mut self.entries[ticket.index as usize];
-        entry.state = State::Free;
-        entry.generation = entry.generation.wrapping_add(1);
-        self.free.push(ticket.index);
-    }
-
     fn check_counts(&self) {
         if self.counts.ended() + self.waiting() as u64 != self.counts.offered {
             violate(
--- /dev/null
+++ b/crates/admit/tests/limits.rs
@@ -0,0 +1,116 @@
+//! Limits per customer and the retry budget.
+
+use lw_admit::{ACTIVE_CUSTOMERS, CustomerId, CustomerLimits, EXCHANGED_CUSTOMERS, RetryBudget};
+use lw_base::prelude::*;
+use test_case::test_case;
+
+const LIMIT_PER_S: f64 = 80.0;
+
+/// Plays `seconds` of requests of one customer on hosts that exchange their use each second, and returns how many
+/// were admitted in the second half per second. `per_10_ms` is the number of requests each 10 ms by host.
+fn admitted_per_s(per_10_ms: &[u32], seconds: u64) -> f64 {
+    let customer = CustomerId::of_name("foundry-12");
+    let mut hosts: Vec<CustomerLimits> = Vec::new();
+    hosts.resize_with(per_10_ms.len(), CustomerLimits::default);
+    let mut admitted = 0u32;
+    for tick in 0..seconds * 100 {
+        let now = MonoMs(tick * 10);
+        for (host, requests) in hosts.iter_mut().zip(per_10_ms) {
+            for _ in 0..*requests {
+                let verdict = host.admit(now, customer, LIMIT_PER_S, per_10_ms.len() as u32);
+                admitted += u32::from(verdict.is_ok() && tick >= seconds * 50);
+            }
+        }
+        if tick % 100 == 99 {
+            exchange(now, &mut hosts);
+        }
+    }
+    f64::from(admitted) / (seconds as f64 / 2.0)
+}
+
+fn exchange(now: MonoMs, hosts: &mut [CustomerLimits]) {
+    let mut sent = Vec::new();
+    for host in hosts.iter_mut() {
+        let mut out = Vec::new();
+        host.exchange(now, &mut out);
+        sent.push(out);
+    }
+    for (receiver, host) in hosts.iter_mut().enumerate() {
+        for (sender, rates) in sent.iter().enumerate() {
+            if sender != receiver {
+                host.others(now, sender as u64, rates);
+            }
+        }
+    }
+}
+
+/// Guards against a sum over all hosts above 1.5 times the limit, and against a limit that a customer cannot use.
+#[test_case(&[2, 2, 2, 2, 2, 2, 2, 2] ; "equal use on eight hosts")]
+#[test_case(&[10, 0, 0, 0, 0, 0, 0, 0] ; "use on one host")]
+#[test_case(&[8, 1, 1, 0, 0, 0, 0, 1] ; "uneven use")]
+fn the_sum_over_hosts_follows_the_limit(per_10_ms: &[u32]) {
+    let rate = admitted_per_s(per_10_ms, 20);
+    assert!(rate <= 1.5 * LIMIT_PER_S, "{rate} per s");
+    assert!(rate >= 0.9 * LIMIT_PER_S, "{rate} per s");
+}
+
+/// Guards against hosts that each allow the whole limit to a customer they see for the first time.
+#[test]
+fn first_contact_stays_below_the_limit() {
+    let customer = CustomerId::of_name("riad-3");
+    let mut admitted = 0;
+    for _ in 0..8 {
+        let mut host = CustomerLimits::default();
+        for tick in 0..100 {
+            let verdict = host.admit(MonoMs(tick * 10), customer, LIMIT_PER_S, 8);
+            admitted += u32::from(verdict.is_ok());
+        }
+    }
+    assert!(f64::from(admitted) <= 1.5 * LIMIT_PER_S, "{admitted}");
+}
+
+/// Guards against memory that grows with the 38,000 customers of the document.
+#[test]
+fn buckets_and_exchange_are_bounded() {
+    let mut limits = CustomerLimits::default();
+    for index in 0..38_000u64 {
+        let customer = CustomerId(index.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        let _ = limits.admit(MonoMs(index / 10), customer, 1.0, 8);
+    }
+    assert_eq!(limits.active(), ACTIVE_CUSTOMERS);
+    let mut out = Vec::new();
+    limits.exchange(MonoMs(4_000), &mut out);
+    assert_eq!(out.len(), EXCHANGED_CUSTOMERS);
+}
+
+/// Guards against a retry storm: with every request failing, retries stay within 10% of the requests.
+#[test_case(1_000 ; "100 requests per second")]
+#[test_case(10_000 ; "1,000 requests per second")]
+fn retries_stay_within_a_tenth_in_an_outage(requests_per_10_s: u64) {
+    let mut budget = RetryBudget::default();
+    let mut retries = 0u64;
+    let step_us = 10_000_000 / requests_per_10_s;
+    for index in 0..requests_per_10_s * 6 {
+        let now = MonoMs(index * step_us / 1_000);
+        budget.request(now);
+        for _ in 0..3 {
+            retries += u64::from(budget.try_retry(now));
+        }
+    }
+    assert!(retries * 10 <= requests_per_10_s * 6, "{retries}");
+    assert!(retries * 10 >= requests_per_10_s * 5, "{retries}");
+}
+
+/// Guards against a quiet service that may never retry: one retry a second is always allowed, and not more.
+#[test]
+fn quiet_services_get_one_retry_a_second() {
+    let mut budget = RetryBudget::default();
+    let mut retries = 0;
+    for second in 0..30 {
+        budget.request(MonoMs(second * 1_000));
+        for _ in 0..3 {
+            retries += u32::from(budget.try_retry(MonoMs(second * 1_000)));
+        }
+    }
+    assert_eq!(retries, 30);
+}
