Test residency, target selection and spilling

Cause: routing had no tests, and plain services report no load that a host could derive its concurrency from. The concurrency of a host is an equal part of the targets for plain services.

--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -4,7 +4,7 @@
 
 use lw_base::prelude::*;
 use lw_base::stable_hash_pair;
-use lw_doc::Fleet;
+use lw_doc::{Fleet, ServiceKind};
 
 use crate::home_table::HomeTable;
 use crate::in_flight::InFlight;
@@ -36,19 +36,6 @@
     pub service_ms: f64,
 }
 
-impl ServiceLoad {
-    /// Returns how many requests this host may run at once when `hosts` hosts share the targets: its own requests, its
-    /// part of what is free, and at least half of an equal share.
-    #[must_use]
-    pub fn host_concurrency(&self, hosts: u32) -> u32 {
-        let hosts = f64::from(hosts.max(1));
-        let free = (self.slots - self.requests).max(0.0);
-        let fair = f64::from(self.own_requests) + free / hosts;
-        let least = self.slots / hosts / 2.0;
-        fair.max(least).max(1.0).floor() as u32
-    }
-}
-
 /// The routing state of one revision: the fleet, and shared state of services and targets by key.
 #[derive(Debug)]
 pub struct RouteView {
@@ -163,6 +150,25 @@
         }
     }
 
+    /// Returns how many requests of a service this host may run at once when `hosts` hosts share the targets.
+    ///
+    /// Plain services report no load and have no queue of their own, so each host gets an equal part. For engines it
+    /// is the own requests and a part of what is free, and at least half of an equal part.
+    #[must_use]
+    pub fn host_concurrency(&self, service: ServiceKey, hosts: u32) -> u32 {
+        let load = self.service_load(service);
+        let hosts = f64::from(hosts.max(1));
+        let equal = load.slots / hosts;
+        let wanted = match self.fleet.services[service].kind {
+            ServiceKind::Plain => equal,
+            ServiceKind::Model => {
+                let free = (load.slots - load.requests).max(0.0);
+                (f64::from(load.own_requests) + free / hosts).max(equal / 2.0)
+            }
+        };
+        wanted.max(1.0).floor() as u32
+    }
+
     /// Returns the share of the requests of a service that spill into other regions.
     #[must_use]
     pub fn spill_share(&self, service: ServiceKey) -> f64 {
--- /dev/null
+++ b/crates/route/tests/spill.rs
@@ -0,0 +1,131 @@
+//! Spill between regions: start, rate of change, return and limits.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::{all, at, fleet};
+use lw_base::prelude::*;
+use lw_route::{
+    Decision, LoadReport, Query, RegionSummary, RouteView, Router, SpillControl, SpillInput,
+};
+use test_case::test_case;
+
+fn input(local_wait_ms: f64, local_use: f64) -> SpillInput {
+    SpillInput {
+        local_wait_ms,
+        remote_sum_ms: Some(100.0),
+        local_use,
+        remote_headroom: 10.0,
+    }
+}
+
+/// Runs the controller for a time and returns the share.
+fn run(control: &mut SpillControl, from_ms: u64, span_ms: u64, input: &SpillInput) -> f64 {
+    for now_ms in (from_ms..=from_ms + span_ms).step_by(250) {
+        control.update(MonoMs(now_ms), input);
+    }
+    control.share()
+}
+
+/// Guards against spilling for a small advantage and against stopping within the hysteresis.
+#[test]
+fn spill_starts_at_a_fifth_above_and_ends_below_the_remote_sum() {
+    let mut control = SpillControl::default();
+    assert_eq!(run(&mut control, 0, 5_000, &input(119.0, 2.0)), 0.0);
+    assert!(run(&mut control, 5_000, 5_000, &input(121.0, 2.0)) > 0.0);
+    let share = control.share();
+    assert!(run(&mut control, 10_000, 1_000, &input(101.0, 2.0)) >= share);
+    let share = control.share();
+    assert!(run(&mut control, 11_000, 1_000, &input(99.0, 2.0)) < share);
+}
+
+/// Guards against a share that jumps: at most 10 points up and 2 points down a second.
+#[test]
+fn the_share_changes_slowly() {
+    let mut control = SpillControl::default();
+    let risen = run(&mut control, 0, 2_000, &input(10_000.0, 3.0));
+    assert!((0.15..=0.2 + 1e-9).contains(&risen), "{risen}");
+    let fallen = run(&mut control, 2_000, 2_000, &input(0.0, 0.1));
+    assert!((risen - 0.04 - 1e-9..risen).contains(&fallen), "{fallen}");
+}
+
+/// Guards against spilling more than the excess and more than the others can take.
+#[test]
+fn the_share_is_bounded_by_excess_and_headroom() {
+    let mut control = SpillControl::default();
+    // An offered load of 1.7 with a set point of 0.85 leaves half of it to others.
+    let mut share = 0.0;
+    for now_ms in (0..60_000).step_by(250) {
+        let seen = input(1_000.0, 1.7 * (1.0 - share));
+        control.update(MonoMs(now_ms), &seen);
+        share = control.share();
+    }
+    assert!((share - 0.5).abs() < 0.01, "{share}");
+    let tight = SpillInput {
+        remote_headroom: 0.17,
+        ..input(1_000.0, 1.7)
+    };
+    let mut control = SpillControl::default();
+    let share = run(&mut control, 0, 1_000, &tight);
+    assert!(share <= 0.1 + 1e-9, "{share}");
+}
+
+fn busy_view(router: &Router, remote_use: f64) -> Arc<RouteView> {
+    let view = router.view();
+    view.set_summary(
+        RegionKey(1),
+        RegionSummary {
+            capacity_slots: 80.0,
+            load_slots: 80.0 * remote_use,
+            received: MonoMs(0),
+        },
+    );
+    for target in 0..2 {
+        let report = LoadReport {
+            requests: 12,
+            speed_tokens_per_s: None,
+        };
+        view.report(MonoMs(0), TargetKey(target), &report);
+    }
+    view
+}
+
+/// Guards against spilling into a short region, one that residency excludes, one without recent news, or one that was
+/// already tried or just rejected a request.
+#[test_case(0.50, true, 5_000, false, true ; "free region")]
+#[test_case(0.84, true, 5_000, false, true ; "region below the limit")]
+#[test_case(0.86, true, 5_000, false, false ; "short region")]
+#[test_case(0.50, false, 5_000, false, false ; "excluded by residency")]
+#[test_case(0.50, true, 40_000, false, false ; "old summary")]
+#[test_case(0.50, true, 5_000, true, false ; "region that failed")]
+fn spill_needs_an_eligible_region(
+    remote_use: f64,
+    allowed: bool,
+    span_ms: u64,
+    failed: bool,
+    expected: bool,
+) {
+    let fleet = Arc::new(fleet(&[2, 20]));
+    let router = Router::new(MonoMs(0), &fleet, "region-0", 3);
+    let view = busy_view(&router, remote_use);
+    if failed {
+        view.region_failed(MonoMs(1_000), ServiceKey(0), RegionKey(1));
+    }
+    let mut query = Query::new(ServiceKey(0), all(&fleet));
+    if !allowed {
+        query.allowed = [RegionKey(0)].into_iter().collect();
+    }
+    query.local_wait_ms = 5_000.0;
+    let mut sent = 0;
+    for now_ms in (0..span_ms).step_by(10) {
+        if now_ms < span_ms - 1_000 {
+            continue;
+        }
+        let decision = view.decide(at(now_ms), &query);
+        sent += usize::from(decision == Decision::Region(RegionKey(1)));
+    }
+    assert_eq!(sent > 0, expected, "{sent}");
+    let forwarded = view.decide_forwarded(at(span_ms), &query);
+    assert!(matches!(forwarded, lw_route::LocalDecision::Target(_)));
+}
