Add peer frames, the nng transport and the message types

Cause: hosts need an authenticated way to exchange small messages, and the other crates need the message types to build on.

The receiver is part of the signed head, so that a recorded frame cannot be played to another host. The transport uses one pull socket per host and one push socket per peer with a queue of 256 frames.

Conclusion: the interface of peer is usable; idem and member have their message types only.

--- /dev/null
+++ b/crates/idem/src/message.rs
@@ -0,0 +1,81 @@
+//! Messages between the hosts of a region about idempotency keys.
+
+use lw_base::WallMs;
+use serde::{Deserialize, Serialize};
+
+use crate::instance::Instance;
+use crate::record::{ClaimId, Ending, Record, RecordKey};
+
+/// A message of the at-most-once protocol.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum IdemMessage {
+    /// The owner asks its backup to record a claim.
+    Claim {
+        /// The shard.
+        shard: u8,
+        /// The epoch of the owner's view.
+        epoch: u64,
+        /// The claim as a record without an ending.
+        record: Record,
+    },
+    /// The backup answers a claim.
+    ClaimAck {
+        /// The shard.
+        shard: u8,
+        /// The key.
+        key: RecordKey,
+        /// The claim that is answered.
+        claim: ClaimId,
+        /// False when the backup does not hold the owner's view.
+        accepted: bool,
+    },
+    /// The owner copies the ending of a run.
+    DoneCopy {
+        /// The shard.
+        shard: u8,
+        /// The key.
+        key: RecordKey,
+        /// The claim that ended.
+        claim: ClaimId,
+        /// How it ended.
+        ending: Ending,
+        /// When it ended.
+        ended: WallMs,
+    },
+    /// The owner fills a new backup.
+    TransferPart {
+        /// The shard.
+        shard: u8,
+        /// The epoch of the owner's view.
+        epoch: u64,
+        /// The number of the part, from 0.
+        part: u32,
+        /// The owner's low watermark.
+        watermark: WallMs,
+        /// Records, at most [`crate::TRANSFER_PART_BYTES`] in total.
+        records: Vec<Record>,
+    },
+    /// The backup has stored a part.
+    TransferAck {
+        /// The shard.
+        shard: u8,
+        /// The epoch of the part.
+        epoch: u64,
+        /// The number of the part.
+        part: u32,
+    },
+    /// A host asks for a takeover without consent.
+    TakeoverQuery {
+        /// The revision of the map on which the takeover will be based.
+        revision: u64,
+        /// The view members that cannot take part.
+        silent: Vec<Instance>,
+    },
+    /// The answer to a takeover query.
+    TakeoverVote {
+        /// The revision of the query.
+        revision: u64,
+        /// The asked members that the voter has not heard from for 30 s.
+        silent: Vec<Instance>,
+    },
+}
--- /dev/null
+++ b/crates/member/src/message.rs
@@ -0,0 +1,63 @@
+//! Membership messages.
+
+use std::sync::Arc;
+
+use lw_base::WallMs;
+use serde::{Deserialize, Serialize};
+
+use crate::region_summary::RegionSummary;
+use crate::update::Update;
+
+/// The common content of probes and acknowledgements.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// Matches an acknowledgement to its probe.
+    pub nonce: u64,
+    /// The sender's wall clock when it sent the message.
+    pub wall: WallMs,
+    /// The configuration revision of the sender.
+    pub conf_revision: u64,
+    /// The shard map revision of the sender.
+    pub map_revision: u64,
+    /// Member updates, at most [`crate::UPDATES_PER_MESSAGE`].
+    pub updates: Vec<Update>,
+}
+
+/// A message of the membership protocol.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MemberMessage {
+    /// Asks whether the receiver is alive.
+    Probe(Beat),
+    /// Answers a probe.
+    ProbeAck {
+        /// The common content, with the nonce of the probe.
+        beat: Beat,
+        /// False when the sender voted that the receiver is silent, and the receiver has not shown a newer map.
+        evidence: bool,
+    },
+    /// Asks the receiver to probe a third host.
+    IndirectProbe {
+        /// The nonce of the asking host.
+        nonce: u64,
+        /// The host to probe.
+        target: Arc<str>,
+    },
+    /// Tells the asking host that the third host answered.
+    IndirectAck {
+        /// The nonce of the asking host.
+        nonce: u64,
+        /// The host that answered.
+        target: Arc<str>,
+    },
+    /// Lists the versions of the known region summaries.
+    RegionDigest {
+        /// Region name and version of its summary.
+        versions: Vec<(Arc<str>, u64)>,
+        /// True when the receiver shall answer with its own digest.
+        reply: bool,
+    },
+    /// Carries newer region summaries.
+    RegionEntries(Vec<RegionSummary>),
+    /// Tells that the sender is leaving.
+    Leaving,
+}
--- /dev/null
+++ b/crates/peer/src/nng_network.rs
@@ -0,0 +1,152 @@
+//! The transport over nng: one pull socket per host, and one push socket per peer.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use bytes::Bytes;
+use lw_base::FastMap;
+use nng::options::{Options, RecvMaxSize, RecvTimeout, SendBufferSize};
+use nng::{Error, Protocol, Socket};
+use parking_lot::Mutex;
+
+use crate::codec::FRAME_BYTES_MAX;
+use crate::network::{Network, SendOutcome};
+
+/// Frames that wait for one peer; a peer that is away for longer gets newer state by the protocols' own repeats.
+const QUEUE_FRAMES: i32 = 256;
+
+/// How often the receiving thread looks whether it shall end.
+const POLL_MS: u64 = 200;
+
+struct Shared {
+    peers: Mutex<FastMap<String, Socket>>,
+    stopping: std::sync::atomic::AtomicBool,
+    dropped: AtomicU64,
+}
+
+/// A listening nng transport; it ends when dropped.
+pub struct NngNetwork {
+    shared: Arc<Shared>,
+    address: String,
+    receiver: Option<JoinHandle<()>>,
+}
+
+impl NngNetwork {
+    /// Listens on `address` (`127.0.0.1:0` picks a port) and passes every received frame to `on_frame`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the nng error when the address cannot be used.
+    pub fn listen(address: &str, on_frame: impl Fn(&[u8]) + Send + 'static) -> Result<Self, Error> {
+        let socket = Socket::new(Protocol::Pull0)?;
+        socket.set_opt::<RecvMaxSize>(FRAME_BYTES_MAX)?;
+        socket.set_opt::<RecvTimeout>(Some(Duration::from_millis(POLL_MS)))?;
+        let listener = nng::ListenerBuilder::new(&socket, &format!("tcp://{address}"))?;
+        let listener = listener.start().map_err(|(_, error)| error)?;
+        let url = listener.get_opt::<nng::options::Url>()?;
+        let shared = Arc::new(Shared {
+            peers: Mutex::new(FastMap::default()),
+            stopping: std::sync::atomic::AtomicBool::new(false),
+            dropped: AtomicU64::new(0),
+        });
+        let seen = shared.clone();
+        let receiver = thread::Builder::new()
+            .name("peer-receive".to_owned())
+            .spawn(move || receive(&socket, &seen, &on_frame))
+            .map_err(|_| Error::OutOfMemory)?;
+        Ok(Self {
+            shared,
+            address: url.trim_start_matches("tcp://").to_owned(),
+            receiver: Some(receiver),
+        })
+    }
+
+    /// Returns the address that the transport listens on.
+    #[must_use]
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+
+    /// Returns how many frames were dropped because a queue was full or an address unusable.
+    #[must_use]
+    pub fn dropped(&self) -> u64 {
+        self.shared.dropped.load(Ordering::Relaxed)
+    }
+
+    /// Returns the sending side.
+    #[must_use]
+    pub fn network(&self) -> Network {
+        let shared = self.shared.clone();
+        Network::new(move |address, frame| {
+            let outcome = send(&shared, address, &frame);
+            if outcome != SendOutcome::Queued {
+                shared.dropped.fetch_add(1, Ordering::Relaxed);
+            }
+            outcome
+        })
+    }
+
+    /// Closes the sockets of peers that are not in `addresses`.
+    pub fn keep_only(&self, addresses: &[&str]) {
+        self.shared
+            .peers
+            .lock()
+            .retain(|address, _| addresses.contains(&address.as_str()));
+    }
+}
+
+impl Drop for NngNetwork {
+    fn drop(&mut self) {
+        self.shared.stopping.store(true, Ordering::Relaxed);
+        if let Some(receiver) = self.receiver.take() {
+            // A panic of the receiving closure was already reported by the panic hook.
+            let _ = receiver.join();
+        }
+    }
+}
+
+fn receive(socket: &Socket, shared: &Shared, on_frame: &impl Fn(&[u8])) {
+    while !shared.stopping.load(Ordering::Relaxed) {
+        match socket.recv() {
+            Ok(frame) => on_frame(frame.as_slice()),
+            Err(Error::TimedOut) => {}
+            Err(Error::Closed) => return,
+            Err(error) => {
+                log::warn!("peer: receive failed: {error}");
+                thread::sleep(Duration::from_millis(POLL_MS));
+            }
+        }
+    }
+}
+
+fn send(shared: &Shared, address: &str, frame: &Bytes) -> SendOutcome {
+    let Some(socket) = socket_to(shared, address) else {
+        return SendOutcome::Unreachable;
+    };
+    match socket.try_send(frame.as_ref()) {
+        Ok(()) => SendOutcome::Queued,
+        Err((_, Error::TryAgain)) => SendOutcome::Full,
+        Err(_) => SendOutcome::Unreachable,
+    }
+}
+
+fn socket_to(shared: &Shared, address: &str) -> Option<Socket> {
+    let mut peers = shared.peers.lock();
+    if let Some(socket) = peers.get(address) {
+        return Some(socket.clone());
+    }
+    let socket = dial(address)
+        .inspect_err(|error| log::warn!("peer: dialling {address} failed: {error}"))
+        .ok()?;
+    peers.insert(address.to_owned(), socket.clone());
+    Some(socket)
+}
+
+fn dial(address: &str) -> Result<Socket, Error> {
+    let socket = Socket::new(Protocol::Push0)?;
+    socket.set_opt::<SendBufferSize>(QUEUE_FRAMES)?;
+    socket.dial_async(&format!("tcp://{address}"))?;
+    Ok(socket)
+}
--- /dev/null
+++ b/crates/peer/tests/frames.rs
@@ -0,0 +1,83 @@
+//! Frames: refusals by reason, repeats, key change.
+
+use bytes::Bytes;
+use lw_member::MemberMessage;
+use lw_peer::{Codec, FRAME_BYTES_MAX, Message, PeerKeys, Refusal};
+use test_case::test_case;
+
+fn codec(host: &str, incarnation: u64, key: &[u8]) -> Codec {
+    Codec::new(host, incarnation, PeerKeys::new(key))
+}
+
+fn message() -> Message {
+    Message::ConfigPush(Bytes::from_static(b"revision 7"))
+}
+
+type Change = fn(&mut Vec<u8>);
+
+/// Guards against a damaged or foreign frame that is taken as a message.
+#[test_case(|frame| frame.truncate(9), Refusal::Truncated; "short")]
+#[test_case(|frame| frame.truncate(24), Refusal::Key; "cut")]
+#[test_case(|frame| frame[0] = 2, Refusal::Version; "newer version")]
+#[test_case(|frame| frame[12] ^= 1, Refusal::Key; "changed byte")]
+#[test_case(|frame| frame.resize(FRAME_BYTES_MAX + 1, 0), Refusal::TooLarge; "too large")]
+fn refuses_damaged_frames(change: Change, refusal: Refusal) {
+    let (sender, receiver) = (codec("a", 1, b"key"), codec("b", 1, b"key"));
+    let mut frame = sender.encode("b", &message()).unwrap().to_vec();
+    change(&mut frame);
+    assert_eq!(receiver.decode(&frame), Err(refusal));
+    assert_eq!(receiver.refusals().get(refusal), 1);
+}
+
+/// Guards against a recorded frame that is taken a second time, here or on another host.
+#[test]
+fn refuses_repeats() {
+    let (sender, receiver) = (codec("a", 5, b"key"), codec("b", 1, b"key"));
+    let frames: Vec<Bytes> = (0..200)
+        .map(|_| sender.encode("b", &message()).unwrap())
+        .collect();
+    assert!(receiver.decode(&frames[1]).is_ok());
+    assert!(receiver.decode(&frames[0]).is_ok(), "overtaken frame");
+    assert_eq!(receiver.decode(&frames[0]), Err(Refusal::Replayed));
+    assert!(receiver.decode(&frames[199]).is_ok());
+    assert_eq!(receiver.decode(&frames[2]), Err(Refusal::Replayed));
+    assert_eq!(
+        codec("c", 1, b"key").decode(&frames[3]),
+        Err(Refusal::Misdirected)
+    );
+    let restarted = codec("a", 6, b"key").encode("b", &message()).unwrap();
+    assert!(receiver.decode(&restarted).is_ok());
+    assert_eq!(receiver.decode(&frames[198]), Err(Refusal::Replayed));
+}
+
+/// Guards against hosts that cannot talk while a key is changed, and against a former key that stays valid.
+#[test]
+fn changes_the_key() {
+    let (old, new) = (codec("a", 1, b"old"), codec("n", 1, b"new"));
+    let receiver = Codec::new("b", 1, PeerKeys::new(b"old").and_accept(b"new"));
+    assert!(
+        receiver
+            .decode(&old.encode("b", &message()).unwrap())
+            .is_ok()
+    );
+    assert!(
+        receiver
+            .decode(&new.encode("b", &message()).unwrap())
+            .is_ok()
+    );
+    receiver.set_keys(PeerKeys::new(b"new"));
+    let late = old.encode("b", &message()).unwrap();
+    assert_eq!(receiver.decode(&late), Err(Refusal::Key));
+}
+
+/// Guards against a message above the size bound that leaves the host, and against an open receiver for other kinds.
+#[test]
+fn bounds_size_and_open_receivers() {
+    let (sender, receiver) = (codec("a", 1, b"key"), codec("b", 1, b"key"));
+    let large = Message::ConfigPush(Bytes::from(vec![0; FRAME_BYTES_MAX]));
+    assert_eq!(sender.encode("b", &large), Err(Refusal::TooLarge));
+    let probe = Message::Member(MemberMessage::Leaving);
+    assert!(receiver.decode(&sender.encode("", &probe).unwrap()).is_ok());
+    let push = sender.encode("", &message()).unwrap();
+    assert_eq!(receiver.decode(&push), Err(Refusal::Misdirected));
+}
