flow: add the request lifecycle

Requests need one place that decides on their outcome. Invariant counts rise by exactly one per provoked violation.

--- /dev/null
+++ b/crates/flow/src/stream_fault.rs
@@ -0,0 +1,10 @@
+//! Faults of a stream.
+
+/// Why a stream of events cannot be read on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamFault {
+    /// An event is larger than the gateway holds.
+    EventTooLarge,
+    /// Events follow the end marker.
+    AfterEnd,
+}
--- /dev/null
+++ b/crates/flow/tests/lifecycle.rs
@@ -0,0 +1,94 @@
+//! The lifecycle of a request.
+
+use lw_base::invariant_count;
+use lw_base::prelude::*;
+use lw_flow::{AttemptFailure, Ending, RequestFlow, RetryDecision, Stage};
+use test_case::test_case;
+
+const DEADLINE: MonoMs = MonoMs(1_000);
+
+fn flow(idempotent: bool) -> RequestFlow {
+    let request = "0190a0a0a0a07000800000000000000a".parse().unwrap();
+    RequestFlow::accept(request, idempotent, DEADLINE)
+}
+
+/// Guards against an answer that is not passed on although all went well.
+#[test]
+fn a_whole_answer_completes() {
+    let mut flow = flow(true);
+    flow.queue();
+    let attempt = flow.start_attempt(MonoMs(1)).unwrap();
+    assert!(flow.accept_head(attempt));
+    assert_eq!(flow.complete(attempt), Ending::COMPLETE);
+    assert_eq!(flow.stage(), Stage::Ended(Ending::COMPLETE));
+}
+
+/// Guards against the late answer of an abandoned attempt reaching the caller.
+#[test]
+fn a_late_answer_is_dropped() {
+    let mut flow = flow(true);
+    let first = flow.start_attempt(MonoMs(1)).unwrap();
+    let decision = flow.attempt_failed(first, AttemptFailure::AnswerLost, MonoMs(2), || true);
+    assert_eq!(decision, RetryDecision::Retry);
+    let second = flow.start_attempt(MonoMs(3)).unwrap();
+    assert!(!flow.accept_head(first));
+    let late = flow.attempt_failed(first, AttemptFailure::AnswerLost, MonoMs(4), || true);
+    assert_eq!(late, RetryDecision::Ignore);
+    assert!(flow.accept_head(second));
+    assert_eq!(flow.complete(second), Ending::COMPLETE);
+}
+
+/// Guards against "not run" for a request whose first attempt may have run.
+#[test]
+fn an_unknown_attempt_stays_unknown() {
+    let mut flow = flow(true);
+    let first = flow.start_attempt(MonoMs(1)).unwrap();
+    let _ = flow.attempt_failed(first, AttemptFailure::AnswerLost, MonoMs(2), || true);
+    let second = flow.start_attempt(MonoMs(3)).unwrap();
+    let _ = flow.attempt_failed(second, AttemptFailure::ConnectFailed, MonoMs(4), || false);
+    let ending = flow.reject(ErrorKind::RetryBudgetSpent);
+    assert_eq!(ending, Ending::rejected(ErrorKind::AnswerLost));
+    assert_eq!(ending.outcome, Outcome::Unknown);
+}
+
+/// Guards against a wrong outcome at the deadline: before the send nothing ran, after it something may have.
+#[test_case(false, ErrorKind::DeadlineBeforeSend, Outcome::NotRun ; "before the send")]
+#[test_case(true, ErrorKind::DeadlineAfterSend, Outcome::Unknown ; "after the send")]
+fn deadlines(sent: bool, kind: ErrorKind, outcome: Outcome) {
+    let mut flow = flow(true);
+    flow.queue();
+    if sent {
+        flow.start_attempt(MonoMs(999)).unwrap();
+    } else {
+        assert_eq!(flow.start_attempt(DEADLINE), Err(kind));
+    }
+    assert_eq!(flow.deadline_kind(), kind);
+    assert_eq!(flow.reject(kind).outcome, outcome);
+}
+
+/// Guards against checks in the program that do not count what they are there for.
+#[test]
+fn violations_are_counted() {
+    let count = |invariant| invariant_count(invariant);
+
+    let before = count(Invariant::OneOutcome);
+    let mut twice = flow(true);
+    let first = twice.reject(ErrorKind::QueueFull);
+    assert_eq!(twice.reject(ErrorKind::AnswerLost), first);
+    drop(flow(true));
+    assert_eq!(count(Invariant::OneOutcome), before + 2);
+
+    let before = count(Invariant::WholeAnswer);
+    let mut crossed = flow(true);
+    let attempt = crossed.start_attempt(MonoMs(1)).unwrap();
+    crossed.complete(attempt);
+    assert_eq!(count(Invariant::WholeAnswer), before + 1);
+
+    let before = count(Invariant::NotRunIsTrue);
+    let mut ran = flow(false);
+    let attempt = ran.start_attempt(MonoMs(1)).unwrap();
+    let _ = ran.attempt_failed(attempt, AttemptFailure::AnswerLost, MonoMs(2), || true);
+    let ending = ran.reject_as(ErrorKind::OwnerUnreachable, Outcome::NotRun);
+    assert_eq!(ending, Ending::rejected(ErrorKind::AnswerLost));
+    assert_eq!(count(Invariant::NotRunIsTrue), before + 1);
+}
