Add the operators' console

Cause: operators need forms that lead to one validated document. Change: forms, drafts and pages as pure functions, sign-in with signed cookies and form tokens, publishing through closures, and a listener over xitca-web.

--- /dev/null
+++ b/crates/console/src/answers/route.rs
@@ -0,0 +1,135 @@
+//! Routes.
+
+use crate::auth::FormId;
+use crate::section::Section;
+
+/// A page or an action of the console.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Route {
+    /// The overview.
+    Overview,
+    /// Signing in.
+    SignIn,
+    /// Signing out.
+    SignOut,
+    /// The list of a section.
+    List(Section),
+    /// The form of a new entity.
+    New(Section),
+    /// The form of an entity.
+    Edit(Section),
+    /// Keeping an entity in the draft.
+    Save(Section),
+    /// The question before an entity is removed.
+    Remove(Section),
+    /// Removing an entity in the draft.
+    Removed(Section),
+    /// The form that starts a planned stop now.
+    StopNow,
+    /// Keeping a stop that starts now.
+    SaveStopNow,
+    /// The draft.
+    Draft,
+    /// Undoing one change of the draft.
+    Undo,
+    /// Discarding the draft.
+    Discard,
+    /// The preview.
+    Preview,
+    /// Publishing.
+    Publish,
+    /// Applying the draft to the revision in force.
+    Rebase,
+    /// The audit trail.
+    Audit,
+    /// The list of revisions.
+    Revisions,
+    /// One revision.
+    Revision,
+    /// Returning to a revision.
+    Return,
+    /// Download and upload of the document.
+    Document,
+    /// The document as a file.
+    Download,
+    /// Reading a document from a file.
+    Upload,
+}
+
+impl Route {
+    /// Reads a path.
+    #[must_use]
+    pub fn parse(path: &str) -> Option<Self> {
+        let rest = path.strip_prefix("/console")?;
+        let rest = rest.strip_suffix('/').unwrap_or(rest);
+        Some(match rest {
+            "" => Self::Overview,
+            "/sign-in" => Self::SignIn,
+            "/sign-out" => Self::SignOut,
+            "/planned-stops/now" => Self::StopNow,
+            "/planned-stops/now/save" => Self::SaveStopNow,
+            "/draft" => Self::Draft,
+            "/draft/undo" => Self::Undo,
+            "/draft/discard" => Self::Discard,
+            "/preview" => Self::Preview,
+            "/publish" => Self::Publish,
+            "/rebase" => Self::Rebase,
+            "/audit" => Self::Audit,
+            "/revisions" => Self::Revisions,
+            "/revision" => Self::Revision,
+            "/revision/return" => Self::Return,
+            "/document" => Self::Document,
+            "/document.json" => Self::Download,
+            "/document/upload" => Self::Upload,
+            _ => return Self::parse_section(rest.strip_prefix('/')?),
+        })
+    }
+
+    fn parse_section(rest: &str) -> Option<Self> {
+        let (slug, action) = rest.split_once('/').unwrap_or((rest, ""));
+        let section = Section::from_slug(slug)?;
+        match action {
+            "" => Some(Self::List(section)),
+            "edit" => Some(Self::Edit(section)),
+            "save" => Some(Self::Save(section)),
+            "new" if section.has_names() => Some(Self::New(section)),
+            "remove" if section.has_names() => Some(Self::Remove(section)),
+            "removed" if section.has_names() => Some(Self::Removed(section)),
+            _ => None,
+        }
+    }
+
+    /// Returns the form whose token a post to this route must carry.
+    #[must_use]
+    pub fn form(self) -> FormId {
+        match self {
+            Self::SignIn => FormId::SignIn,
+            Self::SignOut => FormId::SignOut,
+            Self::Save(_) | Self::SaveStopNow => FormId::Save,
+            Self::Removed(_) => FormId::Remove,
+            Self::Undo | Self::Discard => FormId::Undo,
+            Self::Publish => FormId::Publish,
+            Self::Rebase | Self::Return => FormId::Rebase,
+            Self::Upload => FormId::Upload,
+            Self::Overview
+            | Self::List(_)
+            | Self::New(_)
+            | Self::Edit(_)
+            | Self::Remove(_)
+            | Self::StopNow
+            | Self::Draft
+            | Self::Preview
+            | Self::Audit
+            | Self::Revisions
+            | Self::Revision
+            | Self::Document
+            | Self::Download => FormId::Navigate,
+        }
+    }
+
+    /// Returns true when the route only takes posts.
+    #[must_use]
+    pub fn is_action(self) -> bool {
+        self.form() != FormId::Navigate && self != Self::SignIn
+    }
+}
--- /dev/null
+++ b/crates/console/src/answers/sign_in_answers.rs
@@ -0,0 +1,140 @@
+//! Signing in and out.
+
+use crate::answers::console::{Console, carried_of, refuse};
+use crate::answers::moment::Moment;
+use crate::answers::route::Route;
+use crate::answers::work::no_draft;
+use crate::auth::{FormId, SESSION_COOKIE, SESSION_MS, Session};
+use crate::draft::Draft;
+use crate::pages::{Carried, SignInView, View, resume_page, sign_in_page};
+use crate::web::{ConsoleMethod, ConsoleRequest, ConsoleResponse};
+
+/// Answers a request without a session: pages lead to the sign-in, forms are kept until the operator has signed in.
+pub(crate) fn ask(console: &Console, request: &ConsoleRequest, moment: Moment) -> ConsoleResponse {
+    let carried = carried_of(request);
+    if request.method == ConsoleMethod::Get {
+        let query = crate::Inputs::default().with("then", carried.then);
+        return ConsoleResponse::redirect(&format!("/console/sign-in?{}", query.encode()));
+    }
+    let visitor = Session::start("", moment.random, moment.now);
+    page(console, &visitor, 401, "", None, &carried)
+}
+
+/// Answers the sign-in page and its form.
+pub(crate) async fn sign_in(
+    console: &Console,
+    session: Option<Session>,
+    request: &ConsoleRequest,
+    moment: Moment,
+) -> ConsoleResponse {
+    let visitor = session.filter(|session| !session.signed_in());
+    if request.method == ConsoleMethod::Get {
+        let carried = Carried {
+            then: Carried::read(&request.query).then,
+            ..Carried::default()
+        };
+        let visitor = visitor.unwrap_or_else(|| Session::start("", moment.random, moment.now));
+        return page(console, &visitor, 200, "", None, &carried);
+    }
+    let token = request.body.get("token");
+    let valid = |visitor: &Session| visitor.token_valid(&console.key, FormId::SignIn, token);
+    let Some(visitor) = visitor.filter(valid) else {
+        let message = "The form is too old. Open the sign-in page again.";
+        return refuse(403, "Refused", message);
+    };
+    check(console, &visitor, request, moment).await
+}
+
+async fn check(
+    console: &Console,
+    visitor: &Session,
+    request: &ConsoleRequest,
+    moment: Moment,
+) -> ConsoleResponse {
+    let carried = Carried::read(&request.body);
+    let (name, secret) = (request.body.get("operator"), request.body.get("secret"));
+    let wait_ms = console
+        .limiter
+        .lock()
+        .wait_ms(&console.operators, name, moment.now);
+    if wait_ms > 0 {
+        let wait_s = wait_ms.div_ceil(1000);
+        let problem = format!("There were too many failed attempts. Try again in {wait_s} s.");
+        let response = page(console, visitor, 429, name, Some(&problem), &carried);
+        return response.with("retry-after", wait_s.to_string());
+    }
+    let Some(operator) = console.operators.check(name, secret) else {
+        console
+            .limiter
+            .lock()
+            .failed(&console.operators, name, moment.now);
+        log::warn!("console: sign-in failed for {name:?}");
+        let problem = "Operator name or secret is wrong.";
+        return page(console, visitor, 401, name, Some(problem), &carried);
+    };
+    console.limiter.lock().succeeded(name);
+    log::info!("console: {name:?} signed in");
+    let session = Session::start(&operator.name, moment.random, moment.now);
+    let response = match carried.has_fields() {
+        true => resume(console, &session, &carried, moment).await,
+        false => ConsoleResponse::redirect(&carried.then),
+    };
+    with_cookie(response, console, &session)
+}
+
+/// Answers with a button that sends the kept form again, now with a valid token.
+async fn resume(
+    console: &Console,
+    session: &Session,
+    carried: &Carried,
+    moment: Moment,
+) -> ConsoleResponse {
+    let path = carried.then.split('?').next().unwrap_or("");
+    let Some(route) = Route::parse(path) else {
+        return ConsoleResponse::redirect("/console");
+    };
+    let draft = Draft::read(&carried.fields).ok().flatten();
+    let head = (console.backend.current)().await;
+    let draft = draft.unwrap_or_else(|| head.as_ref().map_or_else(|_| no_draft(), Draft::empty));
+    let view = View {
+        session,
+        key: &console.key,
+        draft: &draft,
+        head_revision: head.map_or(draft.base_revision, |head| head.revision),
+        now: moment.now,
+    };
+    ConsoleResponse::html(200, &resume_page(&view, carried, route.form()))
+}
+
+/// Ends the session in this browser.
+pub(crate) fn sign_out() -> ConsoleResponse {
+    let cookie = format!("{SESSION_COOKIE}=; Path=/console; HttpOnly; SameSite=Strict; Max-Age=0");
+    ConsoleResponse::redirect("/console/sign-in").with("set-cookie", cookie)
+}
+
+fn page(
+    console: &Console,
+    visitor: &Session,
+    status: u16,
+    operator: &str,
+    problem: Option<&str>,
+    carried: &Carried,
+) -> ConsoleResponse {
+    let html = sign_in_page(SignInView {
+        session: visitor,
+        key: &console.key,
+        operator,
+        problem,
+        carried,
+    });
+    with_cookie(ConsoleResponse::html(status, &html), console, visitor)
+}
+
+fn with_cookie(response: ConsoleResponse, console: &Console, session: &Session) -> ConsoleResponse {
+    let value = session.cookie(&console.key, &console.operators);
+    let max_age_s = SESSION_MS / 1000;
+    let cookie = format!(
+        "{SESSION_COOKIE}={value}; Path=/console; HttpOnly; SameSite=Strict; Max-Age={max_age_s}"
+    );
+    response.with("set-cookie", cookie)
+}
--- /dev/null
+++ b/crates/console/src/auth/mod.rs
@@ -0,0 +1,14 @@
+//! Sign-in, sessions, form tokens and the check of the origin. Hosts keep no session.
+
+mod form_id;
+mod mac;
+mod operator;
+mod origin;
+mod session;
+mod sign_in_limiter;
+
+pub use form_id::FormId;
+pub use operator::{Operator, Operators};
+pub use origin::origin_allowed;
+pub use session::{SESSION_COOKIE, SESSION_MS, Session, SessionKey};
+pub use sign_in_limiter::SignInLimiter;
--- /dev/null
+++ b/crates/console/src/auth/origin.rs
@@ -0,0 +1,21 @@
+//! The check of the `Origin` header of form posts.
+
+/// Returns true when a post may come from the page that it claims to come from.
+///
+/// Browsers send `Origin` with every form post; a client without it still needs a valid token.
+#[must_use]
+pub fn origin_allowed(origin: Option<&str>, fetch_site: Option<&str>, host: Option<&str>) -> bool {
+    if fetch_site.is_some_and(|site| site != "same-origin" && site != "none") {
+        return false;
+    }
+    let Some(origin) = origin else {
+        return true;
+    };
+    let authority = origin
+        .strip_prefix("http://")
+        .or_else(|| origin.strip_prefix("https://"));
+    match (authority, host) {
+        (Some(authority), Some(host)) => authority.eq_ignore_ascii_case(host),
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/console/src/backend/mod.rs
@@ -0,0 +1,17 @@
+//! What the console needs of the configuration store, as a struct of closures.
+
+mod audit_row;
+mod backend_closures;
+mod backend_error;
+mod publish_order;
+mod publish_outcome;
+mod status_row;
+mod stored_document;
+
+pub use audit_row::{AuditOutcome, AuditRow};
+pub use backend_closures::{Backend, BackendFuture, BackendResult};
+pub use backend_error::BackendError;
+pub use publish_order::PublishOrder;
+pub use publish_outcome::PublishOutcome;
+pub use status_row::StatusRow;
+pub use stored_document::StoredDocument;
--- /dev/null
+++ b/crates/console/src/backend/publish_outcome.rs
@@ -0,0 +1,32 @@
+//! Outcomes of publishing.
+
+use lw_doc::Fault;
+
+use crate::backend::stored_document::StoredDocument;
+
+/// What became of an order to publish.
+#[derive(Clone, Debug)]
+pub enum PublishOutcome {
+    /// The document is in force.
+    Published {
+        /// The new revision.
+        revision: u64,
+    },
+    /// Another operator published first.
+    Conflict {
+        /// The revision in force.
+        head: StoredDocument,
+    },
+    /// Nothing was published.
+    Refused {
+        /// Why.
+        reason: String,
+        /// The faults when validation refused the document.
+        faults: Vec<Fault>,
+    },
+    /// The document may have been published; the same operation can be repeated safely.
+    Unknown {
+        /// What failed.
+        reason: String,
+    },
+}
--- /dev/null
+++ b/crates/console/src/draft/rebase.rs
@@ -0,0 +1,64 @@
+//! Applying a draft to a newer revision.
+
+use lw_doc::{Change, Document, changes_between};
+use serde_json::Value;
+
+use crate::backend::StoredDocument;
+use crate::draft::draft_changes::Draft;
+use crate::draft::draft_error::DraftError;
+use crate::draft::field_change::{fields, value_of};
+use crate::section::value_at;
+
+/// Moves a draft from its base to `head`.
+///
+/// Fields that the draft did not change take the value in force; fields that it changed keep the value of the draft.
+/// Without the base, which may not be kept any more, whole entities of the draft replace those in force.
+///
+/// # Errors
+///
+/// Refuses changes that do not fit into a document.
+pub fn rebase(
+    base: Option<&Document>,
+    head: &StoredDocument,
+    draft: &Draft,
+) -> Result<Draft, DraftError> {
+    let merged = draft.changes.iter().map(|change| match base {
+        Some(base) => merge(base, &head.document, change),
+        None => change.clone(),
+    });
+    let moved = Draft {
+        changes: merged.collect(),
+        ..Draft::empty(head)
+    };
+    let next = moved.apply(&head.document)?;
+    Ok(Draft {
+        changes: changes_between(&head.document, &next),
+        ..moved
+    })
+}
+
+fn merge(base: &Document, head: &Document, change: &Change) -> Change {
+    let before = value_at(base, &change.path);
+    let theirs = value_at(head, &change.path);
+    let (Some(own @ Value::Object(_)), Some(Value::Object(_)), Some(Value::Object(mut merged))) =
+        (change.value.clone(), &before, theirs)
+    else {
+        return change.clone();
+    };
+    let (before, own) = (fields(before), fields(Some(own)));
+    let names = before.iter().chain(&own).map(|(name, _)| name);
+    for name in names {
+        let (old, new) = (value_of(&before, name), value_of(&own, name));
+        if old == new {
+            continue;
+        }
+        match new {
+            Some(value) => merged.insert(name.clone(), value),
+            None => merged.shift_remove(name),
+        };
+    }
+    Change {
+        path: change.path.clone(),
+        value: Some(Value::Object(merged)),
+    }
+}
--- /dev/null
+++ b/crates/console/src/forms/mod.rs
@@ -0,0 +1,24 @@
+//! Forms as pure functions: fields of the browser in, changes of the document or faults out.
+
+mod customer_form;
+mod entity_form;
+mod field;
+mod form_fault;
+mod model_form;
+mod reader;
+mod region_form;
+mod service_form;
+mod stop_form;
+mod stop_now_form;
+mod submit;
+mod target_form;
+mod time_text;
+mod weights_form;
+
+pub use entity_form::{blank, entity_fields, fill, read_entity};
+pub use field::{Choice, Field, FieldKind};
+pub use form_fault::FormFault;
+pub use stop_now_form::{stop_now_blank, stop_now_fields};
+pub use submit::{FormCall, Submission, submit};
+pub(crate) use time_text::show_wall;
+pub use time_text::{read_time, show_time};
--- /dev/null
+++ b/crates/console/src/forms/model_form.rs
@@ -0,0 +1,28 @@
+//! The form of a model.
+
+use lw_doc::ModelEntry;
+use serde_json::Value;
+
+use crate::forms::field::{Field, FieldKind, field};
+use crate::forms::form_fault::FormFault;
+use crate::forms::reader::Reader;
+use crate::inputs::Inputs;
+
+pub(crate) fn fields() -> Vec<Field> {
+    vec![field(
+        "version",
+        "Version that engines should hold",
+        "Letters, digits, `-`, `_` and `.`, like 3.1.",
+        FieldKind::Text,
+    )]
+}
+
+pub(crate) fn fill(entry: &ModelEntry) -> Inputs {
+    Inputs::default().with("version", entry.version.as_str())
+}
+
+pub(crate) fn read(inputs: &Inputs) -> (Value, Vec<FormFault>) {
+    let reader = Reader::new(inputs);
+    let version = reader.text("version");
+    reader.finish(&ModelEntry { version })
+}
--- /dev/null
+++ b/crates/console/src/forms/stop_now_form.rs
@@ -0,0 +1,54 @@
+//! The form that starts a planned stop now.
+
+use lw_base::WallMs;
+use lw_doc::{PlannedStopEntry, format_rfc3339};
+use serde_json::Value;
+
+use crate::forms::field::{Field, FieldKind, field};
+use crate::forms::form_fault::FormFault;
+use crate::forms::reader::Reader;
+use crate::forms::stop_form;
+use crate::inputs::Inputs;
+
+const MS_PER_MINUTE: u64 = 60 * 1000;
+/// A week; longer work is planned with an end time.
+const MAX_MINUTES: u64 = 7 * 24 * 60;
+
+/// Returns the fields of the form, without the name.
+#[must_use]
+pub fn stop_now_fields() -> Vec<Field> {
+    let mut fields = stop_form::part_fields();
+    fields.push(field(
+        "duration_min",
+        "Duration in minutes",
+        "1 to 10080 (a week), counted from when you keep this form.",
+        FieldKind::Number,
+    ));
+    fields
+}
+
+/// Returns the first content of the form.
+#[must_use]
+pub fn stop_now_blank() -> Inputs {
+    Inputs::default().with("duration_min", "60")
+}
+
+pub(crate) fn read(inputs: &Inputs, now: WallMs) -> (Value, Vec<FormFault>) {
+    let mut reader = Reader::new(inputs);
+    let mut minutes: u64 = reader.whole("duration_min");
+    if !(1..=MAX_MINUTES).contains(&minutes) {
+        if reader.text("duration_min").parse::<u64>().is_ok() {
+            reader.fault("duration_min", "choose 1 to 10080 minutes");
+        }
+        minutes = 1;
+    }
+    let start = WallMs(now.0 / 1000 * 1000);
+    let entry = PlannedStopEntry {
+        zones: reader.lines("zones"),
+        hosts: reader.lines("hosts"),
+        targets: reader.lines("targets"),
+        start: format_rfc3339(start),
+        end: Some(format_rfc3339(start.plus_ms(minutes * MS_PER_MINUTE))),
+    };
+    reader.finish(&entry)
+}
--- a/crates/console/src/lib.rs
+++ b/crates/console/src/lib.rs
@@ -1,1 +1,16 @@
 //! The operators' console of forms.
+
+pub mod answers;
+pub mod auth;
+pub mod backend;
+pub mod draft;
+pub mod forms;
+pub mod html;
+mod inputs;
+pub mod pages;
+mod section;
+mod style;
+pub mod web;
+
+pub use inputs::Inputs;
+pub use section::{Section, value_at};
--- /dev/null
+++ b/crates/console/src/pages/carried.rs
@@ -0,0 +1,77 @@
+//! Fields that survive a sign-in.
+
+use crate::draft::Draft;
+use crate::inputs::Inputs;
+
+/// The prefix of carried fields, which keeps them apart from the fields of the sign-in form.
+const PREFIX: &str = "carried.";
+
+/// A form post that arrived without a valid session, kept until the operator has signed in.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Carried {
+    /// The path that the form was sent to.
+    pub then: String,
+    /// Its fields without the token.
+    pub fields: Inputs,
+}
+
+impl Carried {
+    /// Keeps a form post.
+    #[must_use]
+    pub fn of_post(path: &str, body: &Inputs) -> Self {
+        let mut fields = Inputs::default();
+        for (name, value) in body.iter().filter(|(name, _)| *name != "token") {
+            fields.push(name, value);
+        }
+        Self {
+            then: path.to_owned(),
+            fields,
+        }
+    }
+
+    /// Reads what a sign-in form carries; a path outside of the console becomes the overview.
+    #[must_use]
+    pub fn read(inputs: &Inputs) -> Self {
+        let then = inputs.get("then");
+        let inside =
+            then == "/console" || then.starts_with("/console/") || then.starts_with("/console?");
+        let plain = then
+            .bytes()
+            .all(|byte| byte.is_ascii_graphic() && byte != b'\\');
+        let mut fields = Inputs::default();
+        for (name, value) in inputs.iter() {
+            if let Some(name) = name.strip_prefix(PREFIX) {
+                fields.push(name, value);
+            }
+        }
+        Self {
+            then: if inside && plain { then } else { "/console" }.to_owned(),
+            fields,
+        }
+    }
+
+    /// Returns the hidden fields of the sign-in form.
+    #[must_use]
+    pub fn inputs(&self) -> Inputs {
+        let mut inputs = Inputs::default().with("then", self.then.as_str());
+        for (name, value) in self.fields.iter() {
+            inputs.push(&format!("{PREFIX}{name}"), value);
+        }
+        inputs
+    }
+
+    /// Returns true when something typed is carried.
+    #[must_use]
+    pub fn has_fields(&self) -> bool {
+        self.fields.iter().next().is_some()
+    }
+
+    pub(crate) fn without_draft(&self) -> Inputs {
+        let mut inputs = Inputs::default();
+        let own = |name: &str| !Draft::FIELDS.contains(&name);
+        for (name, value) in self.fields.iter().filter(|(name, _)| own(name)) {
+            inputs.push(name, value);
+        }
+        inputs
+    }
+}
--- /dev/null
+++ b/crates/console/src/pages/document_page.rs
@@ -0,0 +1,95 @@
+//! Download and upload of the whole document.
+
+use lw_doc::{Fault, ParseError};
+
+use crate::auth::FormId;
+use crate::html::{Html, element};
+use crate::pages::fault_list::{alert, document_faults};
+use crate::pages::layout::page;
+use crate::pages::table::paragraph;
+use crate::pages::view::{View, submit_button};
+
+/// What is wrong with an uploaded document.
+#[derive(Clone, Debug)]
+pub enum DocumentFaults {
+    /// Neither a file nor text was sent.
+    Missing,
+    /// The text cannot be read.
+    Unreadable(ParseError),
+    /// The document has faults.
+    Invalid(Vec<Fault>),
+}
+
+/// Returns the page; `text` is what was uploaded before.
+#[must_use]
+pub fn document_page(view: &View<'_>, text: &str, faults: Option<&DocumentFaults>) -> Html {
+    let upload = view
+        .form(FormId::Upload, "/console/document/upload")
+        .attr("enctype", "multipart/form-data")
+        .child(file_field())
+        .child(text_field(text, faults.is_some()))
+        .child(element("p").child(submit_button("Check and preview")));
+    let mut note = "The file is compared with the revision that it was downloaded from.".to_owned();
+    if view.has_draft() {
+        note.push_str(" It replaces your draft; a download contains the changes of the draft.");
+    }
+    let content = Html::new()
+        .child(faults.map_or_else(Html::new, fault_html))
+        .child(element("h2").text("Download"))
+        .child(
+            element("p").child(view.link("/console/document.json", "Download the document (JSON)")),
+        )
+        .child(element("h2").text("Upload"))
+        .child(paragraph(&note))
+        .child(upload);
+    page(view, "Document", "/console/document", content)
+}
+
+fn file_field() -> Html {
+    let input = element("input")
+        .attr("type", "file")
+        .attr("id", "f-file")
+        .attr("name", "file");
+    let label = element("label").attr("for", "f-file");
+    element("div")
+        .attr("class", "field")
+        .child(label.text("File, JSON with comments"))
+        .child(input)
+        .into()
+}
+
+fn text_field(text: &str, invalid: bool) -> Html {
+    let area = element("textarea")
+        .attr("class", "file")
+        .attr("id", "f-text")
+        .attr("name", "text")
+        .attr("spellcheck", "false")
+        .attr_if("aria-invalid", invalid.then_some("true"))
+        .text("\n")
+        .text(text);
+    let label = element("label").attr("for", "f-text");
+    element("div")
+        .attr("class", "field")
+        .child(label.text("Or its text; it is used when no file is chosen"))
+        .child(area)
+        .into()
+}
+
+fn fault_html(faults: &DocumentFaults) -> Html {
+    match faults {
+        DocumentFaults::Missing => {
+            let missing = "choose a file or paste the text of the document";
+            alert("Nothing was uploaded", paragraph(missing))
+        }
+        DocumentFaults::Unreadable(error) => {
+            let place = format!(
+                "line {}, column {}: {}",
+                error.line, error.column, error.message
+            );
+            alert("The text is not a document", paragraph(&place))
+        }
+        DocumentFaults::Invalid(faults) => {
+            document_faults("The document has faults and cannot be published", faults)
+        }
+    }
+}
--- /dev/null
+++ b/crates/console/src/pages/message_page.rs
@@ -0,0 +1,42 @@
+//! Pages with one message.
+
+use crate::auth::FormId;
+use crate::html::{Html, element};
+use crate::pages::carried::Carried;
+use crate::pages::fault_list::alert;
+use crate::pages::layout::{frame, page};
+use crate::pages::table::paragraph;
+use crate::pages::view::{View, hidden_all, submit_button};
+
+/// Returns a page with a problem; the draft stays.
+#[must_use]
+pub fn message_page(view: &View<'_>, title: &str, message: &str) -> Html {
+    page(view, title, "", alert("What happened", paragraph(message)))
+}
+
+/// Returns the page that continues a form after a sign-in; `form` is the form that the path takes.
+#[must_use]
+pub fn resume_page(view: &View<'_>, carried: &Carried, form: FormId) -> Html {
+    let body = view
+        .form(form, &carried.then)
+        .child(hidden_all(&carried.without_draft()))
+        .child(element("p").child(submit_button("Continue where you left off")));
+    let content = Html::new()
+        .child(paragraph(
+            "You are signed in. What you typed before is kept.",
+        ))
+        .child(body);
+    page(view, "Signed in", "", content)
+}
+
+/// Returns a page with a problem for a visitor without a session.
+#[must_use]
+pub fn plain_page(title: &str, message: &str) -> Html {
+    let back = element("a")
+        .attr("href", "/console")
+        .text("To the overview");
+    let content = Html::new()
+        .child(alert("What happened", paragraph(message)))
+        .child(element("p").child(back));
+    frame(title, Html::new(), content, Html::new())
+}
--- /dev/null
+++ b/crates/console/src/pages/revision_page.rs
@@ -0,0 +1,65 @@
+//! Revisions, and the return to an earlier one.
+
+use crate::auth::FormId;
+use crate::backend::{AuditOutcome, AuditRow};
+use crate::draft::FieldChange;
+use crate::forms::show_wall;
+use crate::html::{Html, element};
+use crate::pages::audit_page::changed;
+use crate::pages::layout::page;
+use crate::pages::preview_page::change_table;
+use crate::pages::table::{paragraph, table, text};
+use crate::pages::view::{View, hidden, path_with, submit_button};
+
+/// Returns the list of published revisions, newest first.
+#[must_use]
+pub fn revisions_page(view: &View<'_>, rows: &[AuditRow], limit: usize) -> Html {
+    let current = "/console/revisions";
+    let published = rows.iter().filter_map(|row| match row.outcome {
+        AuditOutcome::Published { revision } => Some((revision, row)),
+        AuditOutcome::Refused { .. } | AuditOutcome::Gap => None,
+    });
+    let cells = published.map(|(revision, row)| {
+        let path = path_with("/console/revision", "revision", &revision.to_string());
+        let label = format!("Revision {revision}");
+        vec![
+            view.link(&path, &label).into(),
+            text(&show_wall(row.at)),
+            text(&row.operator),
+            text(&changed(row)),
+        ]
+    });
+    let headings = ["Revision", "Time (UTC)", "Operator", "Changed parts"];
+    let mut content = Html::new().child(table("Published revisions", &headings, cells));
+    if rows.len() >= limit {
+        let path = path_with(current, "limit", &(limit * 2).to_string());
+        content = content.child(element("p").child(view.link(&path, "Show older revisions")));
+    }
+    page(view, "Revisions", current, content)
+}
+
+/// Returns the page of one revision; `changes` lead from the document in force back to it.
+#[must_use]
+pub fn revision_page(view: &View<'_>, revision: u64, changes: &[FieldChange]) -> Html {
+    let title = format!("Revision {revision}");
+    let current = "/console/revisions";
+    if changes.is_empty() {
+        let same = format!(
+            "Its document equals that of revision {}, in force.",
+            view.head_revision
+        );
+        return page(view, &title, current, paragraph(&same).into());
+    }
+    let caption = format!("What a return from revision {} changes", view.head_revision);
+    let note =
+        "A return publishes the document of this revision as a new revision, after the preview.";
+    let form = view
+        .form(FormId::Rebase, "/console/revision/return")
+        .child(hidden("revision", &revision.to_string()))
+        .child(element("p").child(submit_button("Return to this revision and preview")));
+    let content = Html::new()
+        .child(change_table(&caption, "In force", changes))
+        .child(paragraph(note))
+        .child(form);
+    page(view, &title, current, content)
+}
--- /dev/null
+++ b/crates/console/src/web/console_server.rs
@@ -0,0 +1,175 @@
+//! A listener for the console alone; a daemon may also call [`Console::answer`] from a listener of its own.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::{Bytes, BytesMut};
+use lw_base::WallMs;
+use tokio::runtime::Handle;
+use xitca_web::body::{BodyExt, Frame, RequestBody, ResponseBody};
+use xitca_web::handler::handler_service;
+use xitca_web::http::{HeaderName, HeaderValue, StatusCode, WebResponse};
+use xitca_web::{App, WebContext};
+
+use crate::answers::{Console, Moment};
+use crate::web::console_response::ConsoleResponse;
+use crate::web::read_request::read_request;
+
+/// A document of 38,000 customers has about 3 MB, and the encoding of a form makes it up to three times as large.
+pub const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+const WORKER_THREADS: usize = 2;
+const KEEP_ALIVE: Duration = Duration::from_secs(30);
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+const BODY_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// A running listener of the console; it ends when dropped.
+pub struct ConsoleServer {
+    address: SocketAddr,
+    handle: xitca_server::ServerHandle,
+    thread: Option<JoinHandle<()>>,
+}
+
+#[derive(Clone)]
+struct WebState {
+    console: Arc<Console>,
+    runtime: Handle,
+}
+
+impl ConsoleServer {
+    /// Binds `address` and serves the console; its closures run on the runtime of the caller.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address cannot be bound or no thread can be started.
+    pub fn start(address: SocketAddr, console: Arc<Console>) -> io::Result<Self> {
+        let socket = TcpListener::bind(address)?;
+        let address = socket.local_addr()?;
+        let state = WebState {
+            console,
+            runtime: Handle::current(),
+        };
+        let mut server = App::new()
+            .with_state(state)
+            .at("/", handler_service(respond))
+            .at("/{*path}", handler_service(respond))
+            .serve()
+            .disable_signal()
+            .server_threads(1)
+            .worker_threads(WORKER_THREADS)
+            .keep_alive_timeout(KEEP_ALIVE)
+            .request_head_timeout(HEAD_TIMEOUT)
+            .listen(socket)?
+            .run();
+        let handle = server.handle()?;
+        let thread = std::thread::Builder::new()
+            .name("console-listener".to_owned())
+            .spawn(move || {
+                if let Err(error) = server.wait() {
+                    log::error!("console: listener ended: {error}");
+                }
+            })?;
+        Ok(Self {
+            address,
+            handle,
+            thread: Some(thread),
+        })
+    }
+
+    /// Returns the bound address.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Ends all connections and threads.
+    pub async fn stop(mut self) {
+        self.handle.stop(false);
+        if let Some(thread) = self.thread.take() {
+            let _ = tokio::task::spawn_blocking(move || thread.join()).await;
+        }
+    }
+}
+
+impl Drop for ConsoleServer {
+    fn drop(&mut self) {
+        self.handle.stop(false);
+    }
+}
+
+async fn respond(context: &WebContext<'_, WebState>) -> WebResponse {
+    let request = context.req();
+    let body = std::mem::take(&mut *context.body_borrow_mut());
+    let body = tokio::time::timeout(BODY_TIMEOUT, collect(body)).await;
+    let Ok(Some(body)) = body else {
+        return plain(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "the form is too large or damaged",
+        );
+    };
+    let read = read_request(request.method(), request.uri(), request.headers(), body).await;
+    let request = match read {
+        Ok(request) => request,
+        Err(error) => return plain(StatusCode::BAD_REQUEST, &error.to_string()),
+    };
+    let state = context.state();
+    let console = state.console.clone();
+    let answer = async move { console.answer(&request, moment()).await };
+    match state.runtime.spawn(answer).await {
+        Ok(response) => web_response(response),
+        Err(error) => {
+            log::error!("console: a request failed inside the console: {error}");
+            plain(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                "the console failed; try again",
+            )
+        }
+    }
+}
+
+fn moment() -> Moment {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Moment {
+        now: WallMs(u64::try_from(since.as_millis()).unwrap_or(u64::MAX)),
+        random: rand::random(),
+    }
+}
+
+/// Returns the whole body; `None` when it is too large or broken.
+async fn collect(mut body: RequestBody) -> Option<Bytes> {
+    let mut body = Pin::new(&mut body);
+    let mut collected = BytesMut::new();
+    while let Some(frame) = body.as_mut().frame().await {
+        if let Frame::Data(data) = frame.ok()? {
+            collected.extend_from_slice(&data);
+        }
+        if collected.len() > MAX_BODY_BYTES {
+            return None;
+        }
+    }
+    Some(collected.freeze())
+}
+
+fn plain(status: StatusCode, text: &str) -> WebResponse {
+    let mut response = WebResponse::new(ResponseBody::bytes(Bytes::from(text.to_owned())));
+    *response.status_mut() = status;
+    response
+}
+
+fn web_response(response: ConsoleResponse) -> WebResponse {
+    let mut web = WebResponse::new(ResponseBody::bytes(Bytes::from(response.body)));
+    *web.status_mut() =
+        StatusCode::from_u16(response.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    for (name, value) in response.headers {
+        if let Ok(value) = HeaderValue::from_str(&value) {
+            web.headers_mut()
+                .append(HeaderName::from_static(name), value);
+        }
+    }
+    web
+}
--- /dev/null
+++ b/crates/console/src/web/mod.rs
@@ -0,0 +1,11 @@
+//! Requests and responses, and the thin shell over xitca-web.
+
+mod console_request;
+mod console_response;
+mod console_server;
+mod read_request;
+
+pub use console_request::{ConsoleMethod, ConsoleRequest};
+pub use console_response::ConsoleResponse;
+pub use console_server::{ConsoleServer, MAX_BODY_BYTES};
+pub use read_request::{RequestError, read_request};
--- /dev/null
+++ b/crates/console/src/web/read_request.rs
@@ -0,0 +1,85 @@
+//! Reading requests from their HTTP parts.
+
+use std::convert::Infallible;
+
+use bytes::Bytes;
+use futures_util::stream;
+use multer::Multipart;
+use thiserror::Error;
+use xitca_web::http::{HeaderMap, Method, Uri, header};
+
+use crate::auth::SESSION_COOKIE;
+use crate::inputs::Inputs;
+use crate::web::console_request::{ConsoleMethod, ConsoleRequest};
+
+/// Why a request is not one that the console answers.
+#[derive(Debug, Error)]
+pub enum RequestError {
+    /// The method is neither GET, HEAD nor POST.
+    #[error("the console answers GET and POST only")]
+    Method,
+    /// The parts of a form with a file are damaged.
+    #[error("the form is damaged: {0}")]
+    Form(#[from] multer::Error),
+}
+
+/// Reads a request whose body has arrived.
+///
+/// # Errors
+///
+/// Refuses other methods and damaged forms.
+pub async fn read_request(
+    method: &Method,
+    uri: &Uri,
+    headers: &HeaderMap,
+    body: Bytes,
+) -> Result<ConsoleRequest, RequestError> {
+    let method = match *method {
+        Method::GET | Method::HEAD => ConsoleMethod::Get,
+        Method::POST => ConsoleMethod::Post,
+        _ => return Err(RequestError::Method),
+    };
+    let text = |name: &str| {
+        let value = headers.get(name)?.to_str().ok()?;
+        Some(value.to_owned())
+    };
+    let body = match method {
+        ConsoleMethod::Get => Inputs::default(),
+        ConsoleMethod::Post => read_form(text("content-type"), body).await?,
+    };
+    Ok(ConsoleRequest {
+        method,
+        path: uri.path().to_owned(),
+        query: Inputs::parse(uri.query().unwrap_or("").as_bytes()),
+        body,
+        session_cookie: session_cookie(headers),
+        origin: text("origin"),
+        fetch_site: text("sec-fetch-site"),
+        host: text("host"),
+    })
+}
+
+async fn read_form(content_type: Option<String>, body: Bytes) -> Result<Inputs, multer::Error> {
+    let boundary = content_type.and_then(|kind| multer::parse_boundary(kind).ok());
+    let Some(boundary) = boundary else {
+        return Ok(Inputs::parse(&body));
+    };
+    let whole = stream::once(async move { Ok::<_, Infallible>(body) });
+    let mut parts = Multipart::new(whole, boundary);
+    let mut inputs = Inputs::default();
+    while let Some(part) = parts.next_field().await? {
+        let name = part.name().unwrap_or("").to_owned();
+        let bytes = part.bytes().await?;
+        inputs.push(&name, String::from_utf8_lossy(&bytes));
+    }
+    Ok(inputs)
+}
+
+fn session_cookie(headers: &HeaderMap) -> Option<String> {
+    let cookies = headers.get_all(header::COOKIE).iter();
+    let cookies = cookies.filter_map(|value| value.to_str().ok());
+    let pairs = cookies.flat_map(|value| value.split(';'));
+    let mut pairs = pairs.filter_map(|pair| pair.trim().split_once('='));
+    let found = pairs.find(|(name, _)| *name == SESSION_COOKIE)?;
+    Some(found.1.to_owned())
+}
