Test the forms, the guards and publishing of the console

Cause: the console had no tests. Change: tables of cases for each form, escaping, sessions and tokens, conflicts, warnings, returns, files and failures of the store, through a browser that follows the rendered forms. The tests showed that the sign-in page replaced the session cookie, so a link on another site ended the session; visitors now have a cookie of their own. Conclusion: the guards and the conflict path hold in these cases.

--- a/crates/console/src/answers/console.rs
+++ b/crates/console/src/answers/console.rs
@@ -46,12 +46,12 @@
             let message = "The form was sent by a page of another site.";
             return refuse(403, "Refused", message);
         }
-        let cookie = request.session_cookie.as_deref().unwrap_or("");
-        let session = Session::read(cookie, &self.key, &self.operators, moment.now);
+        let session = self.session(request.session_cookie.as_deref(), moment);
+        let session = session.filter(Session::signed_in);
         if route == Route::SignIn {
-            return sign_in_answers::sign_in(self, session, request, moment).await;
+            return sign_in_answers::sign_in(self, session.is_some(), request, moment).await;
         }
-        let Some(session) = session.filter(Session::signed_in) else {
+        let Some(session) = session else {
             return sign_in_answers::ask(self, request, moment);
         };
         if post && !session.token_valid(&self.key, route.form(), request.body.get("token")) {
@@ -124,6 +124,10 @@
         Ok(found.filter(|found| found.digest == digest))
     }
 
+    pub(crate) fn session(&self, cookie: Option<&str>, moment: Moment) -> Option<Session> {
+        Session::read(cookie?, &self.key, &self.operators, moment.now)
+    }
+
     fn origin_allowed(&self, request: &ConsoleRequest) -> bool {
         origin_allowed(
             request.origin.as_deref(),
--- a/crates/console/src/answers/sign_in_answers.rs
+++ b/crates/console/src/answers/sign_in_answers.rs
@@ -4,7 +4,7 @@
 use crate::answers::moment::Moment;
 use crate::answers::route::Route;
 use crate::answers::work::no_draft;
-use crate::auth::{FormId, SESSION_COOKIE, SESSION_MS, Session};
+use crate::auth::{FormId, SESSION_COOKIE, SESSION_MS, Session, VISITOR_COOKIE};
 use crate::draft::Draft;
 use crate::pages::{Carried, SignInView, View, resume_page, sign_in_page};
 use crate::web::{ConsoleMethod, ConsoleRequest, ConsoleResponse};
@@ -23,11 +23,15 @@
 /// Answers the sign-in page and its form.
 pub(crate) async fn sign_in(
     console: &Console,
-    session: Option<Session>,
+    signed_in: bool,
     request: &ConsoleRequest,
     moment: Moment,
 ) -> ConsoleResponse {
-    let visitor = session.filter(|session| !session.signed_in());
+    let visitor = console.session(request.visitor_cookie.as_deref(), moment);
+    let visitor = visitor.filter(|session| !session.signed_in());
+    if signed_in && request.method == ConsoleMethod::Get {
+        return ConsoleResponse::redirect(&Carried::read(&request.query).then);
+    }
     if request.method == ConsoleMethod::Get {
         let carried = Carried {
             then: Carried::read(&request.query).then,
@@ -79,7 +83,7 @@
         true => resume(console, &session, &carried, moment).await,
         false => ConsoleResponse::redirect(&carried.then),
     };
-    with_cookie(response, console, &session)
+    with_cookie(response, SESSION_COOKIE, console, &session)
 }
 
 /// Answers with a button that sends the kept form again, now with a valid token.
@@ -127,14 +131,19 @@
         problem,
         carried,
     });
-    with_cookie(ConsoleResponse::html(status, &html), console, visitor)
+    let response = ConsoleResponse::html(status, &html);
+    with_cookie(response, VISITOR_COOKIE, console, visitor)
 }
 
-fn with_cookie(response: ConsoleResponse, console: &Console, session: &Session) -> ConsoleResponse {
+fn with_cookie(
+    response: ConsoleResponse,
+    name: &str,
+    console: &Console,
+    session: &Session,
+) -> ConsoleResponse {
     let value = session.cookie(&console.key, &console.operators);
     let max_age_s = SESSION_MS / 1000;
-    let cookie = format!(
-        "{SESSION_COOKIE}={value}; Path=/console; HttpOnly; SameSite=Strict; Max-Age={max_age_s}"
-    );
+    let cookie =
+        format!("{name}={value}; Path=/console; HttpOnly; SameSite=Strict; Max-Age={max_age_s}");
     response.with("set-cookie", cookie)
 }
--- a/crates/console/src/auth/mod.rs
+++ b/crates/console/src/auth/mod.rs
@@ -10,5 +10,5 @@
 pub use form_id::FormId;
 pub use operator::{Operator, Operators};
 pub use origin::origin_allowed;
-pub use session::{SESSION_COOKIE, SESSION_MS, Session, SessionKey};
+pub use session::{SESSION_COOKIE, SESSION_MS, Session, SessionKey, VISITOR_COOKIE};
 pub use sign_in_limiter::SignInLimiter;
--- a/crates/console/src/auth/session.rs
+++ b/crates/console/src/auth/session.rs
@@ -9,6 +9,11 @@
 
 /// The name of the session cookie.
 pub const SESSION_COOKIE: &str = "lacewingstile_console";
+/// The name of the cookie of a visitor who has not signed in.
+///
+/// Browsers leave out the session cookie when a link on another site leads here, so the sign-in page that such a link
+/// ends at must not replace it.
+pub const VISITOR_COOKIE: &str = "lacewingstile_visitor";
 /// A working shift: operators sign in once a shift, and a forgotten session ends with it.
 pub const SESSION_MS: u64 = 10 * 60 * 60 * 1000;
 
--- a/crates/console/src/web/console_request.rs
+++ b/crates/console/src/web/console_request.rs
@@ -25,6 +25,8 @@
     pub body: Inputs,
     /// The value of the session cookie.
     pub session_cookie: Option<String>,
+    /// The value of the cookie of a visitor.
+    pub visitor_cookie: Option<String>,
     /// The `Origin` header.
     pub origin: Option<String>,
     /// The `Sec-Fetch-Site` header.
--- a/crates/console/src/web/read_request.rs
+++ b/crates/console/src/web/read_request.rs
@@ -8,7 +8,7 @@
 use thiserror::Error;
 use xitca_web::http::{HeaderMap, Method, Uri, header};
 
-use crate::auth::SESSION_COOKIE;
+use crate::auth::{SESSION_COOKIE, VISITOR_COOKIE};
 use crate::inputs::Inputs;
 use crate::web::console_request::{ConsoleMethod, ConsoleRequest};
 
@@ -52,7 +52,8 @@
         path: uri.path().to_owned(),
         query: Inputs::parse(uri.query().unwrap_or("").as_bytes()),
         body,
-        session_cookie: session_cookie(headers),
+        session_cookie: cookie(headers, SESSION_COOKIE),
+        visitor_cookie: cookie(headers, VISITOR_COOKIE),
         origin: text("origin"),
         fetch_site: text("sec-fetch-site"),
         host: text("host"),
@@ -75,11 +76,11 @@
     Ok(inputs)
 }
 
-fn session_cookie(headers: &HeaderMap) -> Option<String> {
+fn cookie(headers: &HeaderMap, wanted: &str) -> Option<String> {
     let cookies = headers.get_all(header::COOKIE).iter();
     let cookies = cookies.filter_map(|value| value.to_str().ok());
     let pairs = cookies.flat_map(|value| value.split(';'));
     let mut pairs = pairs.filter_map(|pair| pair.trim().split_once('='));
-    let found = pairs.find(|(name, _)| *name == SESSION_COOKIE)?;
+    let found = pairs.find(|(name, _)| *name == wanted)?;
     Some(found.1.to_owned())
 }
--- /dev/null
+++ b/crates/console/tests/forms.rs
@@ -0,0 +1,474 @@
+//! The forms: what they keep, what they refuse and next to which field.
+
+mod support;
+
+use lw_console::backend::StoredDocument;
+use lw_console::draft::Draft;
+use lw_console::forms::{FormCall, Submission, blank, fill, read_time, show_time, submit};
+use lw_console::{Inputs, Section};
+use lw_doc::{Document, parse_rfc3339};
+use support::browser::Browser;
+use support::store::Store;
+use support::{NOW, console, sample};
+use test_case::test_case;
+
+fn replaced(inputs: &Inputs, typed: &[(&str, &str)]) -> Inputs {
+    let mut result = Inputs::default();
+    for (name, value) in inputs
+        .iter()
+        .filter(|(n, _)| !typed.iter().any(|(t, _)| t == n))
+    {
+        result.push(name, value);
+    }
+    for (name, value) in typed {
+        result.push(name, *value);
+    }
+    result
+}
+
+fn call(section: Section, stop_now: bool, base: &Document, inputs: &Inputs) -> Submission {
+    let gateway_addresses = ["127.0.0.1:8080".parse().expect("an address")];
+    submit(FormCall {
+        section,
+        stop_now,
+        base,
+        draft: &Draft::empty(&StoredDocument::new(1, base.clone())),
+        inputs,
+        gateway_addresses: &gateway_addresses,
+        now: NOW,
+    })
+    .expect("the draft is sound")
+}
+
+/// Guards against a form that changes an entity that was only opened and kept.
+#[test_case(Section::Services, "member-portal")]
+#[test_case(Section::Regions, "gujarat-east")]
+#[test_case(Section::Targets, "ga-01")]
+#[test_case(Section::Customers, "foundry-12")]
+#[test_case(Section::Customers, "clerks-vadodara")]
+#[test_case(Section::Weights, "weights")]
+#[test_case(Section::Models, "grade-assistant")]
+#[test_case(Section::PlannedStops, "week-3")]
+fn keeping_an_opened_form_changes_nothing(section: Section, name: &str) {
+    let mut base = sample();
+    let stop = lw_doc::PlannedStopEntry {
+        targets: vec!["ga-01".into()],
+        start: "2026-12-03T20:00:30Z".into(),
+        ..Default::default()
+    };
+    base.planned_stops.insert("week-3".into(), stop);
+    let inputs = fill(section, &base, name).expect("the entity exists");
+    let inputs = inputs.with("original", name);
+    let Submission::Kept { draft, caused } = call(section, false, &base, &inputs) else {
+        panic!("the opened form has faults");
+    };
+    assert_eq!((draft.changes, caused), (vec![], vec![]));
+}
+
+const SERVICE: &[(&str, &str)] = &[("name", "pricing"), ("regions", "saurashtra")];
+const TARGET: &[(&str, &str)] = &[
+    ("name", "mp-09"),
+    ("service", "member-portal"),
+    ("zone", "rajkot-1"),
+    ("address", "127.0.0.1:9901"),
+];
+const STOP: &[(&str, &str)] = &[("name", "week-4"), ("targets", "ga-01\nga-02")];
+
+/// Guards against a sound new entity that a form refuses.
+#[test_case(Section::Services, false, SERVICE)]
+#[test_case(Section::Regions, false, &[("name", "kutch"), ("zones", "bhuj-1\n bhuj-2 "), ("delay_ms", "saurashtra 12.5")])]
+#[test_case(Section::Targets, false, TARGET)]
+#[test_case(Section::Customers, false, &[("name", "foundry.77"), ("requests_per_s", " 0.5 ")])]
+#[test_case(Section::PlannedStops, false, STOP)]
+#[test_case(Section::PlannedStops, true, &[("name", "now-1"), ("zones", "rajkot-1"), ("duration_min", "45")])]
+fn sound_entities_are_kept(section: Section, stop_now: bool, typed: &[(&str, &str)]) {
+    let inputs = replaced(&blank(section, NOW), typed);
+    let submission = call(section, stop_now, &sample(), &inputs);
+    let Submission::Kept { draft, caused } = submission else {
+        panic!("refused: {submission:?}");
+    };
+    assert_eq!((draft.changes.len(), caused.len()), (1, 0));
+}
+
+struct Bad {
+    section: Section,
+    base: &'static [(&'static str, &'static str)],
+    typed: &'static [(&'static str, &'static str)],
+    field: &'static str,
+}
+
+const fn bad(
+    section: Section,
+    base: &'static [(&'static str, &'static str)],
+    typed: &'static [(&'static str, &'static str)],
+    field: &'static str,
+) -> Bad {
+    Bad {
+        section,
+        base,
+        typed,
+        field,
+    }
+}
+
+const REGION: &[(&str, &str)] = &[("name", "kutch"), ("zones", "bhuj-1")];
+const CUSTOMER: &[(&str, &str)] = &[("name", "foundry-77")];
+const WEIGHTS: &[(&str, &str)] = &[("original", "weights")];
+const MODEL: &[(&str, &str)] = &[("original", "grade-assistant"), ("version", "4")];
+
+const BAD: &[Bad] = &[
+    bad(Section::Services, SERVICE, &[("name", "")], "name"),
+    bad(Section::Services, SERVICE, &[("name", "a/b")], "name"),
+    bad(
+        Section::Services,
+        SERVICE,
+        &[("name", "member-portal")],
+        "name",
+    ),
+    bad(Section::Services, SERVICE, &[("kind", "other")], "kind"),
+    bad(Section::Services, SERVICE, &[("priority", "")], "priority"),
+    bad(
+        Section::Services,
+        SERVICE,
+        &[("regions", "nowhere")],
+        "regions",
+    ),
+    bad(
+        Section::Services,
+        SERVICE,
+        &[("allowed_regions", "gujarat-east")],
+        "regions",
+    ),
+    bad(
+        Section::Services,
+        SERVICE,
+        &[
+            ("allowed_regions", "saurashtra"),
+            ("allowed_regions", "nowhere"),
+        ],
+        "allowed_regions",
+    ),
+    bad(
+        Section::Services,
+        SERVICE,
+        &[("deadline_ms", "soon")],
+        "deadline_ms",
+    ),
+    bad(
+        Section::Services,
+        SERVICE,
+        &[("deadline_ms", "600001")],
+        "deadline_ms",
+    ),
+    bad(
+        Section::Services,
+        SERVICE,
+        &[("max_in_flight_per_target", "-1")],
+        "max_in_flight_per_target",
+    ),
+    bad(
+        Section::Services,
+        SERVICE,
+        &[("queue_entries", "0")],
+        "queue_entries",
+    ),
+    bad(
+        Section::Services,
+        SERVICE,
+        &[("queue_bytes", "99999999999999999999999")],
+        "queue_bytes",
+    ),
+    bad(
+        Section::Services,
+        SERVICE,
+        &[("non_idempotent_methods", "post")],
+        "non_idempotent_methods",
+    ),
+    bad(Section::Regions, REGION, &[("name", "a b")], "name"),
+    bad(Section::Regions, REGION, &[("zones", " \n")], "zones"),
+    bad(Section::Regions, REGION, &[("zones", "rajkot-1")], "zones"),
+    bad(
+        Section::Regions,
+        REGION,
+        &[("delay_ms", "saurashtra")],
+        "delay_ms",
+    ),
+    bad(
+        Section::Regions,
+        REGION,
+        &[("delay_ms", "saurashtra NaN")],
+        "delay_ms",
+    ),
+    bad(
+        Section::Regions,
+        REGION,
+        &[("delay_ms", "nowhere 5")],
+        "delay_ms",
+    ),
+    bad(
+        Section::Regions,
+        REGION,
+        &[("delay_ms", "saurashtra 5\nsaurashtra 6")],
+        "delay_ms",
+    ),
+    bad(Section::Targets, TARGET, &[("name", "ga-01")], "name"),
+    bad(Section::Targets, TARGET, &[("service", "")], "service"),
+    bad(Section::Targets, TARGET, &[("zone", "nowhere")], "zone"),
+    bad(
+        Section::Targets,
+        TARGET,
+        &[("address", "localhost:9")],
+        "address",
+    ),
+    bad(
+        Section::Targets,
+        TARGET,
+        &[("address", "127.0.0.1:8080")],
+        "address",
+    ),
+    bad(
+        Section::Targets,
+        TARGET,
+        &[("address", "127.0.0.1:9101")],
+        "address",
+    ),
+    bad(Section::Targets, TARGET, &[("slots", "1.5")], "slots"),
+    bad(Section::Customers, CUSTOMER, &[("name", "x y")], "name"),
+    bad(
+        Section::Customers,
+        CUSTOMER,
+        &[("home_region", "nowhere")],
+        "home_region",
+    ),
+    bad(
+        Section::Customers,
+        CUSTOMER,
+        &[("requests_per_s", "many")],
+        "requests_per_s",
+    ),
+    bad(
+        Section::Customers,
+        CUSTOMER,
+        &[("requests_per_s", "inf")],
+        "requests_per_s",
+    ),
+    bad(
+        Section::Customers,
+        CUSTOMER,
+        &[("requests_per_s", "0")],
+        "requests_per_s",
+    ),
+    bad(
+        Section::Customers,
+        CUSTOMER,
+        &[("key_digest", "abc")],
+        "key_digest",
+    ),
+    bad(Section::Weights, WEIGHTS, &[("cost", "1.1")], "cost"),
+    bad(Section::Weights, WEIGHTS, &[("latency", "-0.1")], "latency"),
+    bad(
+        Section::Weights,
+        WEIGHTS,
+        &[("cross_region", "")],
+        "cross_region",
+    ),
+    bad(
+        Section::Weights,
+        WEIGHTS,
+        &[("cost", "0"), ("latency", "0"), ("cross_region", "0")],
+        "",
+    ),
+    bad(Section::PlannedStops, STOP, &[("targets", "")], ""),
+    bad(
+        Section::PlannedStops,
+        STOP,
+        &[("targets", "ga-99")],
+        "targets",
+    ),
+    bad(
+        Section::PlannedStops,
+        STOP,
+        &[("zones", "nowhere")],
+        "zones",
+    ),
+    bad(Section::PlannedStops, STOP, &[("hosts", "a b")], "hosts"),
+    bad(
+        Section::PlannedStops,
+        STOP,
+        &[("start", "tomorrow")],
+        "start",
+    ),
+    bad(
+        Section::PlannedStops,
+        STOP,
+        &[("start", "2026-02-30 10:00")],
+        "start",
+    ),
+    bad(
+        Section::PlannedStops,
+        STOP,
+        &[("end", "2026-12-03 20:00+05:30")],
+        "end",
+    ),
+    bad(
+        Section::PlannedStops,
+        STOP,
+        &[("end", "2026-12-03 19:00")],
+        "end",
+    ),
+    bad(Section::Models, MODEL, &[("version", "a b")], "version"),
+    bad(
+        Section::Models,
+        &[("version", "4")],
+        &[("name", "member-portal")],
+        "name",
+    ),
+    bad(
+        Section::Models,
+        &[("version", "4")],
+        &[("name", "")],
+        "name",
+    ),
+];
+
+/// Guards against a bad field that is accepted, that is marked at another field, or whose typed text is lost.
+#[test]
+fn each_bad_field_is_marked_and_keeps_its_text() {
+    let store = Store::new(sample());
+    for case in BAD {
+        let inputs = replaced(&blank(case.section, NOW), case.base);
+        let inputs = replaced(&inputs, case.typed);
+        let context = format!("{} {:?}", case.section.slug(), case.typed);
+        let Submission::Faulty { faults, .. } = call(case.section, false, &sample(), &inputs)
+        else {
+            panic!("accepted: {context}");
+        };
+        let fields: Vec<&str> = faults
+            .iter()
+            .map(|f| f.field.as_deref().unwrap_or(""))
+            .collect();
+        assert!(
+            fields.iter().all(|field| *field == case.field),
+            "{context}: {faults:?}"
+        );
+        shows_the_form_again(&store, case, &inputs, &context);
+    }
+    println!("{} bad fields", BAD.len());
+}
+
+fn shows_the_form_again(store: &std::sync::Arc<Store>, case: &Bad, inputs: &Inputs, context: &str) {
+    let mut browser = Browser::signed_in(console(store), "asha");
+    let slug = case.section.slug();
+    match inputs.get("original") {
+        "" => browser.get(&format!("/console/{slug}/new")),
+        name => browser.get(&format!("/console/{slug}/edit?name={name}")),
+    };
+    let typed: Vec<(&str, &str)> = inputs.iter().collect();
+    let action = format!("/console/{slug}/save");
+    let page = browser.submit(&action, &typed);
+    assert_eq!(page.status, 422, "{context}");
+    assert!(page.body.contains("role=\"alert\""), "{context}");
+    if !case.field.is_empty() {
+        let marked = format!(
+            "id=\"f-{0}\" aria-invalid=\"true\" aria-describedby=\"f-{0}-fault",
+            case.field
+        );
+        assert!(page.body.contains(&marked), "{context}: {}", page.body);
+        assert!(
+            page.body.contains(&format!("href=\"#f-{}\"", case.field)),
+            "{context}"
+        );
+    }
+    let shown = support::browser::form_inputs(&page.body, &action);
+    for (name, value) in inputs.iter().filter(|(_, value)| !value.is_empty()) {
+        assert!(
+            shown.all(name).any(|v| v == value),
+            "{context} lost {name}={value}: {shown:?}"
+        );
+    }
+}
+
+/// Guards against a page that shows only the first of several bad fields.
+#[test]
+fn all_bad_fields_are_reported_together() {
+    let typed = [
+        ("name", "a b"),
+        ("address", "x"),
+        ("slots", "y"),
+        ("zone", "z"),
+    ];
+    let inputs = replaced(&replaced(&blank(Section::Targets, NOW), TARGET), &typed);
+    let Submission::Faulty { faults, .. } = call(Section::Targets, false, &sample(), &inputs)
+    else {
+        panic!("accepted");
+    };
+    let mut fields: Vec<&str> = faults.iter().filter_map(|f| f.field.as_deref()).collect();
+    fields.sort_unstable();
+    assert_eq!(fields, ["address", "name", "slots", "zone"]);
+}
+
+/// Guards against a change that silently breaks another part of the document.
+#[test]
+fn faults_caused_elsewhere_are_reported() {
+    let base = sample();
+    let inputs = fill(Section::Regions, &base, "saurashtra").expect("it exists");
+    let inputs = replaced(
+        &inputs,
+        &[("original", "saurashtra"), ("zones", "rajkot-2")],
+    );
+    let Submission::Kept { caused, .. } = call(Section::Regions, false, &base, &inputs) else {
+        panic!("refused");
+    };
+    assert!(
+        caused
+            .iter()
+            .any(|fault| fault.path == "targets/mp-03/zone"),
+        "{caused:?}"
+    );
+}
+
+/// Guards against times that are read in another way than they are shown.
+#[test_case("2026-12-03 20:00", Some("2026-12-03T20:00:00Z"))]
+#[test_case(" 2026-12-03T20:00:30Z ", Some("2026-12-03T20:00:30Z"))]
+#[test_case("2026-12-03  20:00 Z", Some("2026-12-03T20:00:00Z"))]
+#[test_case("2026-12-03", None)]
+#[test_case("2026-12-03 24:30", None)]
+#[test_case("2026-12-03 20:00:00+05:30", None)]
+#[test_case("03.12.2026 20:00", None)]
+#[test_case("", None)]
+fn times_are_utc(typed: &str, expected: Option<&str>) {
+    let read = read_time(typed);
+    assert_eq!(read.as_deref(), expected);
+    if let Some(read) = read {
+        assert_eq!(read_time(&show_time(&read)), Some(read));
+    }
+}
+
+/// Guards against a stop that starts later than now or lasts another time than chosen.
+#[test_case("45", Some(45))]
+#[test_case("0", None)]
+#[test_case("10081", None)]
+#[test_case("an hour", None)]
+fn a_stop_can_start_now(typed: &str, minutes: Option<u64>) {
+    let inputs = Inputs::default()
+        .with("name", "now-1")
+        .with("targets", "ga-01")
+        .with("duration_min", typed);
+    match (
+        call(Section::PlannedStops, true, &sample(), &inputs),
+        minutes,
+    ) {
+        (Submission::Kept { draft, .. }, Some(minutes)) => {
+            let document = draft.apply(&sample()).expect("sound");
+            let stop = &document.planned_stops["now-1"];
+            assert_eq!(parse_rfc3339(&stop.start), Some(NOW));
+            let end = stop.end.as_deref().and_then(parse_rfc3339);
+            assert_eq!(end, Some(NOW.plus_ms(minutes * 60_000)));
+        }
+        (Submission::Faulty { faults, .. }, None) => {
+            assert_eq!(faults.len(), 1, "{faults:?}");
+            assert_eq!(faults[0].field.as_deref(), Some("duration_min"));
+        }
+        (other, _) => panic!("{other:?}"),
+    }
+}
--- /dev/null
+++ b/crates/console/tests/support/store.rs
@@ -0,0 +1,156 @@
+//! The store.
+
+use std::sync::{Arc, Mutex};
+
+use lw_console::backend::{
+    AuditOutcome, AuditRow, Backend, BackendError, PublishOrder, PublishOutcome, StatusRow,
+    StoredDocument,
+};
+use lw_doc::{Document, SourceMap, changes_between, validate};
+use uuid::Uuid;
+
+/// What the store does with the next orders.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Mood {
+    #[default]
+    Works,
+    Down,
+    Refuses,
+    /// Publishes, but the reply is lost.
+    LosesReply,
+}
+
+#[derive(Default)]
+pub(crate) struct State {
+    pub(crate) revisions: Vec<StoredDocument>,
+    pub(crate) rows: Vec<AuditRow>,
+    pub(crate) operations: Vec<(Uuid, u64)>,
+    pub(crate) mood: Mood,
+    pub(crate) forgotten_below: u64,
+}
+
+#[derive(Default)]
+pub(crate) struct Store(Mutex<State>);
+
+impl Store {
+    pub(crate) fn new(document: Document) -> Arc<Self> {
+        let store = Self::default();
+        store
+            .state()
+            .revisions
+            .push(StoredDocument::new(1, document));
+        Arc::new(store)
+    }
+
+    pub(crate) fn state(&self) -> std::sync::MutexGuard<'_, State> {
+        self.0.lock().expect("no test panics inside")
+    }
+
+    pub(crate) fn head(&self) -> StoredDocument {
+        self.state()
+            .revisions
+            .last()
+            .expect("a first revision")
+            .clone()
+    }
+
+    pub(crate) fn set_mood(&self, mood: Mood) {
+        self.state().mood = mood;
+    }
+
+    pub(crate) fn backend(self: &Arc<Self>) -> Backend {
+        let (current, revision, publish, audit) =
+            (self.clone(), self.clone(), self.clone(), self.clone());
+        Backend {
+            current: Arc::new(move || {
+                let result = current.read(|state| state.revisions.last().cloned());
+                Box::pin(async move { result.map(|found| found.expect("a first revision")) })
+            }),
+            revision: Arc::new(move |number| {
+                let result = revision.read(|state| {
+                    let kept = state
+                        .revisions
+                        .iter()
+                        .filter(|r| r.revision >= state.forgotten_below);
+                    kept.clone().find(|r| r.revision == number).cloned()
+                });
+                Box::pin(async move { result })
+            }),
+            publish: Arc::new(move |order| {
+                let outcome = publish.publish(order);
+                Box::pin(async move { outcome })
+            }),
+            audit: Arc::new(move |limit| {
+                let result =
+                    audit.read(|state| state.rows.iter().rev().take(limit).cloned().collect());
+                Box::pin(async move { result })
+            }),
+            status: Arc::new(|| {
+                vec![StatusRow {
+                    host: "host-1".into(),
+                    region: "gujarat-east".into(),
+                    zone: "ahmedabad-1".into(),
+                    state: "alive".into(),
+                    revision: Some(1),
+                }]
+            }),
+            gateway_addresses: Arc::new(|| vec!["127.0.0.1:8080".parse().expect("an address")]),
+        }
+    }
+
+    fn read<T>(&self, read: impl Fn(&State) -> T) -> Result<T, BackendError> {
+        let state = self.state();
+        if state.mood == Mood::Down {
+            let message = "the key-value service does not answer".to_owned();
+            return Err(BackendError { message });
+        }
+        Ok(read(&state))
+    }
+
+    fn publish(&self, order: PublishOrder) -> PublishOutcome {
+        let mut state = self.state();
+        let faults = validate(&order.document, &SourceMap::default(), &[]);
+        assert_eq!(faults, [], "the console published an invalid document");
+        let known = state
+            .operations
+            .iter()
+            .find(|(known, _)| *known == order.operation);
+        if let Some((_, revision)) = known {
+            return PublishOutcome::Published {
+                revision: *revision,
+            };
+        }
+        let head = state.revisions.last().expect("a first revision").clone();
+        let reason = "the key-value service does not answer".to_owned();
+        if state.mood == Mood::Refuses {
+            return PublishOutcome::Refused { reason, faults };
+        }
+        if (order.base_revision, order.base_digest) != (head.revision, head.digest) {
+            return PublishOutcome::Conflict { head };
+        }
+        let revision = head.revision + 1;
+        let paths = changes_between(&head.document, &order.document);
+        state.rows.push(AuditRow {
+            at: order.now,
+            operator: order.operator,
+            base_revision: head.revision,
+            outcome: AuditOutcome::Published { revision },
+            changed_paths: Some(paths.into_iter().map(|change| change.path).collect()),
+        });
+        state.operations.push((order.operation, revision));
+        state
+            .revisions
+            .push(StoredDocument::new(revision, order.document));
+        if state.mood == Mood::LosesReply {
+            state.mood = Mood::Works;
+            return PublishOutcome::Unknown { reason };
+        }
+        PublishOutcome::Published { revision }
+    }
+}
+
+impl Store {
+    pub(crate) fn add_row(&self, row: AuditRow) {
+        self.state().rows.push(row);
+    }
+}
