--- a/crates/console/src/forms/submit.rs
+++ b/crates/console/src/forms/submit.rs
@@ -127,9 +127,12 @@
 fn form_field(call: FormCall<'_>, path: &str, fault: &Fault) -> Option<String> {
     let rest = fault.path.strip_prefix(path).unwrap_or("");
     let field = rest.trim_start_matches('/').split('/').next();
-    match (field, &fault.kind) {
-        (None | Some(""), FaultKind::InvalidName { .. }) => Some("name".to_owned()),
-        (None | Some(""), _) if call.section == Section::Models => Some("name".to_owned()),
+    let names_entity = matches!(fault.kind, FaultKind::InvalidName { .. });
+    match (field, call.section) {
+        // The form of an existing entity has no field for its name.
+        (None | Some(""), _) if !is_new(call) => None,
+        (None | Some(""), Section::Models) => Some("name".to_owned()),
+        (None | Some(""), _) if names_entity => Some("name".to_owned()),
         (None | Some(""), _) => None,
         (Some("start" | "end"), _) if call.stop_now => Some("duration_min".to_owned()),
         (Some(field), _) => Some(field.to_owned()),
--- a/crates/console/tests/support/browser.rs
+++ b/crates/console/tests/support/browser.rs
@@ -166,7 +166,7 @@
     inputs
 }
 
-fn attribute(tag: &str, name: &str) -> Option<String> {
+pub(crate) fn attribute(tag: &str, name: &str) -> Option<String> {
     let head = tag.split('>').next()?;
     let start = format!("{name}=\"");
     let mut at = head.match_indices(&start).map(|(at, _)| at);
