Add placement of models on engines

Cause: each region needs one decider that loads models by demand without two deciders harming each other.

A holder can take its lease again above a number that an engine has seen, because the service may count from a lower one after lost writes.

--- a/crates/lease/src/drive.rs
+++ b/crates/lease/src/drive.rs
@@ -26,6 +26,7 @@
 ) {
     loop {
         holder.set_wanted(now(), handle.wanted());
+        holder.raise_floor(now(), handle.floor());
         let call = holder.tick(now());
         publish(&holder, &handle);
         let Some(call) = call else {
--- a/crates/lease/src/holder.rs
+++ b/crates/lease/src/holder.rs
@@ -27,6 +27,7 @@
     resume_at: MonoMs,
     renewed_at: MonoMs,
     reconnect: Reconnect,
+    floor: u64,
     authority: Option<Authority>,
 }
 
@@ -43,6 +44,7 @@
             resume_at: MonoMs(0),
             renewed_at: MonoMs(0),
             reconnect: Reconnect::default(),
+            floor: 0,
             authority: None,
         }
     }
@@ -84,6 +86,17 @@
         }
     }
 
+    /// Gives up a lease whose fencing number is not above `epoch`, and takes it again with a higher one.
+    ///
+    /// A target has seen `epoch`. That happens when the service lost its last writes and counts from a lower number.
+    pub fn raise_floor(&mut self, now: MonoMs, epoch: u64) {
+        self.floor = self.floor.max(epoch);
+        if self.authority.is_some_and(|held| held.epoch <= self.floor) {
+            self.step_down();
+            self.resume_at = now;
+        }
+    }
+
     /// Returns the next call when it is time for it.
     pub fn tick(&mut self, now: MonoMs) -> Option<KvCall> {
         self.drop_lapsed(now);
@@ -225,13 +238,13 @@
             .value
             .as_ref()
             .filter(|value| value.holder == self.keys.id && value.lease_id == claim.lease_id);
-        if let Some(own) = own {
+        if let Some(own) = own.filter(|own| own.epoch > self.floor) {
             self.hold(now, claim, own.epoch);
             return;
         }
         let recorded = found.value.map_or(0, |value| value.epoch);
         let epoch = match claim.held_epoch {
-            None => claim.lease_epoch.max(recorded + 1),
+            None => claim.lease_epoch.max(recorded + 1).max(self.floor + 1),
             Some(held) if recorded < held => held,
             Some(held) => {
                 self.check_successor(held, recorded);
--- a/crates/lease/src/lease_handle.rs
+++ b/crates/lease/src/lease_handle.rs
@@ -16,6 +16,7 @@
 #[derive(Debug, Default)]
 struct State {
     wanted: bool,
+    floor: u64,
     authority: Option<Authority>,
 }
 
@@ -36,6 +37,20 @@
         }
     }
 
+    /// Gives up an authority whose fencing number is not above `epoch`; the lease is taken again with a higher one.
+    pub fn raise_floor(&self, epoch: u64) {
+        let mut state = self.state.lock();
+        state.floor = state.floor.max(epoch);
+        if state.authority.is_some_and(|held| held.epoch <= epoch) {
+            state.authority = None;
+        }
+    }
+
+    /// Returns the number above which the next fencing number lies.
+    pub(crate) fn floor(&self) -> u64 {
+        self.state.lock().floor
+    }
+
     /// Returns whether the lease is wanted.
     #[must_use]
     pub fn wanted(&self) -> bool {
@@ -45,7 +60,8 @@
     /// Replaces the authority, and returns whether its epoch changed.
     pub(crate) fn publish(&self, authority: Option<Authority>) -> bool {
         let mut state = self.state.lock();
-        let authority = authority.filter(|_| state.wanted);
+        let floor = state.floor;
+        let authority = authority.filter(|held| state.wanted && held.epoch > floor);
         let epoch = |authority: Option<Authority>| authority.map(|held| held.epoch);
         let changed = epoch(state.authority) != epoch(authority);
         state.authority = authority;
--- a/crates/lease/tests/failures.rs
+++ b/crates/lease/tests/failures.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::Ordering;
 
 use bed::Bed;
-use lw_base::{Invariant, invariant_count};
+use lw_base::{Invariant, MonoMs, invariant_count};
 use lw_stand::LinkState;
 use rand::Rng;
 
@@ -125,6 +125,26 @@
     assert!(bed.holder().1 > first.1);
 }
 
+/// Guards against a number that targets refuse for ever, after the service lost its last writes.
+#[tokio::test]
+async fn a_target_has_seen_a_higher_number() {
+    let mut bed = Bed::new(2, SEED);
+    bed.run(5_000, &[0, 1]).await;
+    let (first, epoch) = bed.holder();
+    for one in &mut bed.contenders {
+        one.holder.raise_floor(MonoMs(6_000), epoch + 40);
+    }
+    assert_eq!(bed.acting(), []);
+    bed.run(20_000, &[0, 1]).await;
+    assert!(bed.holder().1 > epoch + 40);
+    // The same again changes nothing.
+    let before = bed.holder();
+    let now = bed.now();
+    bed.contenders[first].holder.raise_floor(now, epoch + 40);
+    bed.run(20_000, &[0, 1]).await;
+    assert_eq!(bed.holder(), before);
+}
+
 /// Guards against a validity that counts from the reply and not from the send, for pauses in two calls in a row.
 ///
 /// The second call may be the check for a successor, made just before there is one.
--- /dev/null
+++ b/crates/place/src/tenure.rs
@@ -0,0 +1,12 @@
+//! The time in which one host decides for a region.
+
+use lw_base::MonoMs;
+
+/// The authority under which commands are sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Tenure {
+    /// The fencing number.
+    pub epoch: u64,
+    /// When this host gained the lease.
+    pub gained: MonoMs,
+}
--- /dev/null
+++ b/crates/place/tests/counts.rs
@@ -0,0 +1,133 @@
+//! Demand, replica counts, assignment and the weight budget.
+
+use lw_base::MonoMs;
+use lw_place::{
+    EngineRole, EngineSlot, EngineView, ModelWant, MovingAverage, ReplicaCount, WantedState,
+    WeightBudget, assign,
+};
+use test_case::test_case;
+
+/// Guards against an average that follows single samples or depends on how often it is sampled.
+#[test]
+fn the_average_halves_over_its_half_life() {
+    for step_ms in [100, 1_000] {
+        let mut average = MovingAverage::new(10_000);
+        assert_eq!(average.value(), None);
+        average.observe(MonoMs(0), 8.0);
+        for at_ms in (step_ms..=10_000).step_by(step_ms as usize) {
+            average.observe(MonoMs(at_ms), 0.0);
+        }
+        let value = average.value().expect("samples");
+        assert!((value - 4.0).abs() < 1e-9, "{value}");
+    }
+}
+
+struct Phase {
+    busy_slots: f64,
+    span_ms: u64,
+}
+
+fn run_phases(start: u32, most: u32, phases: &[Phase]) -> u32 {
+    let mut count = ReplicaCount::new(start);
+    let mut now = MonoMs(0);
+    for phase in phases {
+        let end = now.plus_ms(phase.span_ms);
+        while now < end {
+            count.update(now, phase.busy_slots, 10.0, most);
+            now = now.plus_ms(1_000);
+        }
+    }
+    count.wanted()
+}
+
+fn phase(busy_slots: f64, span_s: u64) -> Phase {
+    let span_ms = span_s * 1_000;
+    Phase {
+        busy_slots,
+        span_ms,
+    }
+}
+
+/// Guards against replicas that come and go with short peaks, pile up while one loads, or vanish altogether.
+#[test_case(1, &[phase(9.0, 30)], 1; "a peak of less than 30 s")]
+#[test_case(1, &[phase(9.0, 31)], 2; "a peak of 30 s")]
+#[test_case(1, &[phase(9.0, 29), phase(5.0, 1), phase(9.0, 29)], 1; "two peaks with a dip")]
+#[test_case(1, &[phase(12.0, 300)], 2; "the demand of two replicas")]
+#[test_case(2, &[phase(17.0, 300)], 3; "the demand of three replicas")]
+#[test_case(4, &[phase(100.0, 300)], 4; "no engine left")]
+#[test_case(2, &[phase(5.0, 600)], 2; "low for less than 10 min")]
+#[test_case(2, &[phase(5.0, 601)], 1; "low for 10 min")]
+#[test_case(1, &[phase(0.0, 7_200)], 1; "the last replica")]
+fn replica_counts(start: u32, phases: &[Phase], expected: u32) {
+    assert_eq!(run_phases(start, 4, phases), expected);
+}
+
+fn slot(name: &str, held: &str) -> EngineSlot {
+    let (version, role, is_drained) = match held {
+        "new" => ("2", EngineRole::Serve, false),
+        "old" => ("1", EngineRole::Serve, false),
+        "draining" => ("2", EngineRole::Drain, false),
+        "drained" => ("2", EngineRole::Drain, true),
+        _ => ("", EngineRole::Standby, false),
+    };
+    let model = if version.is_empty() { "" } else { "grade" };
+    let view = EngineView {
+        model: model.into(),
+        version: version.into(),
+        role: Some(role),
+        fencing: 0,
+        busy: 0,
+    };
+    EngineSlot {
+        target: name.into(),
+        view,
+        is_drained,
+    }
+}
+
+fn held_by(state: &WantedState) -> String {
+    format!("{}:{}", state.version, state.role.as_str())
+}
+
+/// Guards against an assignment that leaves nobody serving, drains too early, or loads weights that are there.
+#[test_case(1, &["empty", "empty"], &["a=2:serve"]; "first load")]
+#[test_case(1, &["empty", "new"], &["b=2:serve"]; "the engine that serves is kept")]
+#[test_case(2, &["empty", "draining", "new"], &["b=2:serve", "c=2:serve"]; "a draining engine comes back")]
+#[test_case(1, &["new", "new"], &["a=2:serve", "b=2:drain"]; "a surplus engine drains")]
+#[test_case(1, &["new", "drained"], &["a=2:serve", "b=:standby"]; "a drained engine is emptied")]
+#[test_case(1, &["old"], &["a=2:serve"]; "the only engine changes in place")]
+#[test_case(1, &["old", "empty"], &["b=2:serve"]; "a spare replaces the sole server first")]
+#[test_case(2, &["old", "empty"], &["b=2:serve"]; "another replica replaces the sole server first")]
+#[test_case(1, &["old", "new"], &["a=1:drain", "b=2:serve"]; "the replaced server drains")]
+#[test_case(1, &["old", "draining"], &["b=2:serve"]; "no engine drains before its replacement serves")]
+#[test_case(3, &["old", "old", "old"], &["a=2:serve"]; "one of three changes at a time")]
+#[test_case(3, &["new", "old", "old"], &["a=2:serve", "b=2:serve"]; "then the next one")]
+fn assignments(replicas: u32, held: &[&str], expected: &[&str]) {
+    let names = ["a", "b", "c"];
+    let slots = names.iter().zip(held).map(|(name, held)| slot(name, held));
+    let slots: Vec<EngineSlot> = slots.collect();
+    let want = ModelWant {
+        model: "grade".into(),
+        version: "2".into(),
+        replicas,
+    };
+    let wanted = assign(&want, &slots);
+    let mut wanted: Vec<String> = wanted
+        .iter()
+        .map(|(target, state)| format!("{target}={}", held_by(state)))
+        .collect();
+    wanted.sort();
+    assert_eq!(wanted, expected);
+}
+
+/// Guards against a burst of loads that the weight store refuses, or a bucket that fills without bound.
+#[test]
+fn the_weight_budget_has_a_rate() {
+    let mut budget = WeightBudget::new(0.5, 2);
+    let taken =
+        |budget: &mut WeightBudget, now_ms| (0..10).filter(|_| budget.take(MonoMs(now_ms))).count();
+    assert_eq!(taken(&mut budget, 0), 2);
+    assert_eq!(taken(&mut budget, 1_999), 0);
+    assert_eq!(taken(&mut budget, 2_000), 1);
+    assert_eq!(taken(&mut budget, 1_000_000), 2);
+}
