--- a/crates/plat/src/http_client.rs
+++ b/crates/plat/src/http_client.rs
@@ -58,6 +58,14 @@
         }
     }
 
+    /// Returns a client for another address that shares the connection pool.
+    pub(crate) fn at(&self, address: &str) -> Self {
+        Self {
+            base: format!("http://{address}"),
+            ..self.clone()
+        }
+    }
+
     /// Sends a request and reads the whole reply; the service may hold the call open for `wait_ms`.
     pub(crate) async fn send(
         &self,
@@ -127,6 +135,7 @@
     match status {
         StatusCode::OK => Ok(()),
         StatusCode::NOT_FOUND => Err(PlatformError::Absent),
+        StatusCode::CONFLICT => Err(PlatformError::Stale),
         StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
             Err(PlatformError::Unavailable)
         }
--- a/crates/plat/src/http_kv.rs
+++ b/crates/plat/src/http_kv.rs
@@ -141,6 +141,8 @@
         PlatformError::Unavailable => KvError::Unavailable,
         PlatformError::Unreachable => KvError::Unreachable,
         PlatformError::ReplyLost => KvError::ReplyLost,
-        PlatformError::Absent | PlatformError::Malformed => KvError::Malformed,
+        PlatformError::Absent | PlatformError::Stale | PlatformError::Malformed => {
+            KvError::Malformed
+        }
     }
 }
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -1,9 +1,11 @@
-//! Clients of the platform: key-value service, host list, directory and weight store.
+//! Clients of the platform: key-value service, host list, directory, weight store and control of engines.
 //!
 //! Each client is a struct with a closure, so a fake in a test is a closure too.
 
 mod call_counts;
 mod directory;
+mod engine_control;
+mod engine_messages;
 mod host_entry;
 mod host_list;
 mod http_client;
@@ -18,6 +20,8 @@
 
 pub use call_counts::CallCounts;
 pub use directory::Directory;
+pub use engine_control::EngineControl;
+pub use engine_messages::{EngineCommand, EngineLoad, EngineState};
 pub use host_entry::{HostEntry, HostState};
 pub use host_list::HostList;
 pub use http_kv::http_kv;
--- a/crates/plat/src/platform_error.rs
+++ b/crates/plat/src/platform_error.rs
@@ -1,4 +1,4 @@
-//! Errors of the host list, the directory and the weight store.
+//! Errors of the host list, the directory, the weight store and the control interface of engines.
 
 use std::future::Future;
 use std::pin::Pin;
@@ -20,6 +20,9 @@
     /// The service does not know the entry.
     #[error("the platform service has no such entry")]
     Absent,
+    /// The receiver has seen a higher fencing number.
+    #[error("the receiver has seen a higher fencing number")]
+    Stale,
     /// The reply could not be understood.
     #[error("the platform service answered in an unknown form")]
     Malformed,
--- a/crates/stand/src/engine_commands.rs
+++ b/crates/stand/src/engine_commands.rs
@@ -1,32 +1,6 @@
 //! Commands of the engine stand-in and what they leave behind.
 
-use serde::{Deserialize, Serialize};
-
-/// The body of `/command`: the wanted state, so repeating it is safe.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EngineCommand {
-    /// The fencing number of the sender's lease.
-    pub fencing: u64,
-    /// The model to load; empty unloads.
-    pub model: String,
-    /// The version to load.
-    pub version: String,
-    /// The role to take.
-    pub role: String,
-}
-
-/// The body of `/state`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EngineState {
-    /// The loaded model; empty when none is loaded.
-    pub model: String,
-    /// The loaded version.
-    pub version: String,
-    /// The role.
-    pub role: String,
-    /// The highest fencing number so far.
-    pub fencing: u64,
-}
+use lw_plat::{EngineCommand, EngineState};
 
 /// The commands of one engine.
 #[derive(Debug, Default)]
--- a/crates/stand/src/engine_http.rs
+++ b/crates/stand/src/engine_http.rs
@@ -10,12 +10,12 @@
 use http_body_util::combinators::BoxBody;
 use hyper::body::Incoming;
 use lw_base::PriorityClass;
+use lw_plat::EngineCommand;
 use serde::Deserialize;
 use tokio::sync::mpsc;
 
 use crate::attempt_echo::{ATTEMPT_HEADER, echo_attempt, refuse_before_start};
 use crate::engine_chat::{ChatRequest, DONE_EVENT, completion_body, token_event};
-use crate::engine_commands::EngineCommand;
 use crate::engine_job::{Job, JobItem, run};
 use crate::engine_shared::EngineShared;
 use crate::http_server::{Broken, Reply, json_reply, query_number, read_body, reply};
--- a/crates/stand/src/engine_load.rs
+++ b/crates/stand/src/engine_load.rs
@@ -3,33 +3,20 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use serde::Serialize;
+use lw_plat::EngineLoad;
 
 /// How many samples are kept.
 const MAX_SAMPLES: usize = 65_536;
 
-/// The body of `/load`.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
-pub(crate) struct LoadReport {
-    /// Requests that wait for a slot.
-    pub(crate) queued: usize,
-    /// Requests in a slot.
-    pub(crate) running: usize,
-    /// Tokens per second with all slots in use, at the present speed.
-    pub(crate) tokens_per_s: f64,
-    /// When the report was made, on the wall clock.
-    pub(crate) at_ms: u64,
-}
-
 /// Earlier load reports.
 #[derive(Debug, Default)]
 pub(crate) struct LoadHistory {
-    samples: VecDeque<(Instant, LoadReport)>,
+    samples: VecDeque<(Instant, EngineLoad)>,
 }
 
 impl LoadHistory {
     /// Records a report and drops those that no reader with the given lag can see.
-    pub(crate) fn record(&mut self, now: Instant, report: LoadReport, lag: Duration) {
+    pub(crate) fn record(&mut self, now: Instant, report: EngineLoad, lag: Duration) {
         self.samples.push_back((now, report));
         while self.samples.len() > MAX_SAMPLES || self.second_is_visible(now, lag) {
             self.samples.pop_front();
@@ -37,7 +24,7 @@
     }
 
     /// Returns the newest report that is at least `lag` old, or an empty one.
-    pub(crate) fn lagged(&self, now: Instant, lag: Duration) -> Option<LoadReport> {
+    pub(crate) fn lagged(&self, now: Instant, lag: Duration) -> Option<EngineLoad> {
         let mut newest_first = self.samples.iter().rev();
         let visible = newest_first.find(|(at, _)| now.duration_since(*at) >= lag);
         visible.map(|(_, report)| *report)
--- a/crates/stand/src/engine_shared.rs
+++ b/crates/stand/src/engine_shared.rs
@@ -3,11 +3,12 @@
 use std::time::{Duration, Instant};
 
 use lw_base::FastMap;
+use lw_plat::{EngineLoad, EngineState};
 use parking_lot::Mutex;
 use tokio::sync::{oneshot, watch};
 
-use crate::engine_commands::{CommandLog, EngineState};
-use crate::engine_load::{LoadHistory, LoadReport, wall_ms};
+use crate::engine_commands::CommandLog;
+use crate::engine_load::{LoadHistory, wall_ms};
 use crate::engine_options::EngineOptions;
 use crate::plain_stand::take_one;
 use crate::prefix_cache::PrefixCache;
@@ -127,9 +128,9 @@
     pub(crate) fn sample_load(&self) {
         let (queued, running) = self.slots.counts();
         let full_step_s = self.token_time(self.options.slots).as_secs_f64();
-        let report = LoadReport {
-            queued,
-            running,
+        let report = EngineLoad {
+            queued: queued as u32,
+            running: running as u32,
             tokens_per_s: self.options.slots as f64 / full_step_s.max(1e-6),
             at_ms: wall_ms(),
         };
@@ -138,7 +139,7 @@
     }
 
     /// Returns the load as it was some time ago.
-    pub(crate) fn lagged_load(&self) -> LoadReport {
+    pub(crate) fn lagged_load(&self) -> EngineLoad {
         let lag = Duration::from_millis(self.options.load_lag_ms);
         let report = self.load.lock().lagged(Instant::now(), lag);
         report.unwrap_or_default()
--- a/crates/stand/src/engine_stand.rs
+++ b/crates/stand/src/engine_stand.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use crate::engine_commands::{EngineCommand, EngineState};
+use lw_plat::{EngineCommand, EngineState};
+
 use crate::engine_http::answer;
 use crate::engine_options::EngineOptions;
 use crate::engine_shared::{EngineShared, EngineTotals};
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -25,7 +25,6 @@
 mod weight_stand;
 
 pub use engine_chat::{answer_token, whole_answer};
-pub use engine_commands::{EngineCommand, EngineState};
 pub use engine_options::EngineOptions;
 pub use engine_shared::EngineTotals;
 pub use engine_stand::EngineStand;
--- a/crates/stand/tests/targets.rs
+++ b/crates/stand/tests/targets.rs
@@ -10,6 +10,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use lw_plat::{EngineCommand, EngineControl, HttpTimeouts, PlatformError};
 use lw_stand::{EngineOptions, EngineStand, PlainStand, answer_token, whole_answer};
 use serde_json::{Value, json};
 
@@ -176,23 +177,29 @@
 /// Guards against an engine that applies an old command, and one that should ignore numbers but does not.
 #[tokio::test]
 async fn commands_with_old_numbers() {
-    for (fencing, status, stale) in [(true, StatusCode::CONFLICT, 0), (false, StatusCode::OK, 1)] {
+    let control = EngineControl::over_http(HttpTimeouts {
+        connect_ms: 5_000,
+        call_ms: 5_000,
+    });
+    let cases = [(true, Err(PlatformError::Stale), 0), (false, Ok(()), 1)];
+    for (fencing, old, stale) in cases {
         let engine = EngineStand::new(EngineOptions { fencing, ..fast() });
         let server = engine.start(loopback()).await.expect("start");
-        let (client, at) = (client(), server.address());
-        let command =
-            |number| json!({"fencing": number, "model": "m", "version": "2", "role": "r"});
-        for (number, expected) in [(5, StatusCode::OK), (5, StatusCode::OK), (4, status)] {
-            let sent = send(&client, Method::POST, at, "/command", &command(number)).await;
-            assert_eq!(sent.expect("answer").status(), expected);
+        let at = server.address().to_string();
+        let command = |fencing| EngineCommand {
+            fencing,
+            model: "m".into(),
+            version: "2".into(),
+            role: "r".into(),
+        };
+        for (number, expected) in [(5, Ok(())), (5, Ok(())), (4, old)] {
+            let sent = control.command(&at, command(number)).await;
+            assert_eq!(sent, expected);
         }
         assert_eq!(engine.stale_commands(), stale);
-        assert_eq!(
-            (engine.state().model.as_str(), engine.state().fencing),
-            ("m", 5)
-        );
-        let load = send(&client, Method::GET, at, "/load", &Value::Null).await;
-        assert_eq!(load.expect("load").status(), StatusCode::OK);
+        let state = control.state(&at).await.expect("state");
+        assert_eq!((state.model.as_str(), state.fencing), ("m", 5));
+        assert_eq!(control.load(&at).await.expect("load").queued, 0);
     }
 }
 
