--- a/crates/idem/src/message.rs
+++ b/crates/idem/src/message.rs
@@ -79,3 +79,18 @@
         silent: Vec<Instance>,
     },
 }
+
+impl IdemMessage {
+    /// Returns the shard of the message, or `None` for takeover messages.
+    #[must_use]
+    pub fn shard(&self) -> Option<u8> {
+        match self {
+            Self::Claim { shard, .. }
+            | Self::ClaimAck { shard, .. }
+            | Self::DoneCopy { shard, .. }
+            | Self::TransferPart { shard, .. }
+            | Self::TransferAck { shard, .. } => Some(*shard),
+            Self::TakeoverQuery { .. } | Self::TakeoverVote { .. } => None,
+        }
+    }
+}
