Play recorded arrivals against the policies

Cause: the policies were not measured. Summaries may be given by service, because a region with full engines and idle plain services looks half used.

--- /dev/null
+++ b/crates/bench/src/counting_alloc.rs
@@ -0,0 +1,50 @@
+//! An allocator that counts allocations.
+#![allow(
+    unsafe_code,
+    reason = "a global allocator can only be an unsafe trait implementation"
+)]
+
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::cell::Cell;
+
+thread_local! {
+    static ALLOCATIONS: Cell<u64> = const { Cell::new(0) };
+}
+
+/// Passes every call on to the system allocator and counts allocations by thread.
+struct CountingAllocator;
+
+#[global_allocator]
+static ALLOCATOR: CountingAllocator = CountingAllocator;
+
+fn count() {
+    // The counter is gone while a thread ends; its last allocations are not counted.
+    let _ = ALLOCATIONS.try_with(|count| count.set(count.get() + 1));
+}
+
+// SAFETY: every method passes its arguments unchanged to the system allocator, which upholds the contract. Counting
+// neither allocates nor unwinds, because the counter is a plain thread-local cell with a constant initial value.
+unsafe impl GlobalAlloc for CountingAllocator {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        count();
+        // SAFETY: the caller upholds the contract of `alloc`.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
+        // SAFETY: the caller passes a block of this allocator, which is one of the system allocator.
+        unsafe { System.dealloc(ptr, layout) }
+    }
+
+    unsafe fn realloc(&self, ptr: *mut u8, layout: Layout, new_size: usize) -> *mut u8 {
+        count();
+        // SAFETY: as for `dealloc`.
+        unsafe { System.realloc(ptr, layout, new_size) }
+    }
+}
+
+/// Returns how many allocations this thread has made.
+#[must_use]
+pub fn allocations() -> u64 {
+    ALLOCATIONS.with(Cell::get)
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,13 @@
 //! Benchmarks of the decisions.
+
+mod counting_alloc;
+mod decide;
+mod options;
+pub mod play;
+mod policies;
+mod run;
+
+pub use counting_alloc::allocations;
+pub use decide::{DecideRow, decide_cost};
+pub use policies::{Goal, Run, check_goals};
+pub use run::run;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,3 +1,7 @@
 //! The binary `lacewingstile-bench`.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    lw_bench::run()
+}
--- /dev/null
+++ b/crates/bench/src/options.rs
@@ -0,0 +1,47 @@
+//! Options of the binary.
+
+use gumdrop::Options;
+
+#[derive(Debug, Options)]
+pub(crate) struct BenchOptions {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(command)]
+    pub(crate) command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+pub(crate) enum Command {
+    #[options(help = "play recorded arrivals against the policies")]
+    Policies(PoliciesOptions),
+    #[options(help = "measure the cost of one decision")]
+    Decide(DecideOptions),
+    #[options(help = "run every benchmark with its defaults")]
+    All(AllOptions),
+}
+
+#[derive(Debug, Options)]
+pub(crate) struct PoliciesOptions {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(help = "seed of the arrivals", default = "20261203")]
+    pub(crate) seed: u64,
+    #[options(help = "length of a scenario in seconds", default = "600")]
+    pub(crate) seconds: u64,
+    #[options(help = "write the figures as JSON to this file", meta = "FILE")]
+    pub(crate) json: Option<String>,
+}
+
+#[derive(Debug, Options)]
+pub(crate) struct DecideOptions {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(help = "decisions per measurement", default = "100000")]
+    pub(crate) decisions: u32,
+}
+
+#[derive(Debug, Options)]
+pub(crate) struct AllOptions {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+}
--- /dev/null
+++ b/crates/bench/src/play/figures.rs
@@ -0,0 +1,126 @@
+//! What a run measures.
+
+use std::collections::BTreeMap;
+
+use hdrhistogram::Histogram;
+use lw_base::prelude::*;
+use serde::Serialize;
+
+/// Longest latency that is told apart; deadlines are shorter.
+const LONGEST_US: u64 = 2_000_000_000;
+
+/// Latencies of the complete responses of one class, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct ClassFigures {
+    /// Complete responses.
+    pub complete: u64,
+    /// Median latency.
+    pub p50_ms: f64,
+    /// 95th percentile.
+    pub p95_ms: f64,
+    /// 99th percentile.
+    pub p99_ms: f64,
+    /// 99th percentile of the time to the first token.
+    pub first_token_p99_ms: f64,
+}
+
+/// The figures of one run.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Figures {
+    /// Recorded requests.
+    pub requests: u64,
+    /// Complete responses by class name.
+    pub classes: BTreeMap<&'static str, ClassFigures>,
+    /// Rejections by error kind.
+    pub refusals: BTreeMap<&'static str, u64>,
+    /// Time that engines spent.
+    pub engine_s: f64,
+    /// Requests with a prefix that started at an engine.
+    pub prefix_starts: u64,
+    /// Those whose prefix was not cached.
+    pub cache_misses: u64,
+    /// Bytes between regions.
+    pub wide_area_bytes: u64,
+    /// Requests that were forwarded to another region.
+    pub forwarded: u64,
+    /// Retries.
+    pub retries: u64,
+    /// The most retries per request of one service within ten seconds, over all hosts.
+    pub highest_retry_share: f64,
+    /// Requests without an outcome at the end.
+    pub lost: u64,
+    /// Batch requests without an outcome at the end.
+    pub batch_lost: u64,
+    /// Batch requests that were accepted and expired in a queue.
+    pub batch_expired: u64,
+    /// Invariant violations counted during the run.
+    pub violations: u64,
+}
+
+impl Figures {
+    /// Returns the part of the requests that were forwarded.
+    #[must_use]
+    pub fn forwarded_share(&self) -> f64 {
+        self.forwarded as f64 / self.requests.max(1) as f64
+    }
+
+    /// Returns the part of the requests that were rejected.
+    #[must_use]
+    pub fn refused_share(&self) -> f64 {
+        self.refusals.values().sum::<u64>() as f64 / self.requests.max(1) as f64
+    }
+
+    /// Returns the figures of a class, zero when it did not occur.
+    #[must_use]
+    pub fn class(&self, class: PriorityClass) -> ClassFigures {
+        self.classes
+            .get(class.as_str())
+            .copied()
+            .unwrap_or_default()
+    }
+}
+
+/// Collects latencies by class.
+#[derive(Debug)]
+pub(crate) struct Latencies {
+    complete: [Histogram<u64>; 3],
+    first_token: [Histogram<u64>; 3],
+}
+
+impl Latencies {
+    pub(crate) fn new() -> Self {
+        let histogram = || {
+            Histogram::new_with_max(LONGEST_US, 3).expect("bounds of the histogram are constant")
+        };
+        Self {
+            complete: std::array::from_fn(|_| histogram()),
+            first_token: std::array::from_fn(|_| histogram()),
+        }
+    }
+
+    pub(crate) fn add(&mut self, class: PriorityClass, complete_us: u64, first_token_us: u64) {
+        self.complete[class.index()].saturating_record(complete_us);
+        self.first_token[class.index()].saturating_record(first_token_us);
+    }
+
+    pub(crate) fn figures(&self) -> BTreeMap<&'static str, ClassFigures> {
+        let ms = |histogram: &Histogram<u64>, quantile| {
+            histogram.value_at_quantile(quantile) as f64 / 1_000.0
+        };
+        PriorityClass::ALL
+            .into_iter()
+            .filter(|class| !self.complete[class.index()].is_empty())
+            .map(|class| {
+                let complete = &self.complete[class.index()];
+                let figures = ClassFigures {
+                    complete: complete.len(),
+                    p50_ms: ms(complete, 0.50),
+                    p95_ms: ms(complete, 0.95),
+                    p99_ms: ms(complete, 0.99),
+                    first_token_p99_ms: ms(&self.first_token[class.index()], 0.99),
+                };
+                (class.as_str(), figures)
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/bench/src/play/host.rs
@@ -0,0 +1,67 @@
+//! The model of an entry host: its router, its queues and its retry budgets.
+
+use lw_admit::{QueueConfig, RetryBudget, ServiceQueue, Ticket};
+use lw_base::prelude::*;
+use lw_base::stable_hash_pair;
+use lw_doc::Fleet;
+use lw_route::{RouteView, Router};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::sync::Arc;
+
+use crate::play::chooser::Chooser;
+use crate::play::policy::Policy;
+
+/// The part of a host that belongs to one service.
+#[derive(Debug)]
+pub(crate) struct HostService {
+    pub(crate) queue: ServiceQueue,
+    pub(crate) budget: RetryBudget,
+    pub(crate) waiting: FastMap<Ticket, u32>,
+}
+
+/// One entry host.
+#[derive(Debug)]
+pub(crate) struct Host {
+    pub(crate) region: RegionKey,
+    pub(crate) view: Arc<RouteView>,
+    pub(crate) chooser: Chooser,
+    pub(crate) services: Vec<HostService>,
+    hosts: u32,
+}
+
+impl Host {
+    pub(crate) fn new(
+        fleet: &Arc<Fleet>,
+        region: RegionKey,
+        hosts: u32,
+        policy: Policy,
+        seed: u64,
+    ) -> Self {
+        let name = fleet.regions.name(region);
+        let router = Router::new(MonoMs(0), fleet, name, seed);
+        let rng = ChaCha8Rng::seed_from_u64(stable_hash_pair(seed, b"chooser"));
+        let services = fleet.services.iter().map(|(_, _, service)| HostService {
+            queue: ServiceQueue::new(QueueConfig::of_service(service, 1)),
+            budget: RetryBudget::default(),
+            waiting: FastMap::default(),
+        });
+        let mut host = Self {
+            region,
+            view: router.view(),
+            chooser: Chooser::new(policy, fleet, region, rng),
+            services: services.collect(),
+            hosts,
+        };
+        host.adjust_concurrency();
+        host
+    }
+
+    pub(crate) fn adjust_concurrency(&mut self) {
+        for (index, service) in self.services.iter_mut().enumerate() {
+            let key = ServiceKey::from_index(index);
+            let concurrency = self.view.host_concurrency(key, self.hosts);
+            service.queue.set_concurrency(concurrency);
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/play/mod.rs
@@ -0,0 +1,25 @@
+//! Plays recorded arrivals against a policy, with small models of engines and entry hosts.
+
+mod arrival;
+mod chooser;
+mod deployment;
+mod engine;
+mod event;
+mod figures;
+mod host;
+mod policy;
+mod prefix_cache;
+mod record;
+mod region_load;
+mod scenario;
+mod world;
+
+pub use arrival::{Arrival, Stream};
+pub use deployment::Deployment;
+pub use engine::Engine;
+pub use figures::{ClassFigures, Figures};
+pub use policy::Policy;
+pub use prefix_cache::PrefixCache;
+pub use record::record;
+pub use scenario::{Fault, Scenario};
+pub use world::play;
--- /dev/null
+++ b/crates/bench/src/policies/goal.rs
@@ -0,0 +1,128 @@
+//! The goals of the design page.
+
+use lw_base::prelude::*;
+use serde::Serialize;
+
+use crate::play::Policy;
+use crate::policies::Run;
+
+/// Lookup p99 under twofold overload relative to its unloaded p99.
+const LOOKUP_RATIO: f64 = 1.5;
+/// Cache misses relative to least loaded.
+const MISS_RATIO: f64 = 0.7;
+/// p99 relative to least loaded.
+const P99_RATIO: f64 = 1.0;
+/// Retries relative to requests.
+const RETRY_SHARE: f64 = 0.1;
+
+/// A goal, what was measured for it, and its bound; it is met when the measured value is not above the bound.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Goal {
+    /// The deployment.
+    pub deployment: &'static str,
+    /// The scenario that it was measured in.
+    pub scenario: &'static str,
+    /// What is bounded.
+    pub what: String,
+    /// The measured value.
+    pub measured: f64,
+    /// The bound.
+    pub bound: f64,
+}
+
+impl Goal {
+    /// Returns true when the goal is met.
+    #[must_use]
+    pub fn is_met(&self) -> bool {
+        self.measured <= self.bound
+    }
+
+    /// Returns by how much of the bound the measured value exceeds it; zero when it is met.
+    #[must_use]
+    pub fn missed_by(&self) -> f64 {
+        if self.is_met() || self.bound == 0.0 {
+            return (self.measured - self.bound).max(0.0);
+        }
+        self.measured / self.bound - 1.0
+    }
+}
+
+/// Checks the goals against the runs.
+#[must_use]
+pub fn check_goals(runs: &[Run]) -> Vec<Goal> {
+    let mut goals = Vec::new();
+    let own = runs
+        .iter()
+        .filter(|run| run.policy == Policy::Lacewingstile);
+    for run in own {
+        let find = |scenario: &str, policy: Policy| {
+            runs.iter().find(|other| {
+                other.deployment == run.deployment
+                    && other.scenario == scenario
+                    && other.policy == policy
+            })
+        };
+        if run.scenario == "lookup overload"
+            && let Some(calm) = find("calm", Policy::Lacewingstile)
+        {
+            goals.push(lookup_goal(run, calm));
+        }
+        if let Some(least_loaded) = find(run.scenario, Policy::LeastLoaded) {
+            cache_goals(run, least_loaded, &mut goals);
+        }
+        goals.push(goal(
+            run,
+            "retries per request, highest of 10 s",
+            run.figures.highest_retry_share,
+            RETRY_SHARE,
+        ));
+        let lost = run.figures.lost as f64;
+        goals.push(goal(run, "requests without an outcome", lost, 0.0));
+        let expired = run.figures.batch_expired as f64;
+        goals.push(goal(
+            run,
+            "accepted batch requests that expired",
+            expired,
+            0.0,
+        ));
+        let violations = run.figures.violations as f64;
+        goals.push(goal(run, "invariant violations", violations, 0.0));
+    }
+    goals
+}
+
+fn lookup_goal(overload: &Run, calm: &Run) -> Goal {
+    let lookup = PriorityClass::Lookup;
+    let ratio = overload.p99_ms(lookup) / calm.p99_ms(lookup);
+    goal(overload, "lookup p99 relative to calm", ratio, LOOKUP_RATIO)
+}
+
+fn cache_goals(run: &Run, least_loaded: &Run, goals: &mut Vec<Goal>) {
+    let ratio = miss_rate(run) / miss_rate(least_loaded);
+    goals.push(goal(
+        run,
+        "cache misses relative to least loaded",
+        ratio,
+        MISS_RATIO,
+    ));
+    for class in [PriorityClass::Interactive, PriorityClass::Batch] {
+        let ratio = run.p99_ms(class) / least_loaded.p99_ms(class);
+        let what = format!("{} p99 relative to least loaded", class.as_str());
+        goals.push(goal(run, what, ratio, P99_RATIO));
+    }
+}
+
+/// Misses per started request, because policies complete different numbers of requests under overload.
+fn miss_rate(run: &Run) -> f64 {
+    run.figures.cache_misses as f64 / run.figures.prefix_starts.max(1) as f64
+}
+
+fn goal(run: &Run, what: impl Into<String>, measured: f64, bound: f64) -> Goal {
+    Goal {
+        deployment: run.deployment,
+        scenario: run.scenario,
+        what: what.into(),
+        measured,
+        bound,
+    }
+}
--- /dev/null
+++ b/crates/bench/src/policies/mod.rs
@@ -0,0 +1,89 @@
+//! The subcommand `policies`.
+
+mod goal;
+mod table;
+
+use std::io;
+
+use lw_base::prelude::*;
+use serde::Serialize;
+
+use crate::options::PoliciesOptions;
+use crate::play::{Deployment, Figures, Policy, Scenario, play, record};
+
+pub use goal::{Goal, check_goals};
+
+/// The figures of one scenario for one policy.
+#[derive(Clone, Debug, Serialize)]
+pub struct Run {
+    /// The deployment.
+    pub deployment: &'static str,
+    /// The scenario.
+    pub scenario: &'static str,
+    /// The policy.
+    pub policy: Policy,
+    /// What was measured.
+    pub figures: Figures,
+}
+
+#[derive(Serialize)]
+struct Output<'a> {
+    seed: u64,
+    seconds: u64,
+    runs: &'a [Run],
+    goals: &'a [Goal],
+}
+
+/// Plays every scenario against every policy, prints the table and writes the JSON file.
+///
+/// # Errors
+///
+/// Returns an error when the JSON file cannot be written.
+pub(crate) fn run(options: &PoliciesOptions) -> io::Result<()> {
+    println!("seed {}, {} s per scenario", options.seed, options.seconds);
+    let mut runs = Vec::new();
+    for deployment in [Deployment::sahyog(), Deployment::riad()] {
+        for scenario in Scenario::all(&deployment) {
+            play_all(&deployment, &scenario, options, &mut runs);
+        }
+    }
+    println!("{}", table::figures(&runs));
+    let goals = check_goals(&runs);
+    println!("{}", table::goals(&goals));
+    let Some(path) = &options.json else {
+        return Ok(());
+    };
+    let output = Output {
+        seed: options.seed,
+        seconds: options.seconds,
+        runs: &runs,
+        goals: &goals,
+    };
+    std::fs::write(path, serde_json::to_vec_pretty(&output)?)
+}
+
+fn play_all(
+    deployment: &Deployment,
+    scenario: &Scenario,
+    options: &PoliciesOptions,
+    runs: &mut Vec<Run>,
+) {
+    let arrivals = record(scenario, options.seed, options.seconds);
+    for policy in Policy::ALL {
+        let figures = play(scenario, &arrivals, policy, options.seed, options.seconds);
+        runs.push(Run {
+            deployment: deployment.name,
+            scenario: scenario.name,
+            policy,
+            figures,
+        });
+    }
+}
+
+impl Run {
+    /// Returns the 99th percentile of a class in milliseconds.
+    #[must_use]
+    pub fn p99_ms(&self, class: PriorityClass) -> f64 {
+        self.figures.class(class).p99_ms
+    }
+}
--- /dev/null
+++ b/crates/bench/src/run.rs
@@ -0,0 +1,46 @@
+//! Dispatch to the subcommands.
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+
+use crate::options::{BenchOptions, Command, DecideOptions, PoliciesOptions};
+use crate::{decide, policies};
+
+/// Runs the binary with the arguments of the process.
+///
+/// Exits with 0 when the benchmark ran, with 1 when it could not write its result, and with 2 for wrong usage.
+#[must_use]
+pub fn run() -> ExitCode {
+    let options = BenchOptions::parse_args_default_or_exit();
+    let result = match options.command {
+        Some(Command::Policies(options)) => policies::run(&options),
+        Some(Command::Decide(options)) => decide::run(&options),
+        Some(Command::All(_)) => run_all(),
+        None => {
+            println!("{}", BenchOptions::usage());
+            if let Some(list) = BenchOptions::command_list() {
+                println!("\nCommands:\n{list}");
+            }
+            return ExitCode::from(2);
+        }
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("bench: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run_all() -> std::io::Result<()> {
+    policies::run(
+        &PoliciesOptions::parse_args_default::<&str>(&[]).map_err(|error| usage(&error))?,
+    )?;
+    decide::run(&DecideOptions::parse_args_default::<&str>(&[]).map_err(|error| usage(&error))?)
+}
+
+fn usage(error: &gumdrop::Error) -> std::io::Error {
+    std::io::Error::other(error.to_string())
+}
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -103,7 +103,7 @@
     ) -> Option<RegionKey> {
         let eligible = self.spill_regions(now, query);
         let headroom = |region| {
-            let summary = self.regions.fresh(now, region);
+            let summary = self.regions.fresh(now, region, query.service);
             summary.map_or(0.0, |summary| summary.headroom_slots())
         };
         let total: f64 = eligible.iter().map(headroom).sum();
@@ -131,7 +131,7 @@
                 serves: serves(entry, region),
                 use_ratio: self
                     .regions
-                    .fresh(now.mono, region)
+                    .fresh(now.mono, region, query.service)
                     .map(|summary| summary.use_ratio()),
                 takes_spill: spill.contains(region),
             })
--- a/crates/route/src/choose_region.rs
+++ b/crates/route/src/choose_region.rs
@@ -17,7 +17,7 @@
             .iter()
             .filter(|region| {
                 self.regions
-                    .fresh(now, *region)
+                    .fresh(now, *region, query.service)
                     .is_some_and(|summary| summary.use_ratio() <= SHORT_USE)
             })
             .collect()
@@ -29,7 +29,7 @@
         /// A region without a recent summary is used when every known one is full.
         const UNKNOWN_USE: f64 = 1.0;
         let use_ratio = |region: RegionKey| {
-            let summary = self.regions.fresh(now, region);
+            let summary = self.regions.fresh(now, region, query.service);
             summary.map_or(UNKNOWN_USE, |summary| summary.use_ratio())
         };
         self.other_regions(now, query)
@@ -55,13 +55,13 @@
         let regions = self.spill_regions(now, query);
         let headroom: f64 = regions
             .iter()
-            .filter_map(|region| self.regions.fresh(now, region))
+            .filter_map(|region| self.regions.fresh(now, region, query.service))
             .map(|summary| summary.headroom_slots())
             .sum();
         let remote_sum_ms = regions
             .iter()
             .filter_map(|region| {
-                let summary = self.regions.fresh(now, region)?;
+                let summary = self.regions.fresh(now, region, query.service)?;
                 Some(self.remote_sum_ms(region, &summary, query, service_ms))
             })
             .min_by(f64::total_cmp);
--- a/crates/route/src/region_table.rs
+++ b/crates/route/src/region_table.rs
@@ -5,31 +5,54 @@
 
 use crate::region_summary::RegionSummary;
 
-/// The newest summary by region of one snapshot.
+/// The newest summaries of one snapshot: by region, and by region and service where the region reports services.
 #[derive(Debug, Default)]
 pub(crate) struct RegionTable {
-    summaries: Mutex<Vec<Option<RegionSummary>>>,
+    entries: Mutex<Entries>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Entries {
+    pub(crate) by_region: FastMap<RegionKey, RegionSummary>,
+    pub(crate) by_service: FastMap<(RegionKey, ServiceKey), RegionSummary>,
 }
 
 impl RegionTable {
-    pub(crate) fn new(summaries: Vec<Option<RegionSummary>>) -> Self {
+    pub(crate) fn new(entries: Entries) -> Self {
         Self {
-            summaries: Mutex::new(summaries),
+            entries: Mutex::new(entries),
         }
     }
 
     pub(crate) fn set(&self, region: RegionKey, summary: RegionSummary) {
-        if let Some(slot) = self.summaries.lock().get_mut(region.index()) {
-            *slot = Some(summary);
-        }
+        self.entries.lock().by_region.insert(region, summary);
+    }
+
+    pub(crate) fn set_service(
+        &self,
+        region: RegionKey,
+        service: ServiceKey,
+        summary: RegionSummary,
+    ) {
+        let mut entries = self.entries.lock();
+        entries.by_service.insert((region, service), summary);
     }
 
-    pub(crate) fn get(&self, region: RegionKey) -> Option<RegionSummary> {
-        self.summaries.lock().get(region.index()).copied().flatten()
+    pub(crate) fn entries(&self) -> Entries {
+        self.entries.lock().clone()
     }
 
-    /// Returns the summary of `region` when it is recent.
-    pub(crate) fn fresh(&self, now: MonoMs, region: RegionKey) -> Option<RegionSummary> {
-        self.get(region).filter(|summary| summary.is_fresh(now))
+    /// Returns the recent summary of a service in a region; the one of the whole region when services are not told
+    /// apart.
+    pub(crate) fn fresh(
+        &self,
+        now: MonoMs,
+        region: RegionKey,
+        service: ServiceKey,
+    ) -> Option<RegionSummary> {
+        let entries = self.entries.lock();
+        let of_service = entries.by_service.get(&(region, service));
+        let summary = of_service.or_else(|| entries.by_region.get(&region))?;
+        Some(*summary).filter(|summary| summary.is_fresh(now))
     }
 }
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -11,7 +11,7 @@
 use crate::load_report::LoadReport;
 use crate::query::Now;
 use crate::region_summary::RegionSummary;
-use crate::region_table::RegionTable;
+use crate::region_table::{Entries, RegionTable};
 use crate::service_shared::ServiceShared;
 use crate::target_cell::TargetCell;
 use crate::target_set::TargetSet;
@@ -126,6 +126,18 @@
         }
     }
 
+    /// Takes the summary of one service in another region; it takes precedence over the one of the whole region.
+    ///
+    /// Services differ in load: a region whose engines are full and whose plain services are idle looks half used.
+    pub fn set_service_summary(
+        &self,
+        region: RegionKey,
+        service: ServiceKey,
+        summary: RegionSummary,
+    ) {
+        self.regions.set_service(region, service, summary);
+    }
+
     /// Takes the summary of another region.
     pub fn set_summary(&self, region: RegionKey, summary: RegionSummary) {
         self.regions.set(region, summary);
@@ -235,14 +247,24 @@
     }
 }
 
-fn carried_summaries(fleet: &Fleet, old: Option<&RouteView>) -> Vec<Option<RegionSummary>> {
-    fleet
-        .regions
-        .iter()
-        .map(|(_, name, _)| {
-            let old = old?;
-            let key = old.fleet.regions.key(name)?;
-            old.regions.get(key)
-        })
-        .collect()
+/// Returns the summaries of the old view under the keys of the new one.
+fn carried_summaries(fleet: &Fleet, old: Option<&RouteView>) -> Entries {
+    let mut carried = Entries::default();
+    let Some(old) = old else {
+        return carried;
+    };
+    let entries = old.regions.entries();
+    let region_key = |region| fleet.regions.key(old.fleet.regions.name(region));
+    for (region, summary) in entries.by_region {
+        if let Some(region) = region_key(region) {
+            carried.by_region.insert(region, summary);
+        }
+    }
+    for ((region, service), summary) in entries.by_service {
+        let service = fleet.services.key(old.fleet.services.name(service));
+        if let (Some(region), Some(service)) = (region_key(region), service) {
+            carried.by_service.insert((region, service), summary);
+        }
+    }
+    carried
 }
