Keep engine requests with equal attempt ids apart

Cause: a request without X-Attempt-Id, or with one in use, replaced the cancel entry of an earlier request, which then ended as cancelled.

Change: only an explicit cancel ends a request, and an ended request removes only its own entry.

--- a/crates/stand/src/engine_job.rs
+++ b/crates/stand/src/engine_job.rs
@@ -54,16 +54,24 @@
     let finished = tokio::select! {
         finished = work(&shared, job, &items) => finished,
         () = items.closed() => false,
-        // An error means that another request took over the same attempt id.
-        _ = cancelled => false,
+        // The sender is dropped without a cancel when another request has the same attempt id.
+        Ok(()) = cancelled => false,
     };
     if !finished {
         shared.totals.lock().cut_short += 1;
     }
-    shared.cancels.lock().remove(&attempt);
+    forget_cancel(&shared, &attempt);
     shared.sample_load();
 }
 
+/// Removes the entry of an ended job, but not that of a later job with the same attempt id.
+fn forget_cancel(shared: &EngineShared, attempt: &str) {
+    let mut cancels = shared.cancels.lock();
+    if cancels.get(attempt).is_some_and(oneshot::Sender::is_closed) {
+        cancels.remove(attempt);
+    }
+}
+
 async fn work(shared: &Arc<EngineShared>, job: Job, items: &JobSender) -> bool {
     let _slot = shared.slots.acquire(job.priority).await;
     let _timer = SlotTimer {
--- a/crates/stand/tests/targets.rs
+++ b/crates/stand/tests/targets.rs
@@ -96,6 +96,27 @@
     assert_eq!(events[2], "data: [DONE]");
 }
 
+/// Guards against requests that cancel each other because they carry the same attempt id or none.
+#[tokio::test]
+async fn equal_attempt_ids_do_not_disturb_each_other() {
+    let engine = EngineStand::new(fast());
+    let server = engine.start(loopback()).await.expect("start");
+    let (client, at) = (client(), server.address());
+    let requests = (0..16).map(|index| {
+        let client = client.clone();
+        async move {
+            let prompt = format!("p{index}");
+            let body = chat(&prompt, true, 0);
+            let sent = send(&client, Method::POST, at, CHAT, &body).await;
+            let stream = text(sent.expect("stream")).await.expect("whole body");
+            stream.contains(answer_token(&prompt, 4).as_str())
+        }
+    });
+    let own = futures_util::future::join_all(requests).await;
+    assert_eq!(own, [true; 16]);
+    assert_eq!(engine.totals().cut_short, 0);
+}
+
 /// Guards against broken streams that look complete, and refusals that ran.
 #[tokio::test]
 async fn engine_faults() {
