Publish, distribute and repair configuration revisions

Cause: an accepted revision must be in force everywhere within 11 s and never go back, although the key-value service loses replies and its last writes. Replica accepts only higher revisions, pushes down two trees of fan-out 4, pulls entries or document parts, writes a lost head back, and joins two accepted chains that took the same revision number. ConfShell runs a replica over the Kv closure.

--- /dev/null
+++ b/crates/conf/src/assembly.rs
@@ -0,0 +1,66 @@
+//! A document that arrives in parts.
+
+use bytes::Bytes;
+use lw_doc::{Digest, Document};
+
+use crate::entry::Entry;
+use crate::head::Mark;
+use crate::message::{Part, PartRequest};
+
+/// Larger documents are refused: the target size is about 3 MB.
+const MAX_DOCUMENT_BYTES: u64 = 64 * 1024 * 1024;
+
+/// The parts received so far.
+#[derive(Debug)]
+pub(crate) struct Assembly {
+    mark: Mark,
+    entry: Bytes,
+    total_bytes: u64,
+    bytes: Vec<u8>,
+}
+
+impl Assembly {
+    /// Starts with the first part; returns `None` for any other part.
+    pub(crate) fn start(part: &Part) -> Option<Self> {
+        if part.offset != 0 || part.total_bytes > MAX_DOCUMENT_BYTES {
+            return None;
+        }
+        Some(Self {
+            mark: part.mark,
+            entry: part.entry.clone(),
+            total_bytes: part.total_bytes,
+            bytes: Vec::new(),
+        })
+    }
+
+    /// Appends a part when it is the next one.
+    pub(crate) fn append(&mut self, part: &Part) -> bool {
+        let next = part.mark == self.mark && part.offset == self.bytes.len() as u64;
+        if next {
+            self.bytes.extend_from_slice(&part.bytes);
+        }
+        next && !part.bytes.is_empty()
+    }
+
+    pub(crate) fn complete(&self) -> bool {
+        self.bytes.len() as u64 >= self.total_bytes
+    }
+
+    /// Returns what to ask for next.
+    pub(crate) fn next_request(&self) -> PartRequest {
+        PartRequest {
+            mark: self.mark,
+            offset: self.bytes.len() as u64,
+        }
+    }
+
+    /// Returns the document and its entry; `None` when the digest or the form is wrong.
+    pub(crate) fn finish(&self) -> Option<(Document, Entry)> {
+        if Digest::of(&self.bytes) != self.mark.digest {
+            return None;
+        }
+        let entry: Entry = serde_json::from_slice(&self.entry).ok()?;
+        let document = serde_json::from_slice(&self.bytes).ok()?;
+        (entry.mark == self.mark).then_some((document, entry))
+    }
+}
--- /dev/null
+++ b/crates/conf/src/audit.rs
@@ -0,0 +1,85 @@
+//! The audit: published revisions from the head backwards, and refused attempts.
+
+use lw_base::WallMs;
+use lw_plat::Kv;
+
+use crate::chain::walk;
+use crate::entry::Entry;
+use crate::refused::{Refused, read_refused};
+use crate::service::read_head;
+use crate::service_error::ServiceError;
+
+/// A record of the audit.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AuditRecord {
+    /// The revision is or was in force.
+    Published(Box<Entry>),
+    /// The attempt was refused.
+    Refused(Refused),
+    /// The service lost the entry with this key, so older revisions are not known.
+    Gap {
+        /// The key.
+        key: String,
+        /// The time of the entry that follows the gap.
+        wall_ms: WallMs,
+    },
+}
+
+impl AuditRecord {
+    fn wall_ms(&self) -> u64 {
+        match self {
+            Self::Published(entry) => entry.wall_ms.0,
+            Self::Refused(refused) => refused.wall_ms.0,
+            Self::Gap { wall_ms, .. } => wall_ms.0,
+        }
+    }
+}
+
+fn gap_after(oldest: &Entry) -> Option<AuditRecord> {
+    Some(AuditRecord::Gap {
+        key: oldest.base_entry_key.clone()?,
+        wall_ms: oldest.wall_ms,
+    })
+}
+
+/// How many hours with refused attempts an audit covers.
+const REFUSED_HOURS: usize = 24;
+
+/// Reads up to `limit` records, newest first; published revisions stay in the order of the chain.
+///
+/// # Errors
+///
+/// Fails when the service fails or a record is missing or damaged.
+pub async fn read_audit(kv: &Kv, limit: usize) -> Result<Vec<AuditRecord>, ServiceError> {
+    let chain = match read_head(kv).await?.head {
+        Some(head) => walk(kv, &head, limit, |_| true).await?,
+        None => Vec::new(),
+    };
+    let gap = chain
+        .last()
+        .filter(|_| chain.len() < limit)
+        .and_then(gap_after);
+    let published = chain
+        .into_iter()
+        .map(|entry| AuditRecord::Published(Box::new(entry)));
+    let mut published = published.chain(gap).peekable();
+    let refused = read_refused(kv, REFUSED_HOURS).await?;
+    let mut refused = refused.into_iter().map(AuditRecord::Refused).peekable();
+
+    let mut records = Vec::new();
+    while records.len() < limit {
+        let take_refused = match (published.peek(), refused.peek()) {
+            (Some(entry), Some(refused)) => refused.wall_ms() > entry.wall_ms(),
+            (None, Some(_)) => true,
+            (Some(_), None) => false,
+            (None, None) => break,
+        };
+        let next = if take_refused {
+            refused.next()
+        } else {
+            published.next()
+        };
+        records.extend(next);
+    }
+    Ok(records)
+}
--- /dev/null
+++ b/crates/conf/src/chain.rs
@@ -0,0 +1,147 @@
+//! Walking the audit chain backwards from the head.
+
+use lw_doc::{Change, Document};
+use lw_plat::Kv;
+use uuid::Uuid;
+
+use crate::entry::Entry;
+use crate::head::{Head, Mark};
+use crate::service::read_entry;
+use crate::service_error::ServiceError;
+use crate::snapshot::read_snapshot;
+
+/// The longest walk. A snapshot is written every 256 revisions, so a longer one means that a whole document is cheaper.
+pub(crate) const MAX_WALK: usize = 512;
+
+/// How the chain of a head relates to a known document.
+pub(crate) enum Relation {
+    /// The known document is in the chain; the entries lead from it to the head, oldest first.
+    Linked(Vec<Entry>),
+    /// The chain passes the revision of the known document with another digest.
+    Forked,
+    /// The known document is too far behind to tell.
+    Behind,
+}
+
+/// Reads entries backwards from the head, newest first, while `more` returns true for the last one read.
+///
+/// The walk ends at an entry that the service lost.
+pub(crate) async fn walk(
+    kv: &Kv,
+    head: &Head,
+    max_entries: usize,
+    mut more: impl FnMut(&Entry) -> bool,
+) -> Result<Vec<Entry>, ServiceError> {
+    let mut entries = Vec::new();
+    let mut key = Some(head.entry_key.clone());
+    while let Some(next) = key {
+        if entries.len() == max_entries {
+            break;
+        }
+        let entry = match read_entry(kv, &next).await {
+            Ok(entry) => entry,
+            Err(ServiceError::Missing { .. }) if !entries.is_empty() => break,
+            Err(error) => return Err(error),
+        };
+        let go_on = more(&entry);
+        key = entry.base_entry_key.clone();
+        entries.push(entry);
+        if !go_on {
+            break;
+        }
+    }
+    Ok(entries)
+}
+
+/// Finds out how `head` relates to the document `known`.
+pub(crate) async fn relation(kv: &Kv, head: &Head, known: Mark) -> Result<Relation, ServiceError> {
+    let above = |entry: &Entry| entry.base.revision > known.revision;
+    let mut entries = walk(kv, head, MAX_WALK, above).await?;
+    let Some(oldest) = entries.last() else {
+        return Ok(Relation::Behind);
+    };
+    if oldest.base == known {
+        entries.reverse();
+        return Ok(Relation::Linked(entries));
+    }
+    if oldest.base.revision > known.revision {
+        return Ok(Relation::Behind);
+    }
+    Ok(Relation::Forked)
+}
+
+/// Loads the document of a head from its snapshot and the entries since.
+///
+/// # Errors
+///
+/// Fails when the service fails or a part is missing or damaged.
+pub async fn load_document(kv: &Kv, head: &Head) -> Result<Document, ServiceError> {
+    let snapshot = read_snapshot(kv, &head.snapshot).await?;
+    if head.snapshot.mark == head.mark {
+        return Ok(snapshot);
+    }
+    let since = head.snapshot.mark.revision;
+    let entries = walk(kv, head, MAX_WALK, |entry| entry.base.revision > since).await?;
+    apply_all(snapshot, entries.iter().rev())
+}
+
+fn apply_all<'a>(
+    document: Document,
+    entries: impl Iterator<Item = &'a Entry>,
+) -> Result<Document, ServiceError> {
+    let mut document = document;
+    for entry in entries {
+        let key = entry.key();
+        let message = "an entry after the snapshot has no changes".to_owned();
+        let next = entry
+            .apply_to(&document)
+            .ok_or(ServiceError::Damaged { key, message })?;
+        document = next?;
+    }
+    Ok(document)
+}
+
+/// Loads an older document of the chain of `head`.
+///
+/// # Errors
+///
+/// Fails when the revision is not in the chain, the service fails, or a part is missing or damaged.
+pub async fn document_at(kv: &Kv, head: &Head, revision: u64) -> Result<Document, ServiceError> {
+    if revision == 0 {
+        return Ok(Document::default());
+    }
+    let above = |entry: &Entry| entry.mark.revision > revision;
+    let entries = walk(kv, head, usize::MAX, above).await?;
+    let wanted = entries
+        .last()
+        .filter(|entry| entry.mark.revision == revision);
+    let entry = wanted.ok_or(ServiceError::NoRevision { revision })?;
+    load_document(kv, &entry.head()).await
+}
+
+/// Returns the entry of an operation when it is in the chain above the revision `after`.
+pub(crate) async fn find_operation(
+    kv: &Kv,
+    head: &Head,
+    operation: Uuid,
+    after: u64,
+) -> Result<Option<Entry>, ServiceError> {
+    let searching = |entry: &Entry| entry.operation != operation && entry.base.revision > after;
+    let entries = walk(kv, head, MAX_WALK, searching).await?;
+    Ok(entries
+        .into_iter()
+        .find(|entry| entry.operation == operation))
+}
+
+/// Returns the newest change of each entity, in the order of the paths; `None` when an entry carries no changes.
+pub(crate) fn joined_changes<'a>(
+    oldest_first: impl Iterator<Item = &'a Entry>,
+) -> Option<Vec<Change>> {
+    let mut newest = std::collections::BTreeMap::new();
+    for entry in oldest_first {
+        for change in entry.changes.as_ref()? {
+            newest.insert(change.path.clone(), change.clone());
+        }
+    }
+    Some(newest.into_values().collect())
+}
--- /dev/null
+++ b/crates/conf/src/config.rs
@@ -0,0 +1,40 @@
+//! The configuration in force, for readers without a lock.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwapOption;
+use lw_doc::{Document, Fleet};
+
+use crate::entry::Entry;
+use crate::head::Mark;
+
+/// One revision in force on this host.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The revision and the digest.
+    pub mark: Mark,
+    /// The document.
+    pub document: Arc<Document>,
+    /// The compiled document.
+    pub fleet: Arc<Fleet>,
+    /// The entry that led to it.
+    pub entry: Arc<Entry>,
+}
+
+/// Gives readers the revision in force; clones share it.
+#[derive(Clone, Default)]
+pub struct ConfigReader {
+    cell: Arc<ArcSwapOption<Config>>,
+}
+
+impl ConfigReader {
+    /// Returns the revision in force, or `None` before the first one.
+    #[must_use]
+    pub fn load(&self) -> Option<Arc<Config>> {
+        self.cell.load_full()
+    }
+
+    pub(crate) fn store(&self, config: Arc<Config>) {
+        self.cell.store(Some(config));
+    }
+}
--- /dev/null
+++ b/crates/conf/src/publish.rs
@@ -0,0 +1,206 @@
+//! Publishing a document by compare-and-swap of the head.
+
+use bytes::Bytes;
+use lw_doc::{Change, Document, SourceMap, changes_between, validate, warnings};
+use lw_plat::{Kv, KvError};
+
+use crate::chain::{MAX_WALK, document_at, find_operation, joined_changes, load_document, walk};
+use crate::commit::{Commit, CommitError, commit};
+use crate::head::{Head, Mark, StoredHead};
+use crate::publish_error::PublishError;
+use crate::publish_request::{PublishRequest, Published};
+use crate::refused::{Refused, record_refused};
+use crate::service::read_head;
+use crate::service_error::ServiceError;
+
+/// Publishes a document, or finds out that the same operation published it before.
+///
+/// # Errors
+///
+/// See [`PublishError`]. Refused attempts are recorded for the audit as far as the service allows.
+pub async fn publish(kv: &Kv, request: &PublishRequest) -> Result<Published, PublishError> {
+    let result = try_publish(kv, request).await;
+    if let Err(error) = &result {
+        record(kv, request, error).await;
+    }
+    result
+}
+
+async fn try_publish(kv: &Kv, request: &PublishRequest) -> Result<Published, PublishError> {
+    let faults = validate(
+        &request.next,
+        &SourceMap::default(),
+        &request.gateway_addresses,
+    );
+    if !faults.is_empty() {
+        return Err(PublishError::Invalid(faults));
+    }
+    let stored = read_head(kv).await?;
+    if !is_base(request, &stored) {
+        return resolve(kv, request, &stored).await;
+    }
+    let base = base_document(kv, request, stored.head.as_ref()).await?;
+    let changes = changes_between(&base, &request.next);
+    if changes.is_empty() {
+        // A repeated operation finds its own result as the base when nothing else happened.
+        return resolve_unchanged(kv, request, &stored).await;
+    }
+    let warnings = warnings((request.base_revision > 0).then_some(&base), &request.next);
+    if !warnings.is_empty() && !request.confirmed {
+        return Err(PublishError::Unconfirmed(warnings));
+    }
+    let base = Mark {
+        revision: request.base_revision,
+        digest: base.digest(),
+    };
+    write(kv, request, &stored, base, changes).await
+}
+
+fn is_base(request: &PublishRequest, stored: &StoredHead) -> bool {
+    let digest = stored.head.as_ref().map(|head| head.mark.digest);
+    let same_digest = request.base_digest.is_none() || request.base_digest == digest;
+    stored.revision() == request.base_revision && same_digest
+}
+
+async fn base_document(
+    kv: &Kv,
+    request: &PublishRequest,
+    head: Option<&Head>,
+) -> Result<Document, ServiceError> {
+    let Some(head) = head else {
+        return Ok(Document::default());
+    };
+    match &request.known {
+        Some(known) if known.mark == head.mark => Ok((*known.document).clone()),
+        _ => load_document(kv, head).await,
+    }
+}
+
+async fn write(
+    kv: &Kv,
+    request: &PublishRequest,
+    stored: &StoredHead,
+    base: Mark,
+    changes: Vec<Change>,
+) -> Result<Published, PublishError> {
+    let bytes = Bytes::from(request.next.canonical_bytes());
+    let content = Commit {
+        revision: stored.revision() + 1,
+        base,
+        bytes,
+        changes,
+        operation: request.operation,
+        operator: request.operator.clone(),
+        wall: request.wall,
+    };
+    match commit(kv, stored, content).await {
+        Ok(entry) => Ok(Published {
+            entry,
+            document: request.next.clone(),
+        }),
+        Err(CommitError::Service(error)) => Err(error.into()),
+        Err(CommitError::Unknown) => Err(PublishError::Unknown),
+        Err(CommitError::Swapped) => {
+            // The swap failed for good or took effect with a lost reply: the chain tells which.
+            let current = read_head(kv).await.map_err(|_| PublishError::Unknown)?;
+            match resolve(kv, request, &current).await {
+                Err(PublishError::Service(_)) => Err(PublishError::Unknown),
+                result => result,
+            }
+        }
+    }
+}
+
+/// Looks for the operation in the chain of the current head; otherwise another operator was first.
+async fn resolve(
+    kv: &Kv,
+    request: &PublishRequest,
+    current: &StoredHead,
+) -> Result<Published, PublishError> {
+    let Some(head) = &current.head else {
+        return Err(conflict(0, None));
+    };
+    let own = find_operation(kv, head, request.operation, request.base_revision).await?;
+    if let Some(entry) = own {
+        return Ok(Published {
+            entry,
+            document: request.next.clone(),
+        });
+    }
+    let changes = changes_since(kv, request, head).await?;
+    Err(conflict(head.mark.revision, changes))
+}
+
+async fn resolve_unchanged(
+    kv: &Kv,
+    request: &PublishRequest,
+    current: &StoredHead,
+) -> Result<Published, PublishError> {
+    match resolve(kv, request, current).await {
+        Err(PublishError::Conflict { head_revision, .. }) => Err(PublishError::Unchanged {
+            revision: head_revision,
+        }),
+        result => result,
+    }
+}
+
+fn conflict(head_revision: u64, changes: Option<Vec<Change>>) -> PublishError {
+    PublishError::Conflict {
+        head_revision,
+        changes,
+    }
+}
+
+async fn changes_since(
+    kv: &Kv,
+    request: &PublishRequest,
+    head: &Head,
+) -> Result<Option<Vec<Change>>, ServiceError> {
+    let base = request.base_revision;
+    if base > head.mark.revision {
+        return Ok(None);
+    }
+    let entries = walk(kv, head, MAX_WALK, |entry| entry.base.revision > base).await?;
+    if entries
+        .last()
+        .is_some_and(|entry| entry.base.revision == base)
+        && let Some(changes) = joined_changes(entries.iter().rev())
+    {
+        return Ok(Some(changes));
+    }
+    let Ok(before) = document_at(kv, head, base).await else {
+        return Ok(None);
+    };
+    let after = load_document(kv, head).await?;
+    Ok(Some(changes_between(&before, &after)))
+}
+
+async fn record(kv: &Kv, request: &PublishRequest, error: &PublishError) {
+    let reason = match error {
+        PublishError::Invalid(faults) => {
+            let first = faults.first().map(ToString::to_string).unwrap_or_default();
+            format!("{error}: {first}")
+        }
+        PublishError::Unconfirmed(warnings) => {
+            let first = warnings
+                .first()
+                .map(ToString::to_string)
+                .unwrap_or_default();
+            format!("{error}: {first}")
+        }
+        PublishError::Conflict { .. } => error.to_string(),
+        // Without a decision there is nothing to record.
+        PublishError::Unchanged { .. } | PublishError::Service(_) | PublishError::Unknown => return,
+    };
+    let refused = Refused {
+        operation: request.operation,
+        operator: request.operator.clone(),
+        wall_ms: request.wall,
+        base_revision: request.base_revision,
+        reason,
+    };
+    match record_refused(kv, &refused).await {
+        Ok(()) | Err(ServiceError::Kv(KvError::Unavailable | KvError::Unreachable)) => {}
+        Err(error) => log::warn!("conf: a refused attempt is not in the audit: {error}"),
+    }
+}
--- /dev/null
+++ b/crates/conf/src/refused.rs
@@ -0,0 +1,105 @@
+//! Records of refused attempts to publish.
+
+use lw_base::WallMs;
+use lw_plat::{Kv, KvCall, KvError, KvReply};
+use serde::{Deserialize, Serialize};
+use uuid::Uuid;
+
+use crate::keys::{REFUSED_PREFIX, refused_key};
+use crate::service::{decode, encode, read_value};
+use crate::service_error::ServiceError;
+
+/// Records kept for an hour, so that a form that repeats a faulty attempt cannot fill a value.
+const MAX_RECORDS_PER_HOUR: usize = 64;
+const MAX_REASON_BYTES: usize = 512;
+const SWAP_ATTEMPTS: usize = 3;
+
+/// An attempt that was refused.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refused {
+    /// The attempt.
+    pub operation: Uuid,
+    /// The name of the operator.
+    pub operator: String,
+    /// When it was made.
+    pub wall_ms: WallMs,
+    /// The revision that it was made from.
+    pub base_revision: u64,
+    /// Why it was refused.
+    pub reason: String,
+}
+
+/// Appends a record to those of its hour; the oldest ones give way.
+///
+/// # Errors
+///
+/// Fails when the service fails, or others write to the same hour all the time.
+pub(crate) async fn record_refused(kv: &Kv, refused: &Refused) -> Result<(), ServiceError> {
+    let key = refused_key(refused.wall_ms);
+    let mut refused = refused.clone();
+    truncate(&mut refused.reason);
+    for _ in 0..SWAP_ATTEMPTS {
+        let (version, mut records) = read_hour(kv, &key).await?;
+        if records
+            .iter()
+            .any(|record| record.operation == refused.operation)
+        {
+            return Ok(());
+        }
+        records.push(refused.clone());
+        let surplus = records.len().saturating_sub(MAX_RECORDS_PER_HOUR);
+        records.drain(..surplus);
+        let call = KvCall::Put {
+            key: key.clone(),
+            value: encode(&records),
+            if_version: version,
+            lease_id: None,
+        };
+        match kv.call(call).await {
+            Ok(_) => return Ok(()),
+            Err(KvError::Conflict { .. } | KvError::ReplyLost) => {}
+            Err(error) => return Err(error.into()),
+        }
+    }
+    Err(KvError::Unavailable.into())
+}
+
+async fn read_hour(kv: &Kv, key: &str) -> Result<(u64, Vec<Refused>), ServiceError> {
+    match kv.call(KvCall::Get { key: key.into() }).await? {
+        KvReply::Value { version, value } => Ok((version, decode(key, &value)?)),
+        KvReply::Absent => Ok((0, Vec::new())),
+        _ => Err(KvError::Malformed.into()),
+    }
+}
+
+fn truncate(reason: &mut String) {
+    if reason.len() <= MAX_REASON_BYTES {
+        return;
+    }
+    let mut end = MAX_REASON_BYTES;
+    while !reason.is_char_boundary(end) {
+        end -= 1;
+    }
+    reason.truncate(end);
+}
+
+/// Reads the refused attempts of the newest `hours` hours that have any, newest first.
+///
+/// # Errors
+///
+/// Fails when the service fails or a record is damaged.
+pub async fn read_refused(kv: &Kv, hours: usize) -> Result<Vec<Refused>, ServiceError> {
+    let call = KvCall::List {
+        prefix: REFUSED_PREFIX.into(),
+    };
+    let KvReply::Keys(keys) = kv.call(call).await? else {
+        return Err(KvError::Malformed.into());
+    };
+    let mut found = Vec::new();
+    for key in keys.iter().rev().take(hours) {
+        let value = read_value(kv, key).await?;
+        let records: Vec<Refused> = decode(key, &value)?;
+        found.extend(records.into_iter().rev());
+    }
+    Ok(found)
+}
--- /dev/null
+++ b/crates/conf/src/service.rs
@@ -0,0 +1,122 @@
+//! Single reads and writes of the configuration in the key-value service.
+
+use bytes::Bytes;
+use lw_plat::{Kv, KvCall, KvError, KvReply};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::entry::Entry;
+use crate::head::{Head, StoredHead};
+use crate::keys::HEAD_KEY;
+use crate::service_error::ServiceError;
+
+/// Writes that may be repeated are tried this often after lost replies.
+const REPEATS: usize = 4;
+
+/// Reads the head.
+///
+/// # Errors
+///
+/// Fails when the service fails or the head is damaged.
+pub async fn read_head(kv: &Kv) -> Result<StoredHead, ServiceError> {
+    let call = KvCall::Get {
+        key: HEAD_KEY.into(),
+    };
+    match kv.call(call).await? {
+        KvReply::Value { version, value } => stored_head(version, &value),
+        KvReply::Absent => Ok(StoredHead {
+            version: 0,
+            head: None,
+        }),
+        _ => Err(KvError::Malformed.into()),
+    }
+}
+
+/// Waits for a head with a version above `after_version`; returns `None` when the time is up.
+pub(crate) async fn watch_head(
+    kv: &Kv,
+    after_version: u64,
+    wait_ms: u64,
+) -> Result<Option<StoredHead>, ServiceError> {
+    let call = KvCall::Watch {
+        key: HEAD_KEY.into(),
+        after_version,
+        wait_ms,
+    };
+    match kv.call(call).await? {
+        KvReply::Value { version, value } => stored_head(version, &value).map(Some),
+        KvReply::Unchanged | KvReply::Absent => Ok(None),
+        _ => Err(KvError::Malformed.into()),
+    }
+}
+
+fn stored_head(version: u64, value: &[u8]) -> Result<StoredHead, ServiceError> {
+    Ok(StoredHead {
+        version,
+        head: Some(decode(HEAD_KEY, value)?),
+    })
+}
+
+/// Replaces the head when its stored version is `if_version`.
+pub(crate) async fn swap_head(kv: &Kv, head: &Head, if_version: u64) -> Result<u64, KvError> {
+    let call = KvCall::Put {
+        key: HEAD_KEY.into(),
+        value: encode(head),
+        if_version,
+        lease_id: None,
+    };
+    match kv.call(call).await? {
+        KvReply::Written { version } => Ok(version),
+        _ => Err(KvError::Malformed),
+    }
+}
+
+/// Reads an entry.
+///
+/// # Errors
+///
+/// Fails when the service fails, or the entry is missing or damaged.
+pub async fn read_entry(kv: &Kv, key: &str) -> Result<Entry, ServiceError> {
+    let value = read_value(kv, key).await?;
+    decode(key, &value)
+}
+
+pub(crate) async fn read_value(kv: &Kv, key: &str) -> Result<Bytes, ServiceError> {
+    match kv.call(KvCall::Get { key: key.into() }).await? {
+        KvReply::Value { value, .. } => Ok(value),
+        KvReply::Absent => Err(ServiceError::Missing { key: key.into() }),
+        _ => Err(KvError::Malformed.into()),
+    }
+}
+
+/// Writes a value under a key that names its content; a value that is there already counts as written.
+pub(crate) async fn write_once(kv: &Kv, key: &str, value: Bytes) -> Result<(), KvError> {
+    let mut last = KvError::ReplyLost;
+    for _ in 0..REPEATS {
+        let call = KvCall::Put {
+            key: key.into(),
+            value: value.clone(),
+            if_version: 0,
+            lease_id: None,
+        };
+        match kv.call(call).await {
+            Ok(_) | Err(KvError::Conflict { .. }) => return Ok(()),
+            // The key names the content, so a repeated write cannot change what the first one wrote.
+            Err(KvError::ReplyLost) => last = KvError::ReplyLost,
+            Err(error) => return Err(error),
+        }
+    }
+    Err(last)
+}
+
+pub(crate) fn encode(value: &impl Serialize) -> Bytes {
+    let bytes = serde_json::to_vec(value).expect("the types of this crate have a JSON form");
+    Bytes::from(bytes)
+}
+
+pub(crate) fn decode<T: DeserializeOwned>(key: &str, value: &[u8]) -> Result<T, ServiceError> {
+    serde_json::from_slice(value).map_err(|error| ServiceError::Damaged {
+        key: key.to_owned(),
+        message: error.to_string(),
+    })
+}
--- /dev/null
+++ b/crates/conf/src/snapshot.rs
@@ -0,0 +1,52 @@
+//! Snapshots: whole documents, split into parts.
+
+use bytes::Bytes;
+use lw_doc::{Digest, Document};
+use lw_plat::{Kv, KvError};
+
+use crate::head::{Mark, SnapshotRef};
+use crate::keys::snapshot_key;
+use crate::service::{decode, read_value, write_once};
+use crate::service_error::ServiceError;
+
+/// The key-value service takes values up to 1 MB; half of it leaves room for its overhead.
+pub const SNAPSHOT_PART_BYTES: usize = 512 * 1024 - 1;
+
+/// Names the snapshot that [`write_snapshot`] writes for a document.
+pub(crate) fn snapshot_ref(mark: Mark, bytes: &[u8]) -> SnapshotRef {
+    let parts = bytes.len().div_ceil(SNAPSHOT_PART_BYTES);
+    SnapshotRef {
+        mark,
+        parts: u32::try_from(parts).expect("a document has fewer than 2^32 parts"),
+    }
+}
+
+/// Writes the canonical bytes of a document in parts.
+pub(crate) async fn write_snapshot(kv: &Kv, mark: Mark, bytes: &Bytes) -> Result<(), KvError> {
+    let starts = (0..bytes.len()).step_by(SNAPSHOT_PART_BYTES);
+    for (part, start) in (0u32..).zip(starts) {
+        let end = bytes.len().min(start + SNAPSHOT_PART_BYTES);
+        let key = snapshot_key(mark.revision, mark.digest, part);
+        write_once(kv, &key, bytes.slice(start..end)).await?;
+    }
+    Ok(())
+}
+
+/// Reads a snapshot and checks its digest.
+pub(crate) async fn read_snapshot(
+    kv: &Kv,
+    snapshot: &SnapshotRef,
+) -> Result<Document, ServiceError> {
+    let Mark { revision, digest } = snapshot.mark;
+    let mut bytes = Vec::new();
+    for part in 0..snapshot.parts {
+        let key = snapshot_key(revision, digest, part);
+        bytes.extend_from_slice(&read_value(kv, &key).await?);
+    }
+    let key = snapshot_key(revision, digest, 0);
+    if Digest::of(&bytes) != digest {
+        let message = "the digest differs".to_owned();
+        return Err(ServiceError::Damaged { key, message });
+    }
+    decode(&key, &bytes)
+}
--- /dev/null
+++ b/crates/conf/src/write_back.rs
@@ -0,0 +1,44 @@
+//! Writing a held revision back after the service lost its last writes.
+
+use bytes::Bytes;
+use lw_plat::{Kv, KvError};
+
+use crate::action::{Held, ServiceEvent};
+use crate::head::{Head, StoredHead};
+use crate::service::{encode, swap_head, write_once};
+use crate::service_error::ServiceError;
+use crate::snapshot::{snapshot_ref, write_snapshot};
+
+/// Writes the entries, the snapshot when it may be lost too, and the head.
+pub(crate) async fn write_back(
+    kv: &Kv,
+    stored: &StoredHead,
+    held: &Held,
+) -> Result<ServiceEvent, ServiceError> {
+    let lost = |revision: u64| revision > stored.revision();
+    for entry in held
+        .entries
+        .iter()
+        .filter(|entry| lost(entry.mark.revision))
+    {
+        write_once(kv, &entry.key(), encode(&**entry)).await?;
+    }
+    let head = surviving_head(kv, stored, held).await?;
+    match swap_head(kv, &head, stored.version).await {
+        Ok(_) => Ok(ServiceEvent::WrittenBack(head)),
+        Err(KvError::Conflict { .. } | KvError::ReplyLost) => Ok(ServiceEvent::Overtaken),
+        Err(error) => Err(error.into()),
+    }
+}
+
+async fn surviving_head(kv: &Kv, stored: &StoredHead, held: &Held) -> Result<Head, ServiceError> {
+    let config = &held.config;
+    let mut head = config.entry.head();
+    if head.snapshot.mark.revision <= stored.revision() {
+        return Ok(head);
+    }
+    let bytes = Bytes::from(config.document.canonical_bytes());
+    head.snapshot = snapshot_ref(config.mark, &bytes);
+    write_snapshot(kv, config.mark, &bytes).await?;
+    Ok(head)
+}
--- /dev/null
+++ b/crates/conf/tests/support/sim.rs
@@ -0,0 +1,240 @@
+//! Several hosts with lossy messages between them, in virtual time.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use lw_base::MonoMs;
+use lw_conf::{ConfMessage, ConfShell, MAX_MESSAGE_BYTES, Mark, ShellParts};
+use parking_lot::Mutex;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::task::JoinHandle;
+
+use super::FakeKv;
+
+pub(crate) struct Net {
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) drop_percent: u32,
+    pub(crate) delay_ms: u64,
+    pub(crate) messages: usize,
+    pub(crate) bytes: usize,
+    shells: BTreeMap<String, Arc<ConfShell>>,
+    regions: BTreeMap<String, Vec<String>>,
+    highest: BTreeMap<String, u64>,
+}
+
+#[derive(Clone)]
+pub(crate) struct Sim {
+    pub(crate) kv: FakeKv,
+    pub(crate) net: Arc<Mutex<Net>>,
+    tasks: Arc<Mutex<BTreeMap<String, JoinHandle<()>>>>,
+}
+
+impl Sim {
+    /// Starts `hosts` hosts, spread over `regions` regions.
+    pub(crate) fn start(seed: u64, hosts: usize, regions: usize) -> Self {
+        let mut by_region: BTreeMap<String, Vec<String>> = BTreeMap::new();
+        for number in 0..hosts {
+            let region = format!("region-{:02}", number % regions);
+            by_region
+                .entry(region)
+                .or_default()
+                .push(format!("host-{number:03}"));
+        }
+        let net = Net {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            drop_percent: 0,
+            delay_ms: 5,
+            messages: 0,
+            bytes: 0,
+            shells: BTreeMap::new(),
+            regions: by_region.clone(),
+            highest: BTreeMap::new(),
+        };
+        let kv = FakeKv::default();
+        kv.0.lock().latency_ms = 2;
+        let sim = Self {
+            kv,
+            net: Arc::new(Mutex::new(net)),
+            tasks: Arc::default(),
+        };
+        for name in by_region.values().flatten() {
+            sim.start_host(name);
+        }
+        sim
+    }
+
+    /// Starts a host without memory; an earlier one of the same name ends.
+    pub(crate) fn start_host(&self, name: &str) {
+        let start = tokio::time::Instant::now();
+        let (sender, random) = (self.clone(), self.net.clone());
+        let from = name.to_owned();
+        let parts = ShellParts {
+            kv: self.kv.client(),
+            send: Box::new(move |to, bytes| sender.send(&from, to, bytes)),
+            now: Box::new(move || MonoMs(u64::try_from(start.elapsed().as_millis()).unwrap())),
+            random: Box::new(move || random.lock().rng.random()),
+        };
+        let shell = ConfShell::new(name, parts);
+        let mut net = self.net.lock();
+        let (region, hosts) = net.region_of(name);
+        shell.set_hosts(&region, &hosts);
+        net.highest.remove(name);
+        net.shells.insert(name.to_owned(), shell.clone());
+        drop(net);
+        let (sim, host) = (self.clone(), name.to_owned());
+        let task = tokio::spawn(async move {
+            tokio::join!(shell.run(), sim.heartbeats(&host));
+        });
+        if let Some(old) = self.tasks.lock().insert(name.to_owned(), task) {
+            old.abort();
+        }
+    }
+
+    pub(crate) fn shell(&self, name: &str) -> Arc<ConfShell> {
+        self.net.lock().shells[name].clone()
+    }
+
+    pub(crate) fn names(&self) -> Vec<String> {
+        self.net.lock().shells.keys().cloned().collect()
+    }
+
+    pub(crate) fn marks(&self) -> Vec<Option<Mark>> {
+        let shells: Vec<_> = self.net.lock().shells.values().cloned().collect();
+        shells.iter().map(|shell| shell.mark()).collect()
+    }
+
+    /// Returns true when every host has the same revision, and it is at least `revision`.
+    pub(crate) fn all_at(&self, revision: u64) -> bool {
+        let marks = self.marks();
+        let first = marks[0];
+        first.is_some_and(|mark| mark.revision >= revision) && marks.iter().all(|m| *m == first)
+    }
+
+    /// Returns true when every host has the revision of the head.
+    pub(crate) fn all_at_head(&self) -> bool {
+        let head = self.kv.head();
+        self.marks().iter().all(|mark| *mark == head)
+    }
+
+    /// Waits in virtual time and returns how long it took, or panics after `limit_ms`.
+    pub(crate) async fn wait_for(
+        &self,
+        limit_ms: u64,
+        what: &str,
+        done: impl Fn(&Self) -> bool,
+    ) -> u64 {
+        for waited_ms in (0..=limit_ms).step_by(20) {
+            self.check_revisions();
+            if done(self) {
+                return waited_ms;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let marks = self
+            .marks()
+            .into_iter()
+            .map(|mark| mark.map(|m| (m.revision, m.digest.0[0])));
+        panic!(
+            "{what} took more than {limit_ms} ms: {:?}",
+            marks.collect::<Vec<_>>()
+        );
+    }
+
+    /// Asserts that no host went back since the last check.
+    pub(crate) fn check_revisions(&self) {
+        let shells: Vec<_> = self.net.lock().shells.clone().into_iter().collect();
+        for (name, shell) in shells {
+            let revision = shell.mark().map_or(0, |mark| mark.revision);
+            let before = self
+                .net
+                .lock()
+                .highest
+                .insert(name.clone(), revision)
+                .unwrap_or(0);
+            assert!(
+                revision >= before,
+                "{name} went from {before} back to {revision}"
+            );
+        }
+    }
+
+    fn send(&self, from: &str, to: &str, bytes: Bytes) {
+        assert!(
+            bytes.len() <= MAX_MESSAGE_BYTES,
+            "a message of {} bytes",
+            bytes.len()
+        );
+        assert!(ConfMessage::decode(&bytes).is_some());
+        let Some(delay) = self.transfer(bytes.len()) else {
+            return;
+        };
+        let (sim, from, to) = (self.clone(), from.to_owned(), to.to_owned());
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            sim.shell(&to).on_message(&from, &bytes);
+        });
+    }
+
+    fn transfer(&self, bytes: usize) -> Option<Duration> {
+        let mut net = self.net.lock();
+        net.messages += 1;
+        net.bytes += bytes;
+        let dropped = net.drop_percent;
+        if net.rng.random_range(0..100) < dropped {
+            return None;
+        }
+        let longest = net.delay_ms;
+        Some(Duration::from_millis(net.rng.random_range(0..=longest)))
+    }
+
+    /// Tells one random host of the region a second, as probes do, and one of another region as relays do.
+    async fn heartbeats(&self, name: &str) {
+        loop {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            let peers = self.net.lock().heartbeat_peers(name);
+            for peer in peers {
+                let (there, back) = {
+                    let mut net = self.net.lock();
+                    (net.heartbeat_arrives(), net.heartbeat_arrives())
+                };
+                let (own, other) = (self.shell(name), self.shell(&peer));
+                if let Some(mark) = own.mark().filter(|_| there) {
+                    other.on_peer_mark(name, mark);
+                }
+                if let Some(mark) = other.mark().filter(|_| there && back) {
+                    own.on_peer_mark(&peer, mark);
+                }
+            }
+        }
+    }
+}
+
+impl Net {
+    fn region_of(&self, name: &str) -> (String, Vec<String>) {
+        let mut regions = self.regions.iter();
+        let found = regions.find(|(_, hosts)| hosts.iter().any(|host| host == name));
+        let (region, hosts) = found.expect("the host has a region");
+        (region.clone(), hosts.clone())
+    }
+
+    fn heartbeat_peers(&mut self, name: &str) -> Vec<String> {
+        let (_, own) = self.region_of(name);
+        let regions: Vec<Vec<String>> = self.regions.values().cloned().collect();
+        let near = own[self.rng.random_range(0..own.len())].clone();
+        let far = &regions[self.rng.random_range(0..regions.len())][0];
+        let mut peers = vec![near];
+        if own[0] == name {
+            peers.push(far.clone());
+        }
+        peers.retain(|peer| peer != name);
+        peers
+    }
+
+    fn heartbeat_arrives(&mut self) -> bool {
+        let dropped = self.drop_percent;
+        self.rng.random_range(0..100) >= dropped
+    }
+}
