Add the command-line tool

Cause: operators need to check, publish, audit and roll back documents without the console. Change: lacewingstile has the subcommands validate, diff, publish, show, status, audit, rollback, explain and drain. It works on the key-value service directly; status, explain and drain ask a daemon's admin listener with the operator credential as bearer token. Conclusion: the way of a change from file to audit and back works end to end.

--- /dev/null
+++ b/crates/cli/src/commands/show.rs
@@ -0,0 +1,34 @@
+//! `show`: prints a document.
+
+use gumdrop::Options;
+use lw_conf::{document_at, load_document, read_head};
+use serde_json::json;
+
+use crate::cli_error::CliError;
+use crate::context::Context;
+use crate::report::Report;
+
+/// Prints the document of a revision.
+#[derive(Debug, Options)]
+pub(crate) struct ShowOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "an older revision; the default is the head", meta = "N")]
+    revision: Option<u64>,
+}
+
+pub(crate) async fn run(context: &Context, options: &ShowOptions) -> Result<Report, CliError> {
+    let kv = context.kv()?;
+    let nothing = || CliError::Failed("nothing is published yet".to_owned());
+    let head = read_head(&kv).await?.head.ok_or_else(nothing)?;
+    let document = match options.revision {
+        Some(revision) => document_at(&kv, &head, revision).await?,
+        None => load_document(&kv, &head).await?,
+    };
+    let json = json!(document);
+    let revision = options.revision.unwrap_or(head.mark.revision);
+    Ok(Report {
+        text: format!("// revision {revision}\n{json:#}"),
+        json,
+    })
+}
--- /dev/null
+++ b/crates/cli/src/context.rs
@@ -0,0 +1,111 @@
+//! What the subcommands work with.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use lw_base::WallMs;
+use lw_doc::{ParsedDocument, parse_document};
+use lw_plat::{HttpTimeouts, Kv, http_kv};
+
+use crate::admin::Admin;
+use crate::arguments::Arguments;
+use crate::cli_error::CliError;
+use crate::settings::Settings;
+
+/// The environment variable that holds the operator's credential, so that it does not appear in process lists.
+const KEY_VARIABLE: &str = "LACEWINGSTILE_OPERATOR_KEY";
+const TIMEOUTS: HttpTimeouts = HttpTimeouts {
+    connect_ms: 3_000,
+    call_ms: 10_000,
+};
+
+/// Settings and flags together.
+#[derive(Debug)]
+pub(crate) struct Context {
+    pub(crate) settings: Settings,
+}
+
+impl Context {
+    /// Reads the settings file and lets the flags win.
+    pub(crate) fn new(arguments: &Arguments) -> Result<Self, CliError> {
+        let mut settings = match &arguments.settings {
+            Some(file) => read_settings(file)?,
+            None => Settings::default(),
+        };
+        let replace = |setting: &mut Option<String>, flag: &Option<String>| {
+            if flag.is_some() {
+                setting.clone_from(flag);
+            }
+        };
+        replace(&mut settings.kv_address, &arguments.kv);
+        replace(&mut settings.admin_address, &arguments.admin);
+        replace(&mut settings.operator, &arguments.operator);
+        replace(
+            &mut settings.operator_key,
+            &std::env::var(KEY_VARIABLE).ok(),
+        );
+        Ok(Self { settings })
+    }
+
+    /// Returns a client of the key-value service.
+    pub(crate) fn kv(&self) -> Result<Kv, CliError> {
+        let address = self.settings.kv_address.as_deref();
+        let address = address.ok_or_else(|| missing("--kv", "kv_address"))?;
+        check_address("--kv", address)?;
+        Ok(http_kv(address, TIMEOUTS))
+    }
+
+    /// Returns a client of the admin listener, or `None` when no address is given.
+    pub(crate) fn admin(&self) -> Result<Option<Admin>, CliError> {
+        let Some(address) = &self.settings.admin_address else {
+            return Ok(None);
+        };
+        check_address("--admin", address)?;
+        let key = self.settings.operator_key.clone();
+        Ok(Some(Admin::new(address, key)))
+    }
+
+    /// Returns a client of the admin listener.
+    pub(crate) fn required_admin(&self) -> Result<Admin, CliError> {
+        self.admin()?
+            .ok_or_else(|| missing("--admin", "admin_address"))
+    }
+
+    /// Returns the name of the operator.
+    pub(crate) fn operator(&self) -> Result<String, CliError> {
+        let operator = self.settings.operator.clone();
+        operator.ok_or_else(|| missing("--operator", "operator"))
+    }
+}
+
+fn missing(flag: &str, field: &str) -> CliError {
+    CliError::Usage(format!("give {flag}, or `{field}` in the settings file"))
+}
+
+fn check_address(flag: &str, address: &str) -> Result<(), CliError> {
+    let parsed: Result<std::net::SocketAddr, _> = address.parse();
+    parsed.map(drop).map_err(|_| {
+        CliError::Usage(format!(
+            "{flag}: `{address}` is not an IP address with a port"
+        ))
+    })
+}
+
+fn read_settings(file: &str) -> Result<Settings, CliError> {
+    let text = std::fs::read_to_string(file)
+        .map_err(|error| CliError::Usage(format!("{file}: {error}")))?;
+    lw_doc::parse_json(file, &text).map_err(|error| CliError::Usage(error.to_string()))
+}
+
+/// Reads a document from a file.
+pub(crate) fn read_document(file: &str) -> Result<ParsedDocument, CliError> {
+    let text = std::fs::read_to_string(file)
+        .map_err(|error| CliError::Failed(format!("{file}: {error}")))?;
+    parse_document(file, &text).map_err(CliError::Parse)
+}
+
+/// Reads the wall clock.
+pub(crate) fn wall_now() -> WallMs {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since_epoch.map_or(0, |span| span.as_millis());
+    WallMs(u64::try_from(millis).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/cli/tests/commands.rs
@@ -0,0 +1,200 @@
+//! The subcommands against a key-value service and an admin listener.
+
+use std::io::{Read, Write};
+use std::net::TcpListener;
+use std::path::PathBuf;
+
+use lw_cli::{Finished, run};
+use lw_stand::{KvStand, ServerHandle};
+use serde_json::Value;
+use test_case::test_case;
+
+fn sample() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../samples/sahyog.json")
+}
+
+/// Writes the sample with a replaced part, and returns the path.
+fn edited(name: &str, from: &str, to: &str) -> String {
+    let text = std::fs::read_to_string(sample()).expect("the sample exists");
+    assert!(text.contains(from));
+    let path = std::env::temp_dir().join(format!("lw-cli-{}-{name}.json", std::process::id()));
+    std::fs::write(&path, text.replacen(from, to, 1)).expect("the file is writable");
+    path.to_string_lossy().into_owned()
+}
+
+fn sample_path() -> String {
+    sample().to_string_lossy().into_owned()
+}
+
+struct Bed {
+    stand: KvStand,
+    server: ServerHandle,
+}
+
+impl Bed {
+    async fn start() -> Self {
+        let stand = KvStand::default();
+        let address = "127.0.0.1:0".parse().expect("an address");
+        let server = stand.start(address).await.expect("the service starts");
+        Self { stand, server }
+    }
+
+    async fn run(&self, arguments: &[&str]) -> Finished {
+        let kv = self.server.address().to_string();
+        let shared = ["--kv", kv.as_str(), "--operator", "asha", "--json"];
+        let all = shared
+            .iter()
+            .chain(arguments)
+            .map(|text| (*text).to_owned());
+        let all: Vec<String> = all.collect();
+        tokio::task::spawn_blocking(move || run(&all))
+            .await
+            .expect("the run ends")
+    }
+
+    async fn json(&self, arguments: &[&str], code: u8) -> Value {
+        let finished = self.run(arguments).await;
+        assert_eq!(finished.code, code, "{finished:?}");
+        serde_json::from_str(&finished.stdout).expect("the output is JSON")
+    }
+}
+
+/// Guards against a wrong exit code or record on the way of a change from file to audit and back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_is_published_audited_and_rolled_back() {
+    let bed = Bed::start().await;
+    let first = bed
+        .json(&["publish", &sample_path(), "--base", "0"], 0)
+        .await;
+    assert_eq!(first["revision"], 1);
+    let next = edited(
+        "next",
+        "\"requests_per_s\": 20.0",
+        "\"requests_per_s\": 30.0",
+    );
+    let diff = bed.json(&["diff", &next], 0).await;
+    assert_eq!(diff["changes"][0]["path"], "customers/foundry-12");
+    bed.json(&["publish", &next, "--base", "1"], 0).await;
+
+    let conflict = bed
+        .json(&["publish", &sample_path(), "--base", "1"], 4)
+        .await;
+    assert_eq!(conflict["error"]["head_revision"], 2);
+    assert_eq!(
+        conflict["error"]["changes"][0]["path"],
+        "customers/foundry-12"
+    );
+
+    let back = bed.json(&["rollback", "--to", "1"], 0).await;
+    assert_eq!(back["revision"], 3);
+    assert_eq!(back["digest"], first["digest"]);
+    let status = bed.json(&["status"], 0).await;
+    assert_eq!(status["head"]["operator"], "asha");
+    let audit = bed.json(&["audit"], 0).await;
+    let outcomes: Vec<_> = audit
+        .as_array()
+        .expect("a list")
+        .iter()
+        .map(|r| r["outcome"].clone())
+        .collect();
+    assert_eq!(outcomes, ["published", "refused", "published", "published"]);
+    let shown = bed.json(&["show", "--revision", "2"], 0).await;
+    assert_eq!(shown["customers"]["foundry-12"]["requests_per_s"], 30.0);
+}
+
+/// Guards against dangerous or faulty documents that pass without a word.
+#[tokio::test(flavor = "multi_thread")]
+async fn faults_and_warnings_stop_a_publish() {
+    let bed = Bed::start().await;
+    bed.json(&["publish", &sample_path(), "--base", "0"], 0)
+        .await;
+    let faulty = edited("faulty", "127.0.0.1:9101", "127.0.0.1:9102");
+    let error = bed.json(&["publish", &faulty, "--base", "1"], 3).await;
+    let fault = &error["error"]["faults"][0];
+    assert_eq!(fault["path"], "targets/ga-02/address");
+    assert!(fault["line"].as_u64().is_some_and(|line| line > 1));
+    let broken = edited("broken", "\"weights\"", "\"wheights\"");
+    let error = bed.json(&["validate", &broken], 3).await;
+    assert!(
+        error["error"]["message"]
+            .as_str()
+            .expect("text")
+            .contains("expected one of")
+    );
+    let from = "\"regions\": [\"gujarat-east\"], \"allowed_regions\": [\"gujarat-east\"],";
+    let relaxed = edited("relaxed", from, "\"regions\": [\"gujarat-east\"],");
+    let error = bed.json(&["publish", &relaxed, "--base", "1"], 3).await;
+    let path = "services/grade-assistant/allowed_regions";
+    assert_eq!(error["error"]["warnings"][0]["path"], path);
+    bed.json(&["publish", &relaxed, "--base", "1", "--confirm"], 0)
+        .await;
+}
+
+/// Guards against an outage that looks like success or like a fault of the document.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unavailable_service_has_its_own_code() {
+    let bed = Bed::start().await;
+    bed.stand.set_outage(true);
+    bed.json(&["publish", &sample_path(), "--base", "0"], 5)
+        .await;
+    bed.json(&["audit"], 5).await;
+}
+
+#[test_case(&["--kv", "127.0.0.1:1", "publish", "x.json"], 2; "base is missing")]
+#[test_case(&["status"], 2; "no address")]
+#[test_case(&["--kv", "somewhere", "status"], 2; "no IP address")]
+#[test_case(&["frobnicate"], 2; "unknown subcommand")]
+#[test_case(&["--settings", "/nonexistent", "status"], 2; "no settings file")]
+#[test_case(&["--help"], 0; "help")]
+#[test_case(&["publish", "--help"], 0; "help of a subcommand")]
+fn usage_faults_have_their_code(arguments: &[&str], code: u8) {
+    let arguments: Vec<String> = arguments.iter().map(|text| (*text).to_owned()).collect();
+    let finished = run(&arguments);
+    assert_eq!(finished.code, code, "{finished:?}");
+    assert_ne!(finished.stdout.is_empty(), finished.stderr.is_empty());
+}
+
+/// Guards against calls of the admin listener without credential, or with an unescaped query.
+#[test_case(&["status"], "GET /admin/status ")]
+#[test_case(&["explain", "--service", "a b", "--customer", "c&d"], "GET /admin/explain?service=a+b&customer=c%26d ")]
+#[test_case(&["drain"], "POST /admin/drain ")]
+fn admin_calls_carry_the_credential(arguments: &[&str], request_line: &str) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("bound").to_string();
+    let server = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut head = vec![0; 4096];
+        let length = stream.read(&mut head).expect("a request");
+        let body = "{\"ready\":true,\"targets\":[{\"name\":\"ga-01\",\"score\":1.5}]}";
+        let size = body.len();
+        let reply = format!("HTTP/1.1 200 OK\r\ncontent-length: {size}\r\n\r\n{body}");
+        stream.write_all(reply.as_bytes()).expect("sent");
+        String::from_utf8_lossy(&head[..length]).into_owned()
+    });
+    let settings = std::env::temp_dir().join(format!(
+        "lw-cli-{}-{}.json",
+        std::process::id(),
+        arguments[0]
+    ));
+    let text =
+        format!("// settings\n{{\"admin_address\": \"{address}\", \"operator_key\": \"secret\"}}");
+    std::fs::write(&settings, text).expect("the file is writable");
+    let settings = settings.to_string_lossy().into_owned();
+    let all = ["--settings", settings.as_str()];
+    let all: Vec<String> = all
+        .iter()
+        .chain(arguments)
+        .map(|text| (*text).to_owned())
+        .collect();
+    let finished = run(&all);
+    assert_eq!(finished.code, 0, "{finished:?}");
+    assert!(finished.stdout.contains("ga-01"));
+    let request = server.join().expect("the server ends");
+    assert!(request.starts_with(request_line), "{request}");
+    assert!(
+        request
+            .to_lowercase()
+            .contains("authorization: bearer secret"),
+        "{request}"
+    );
+}
