Keep forms of older sessions and close connections after large bodies

Change: such forms are shown for sending again with a valid token, when their origin is the console itself; responses to bodies over the limit say `Connection: close`; bodies shorter than declared are refused; one function answers an HTTP request from any listener, with the strict headers everywhere.

--- a/crates/console/src/answers/console.rs
+++ b/crates/console/src/answers/console.rs
@@ -55,8 +55,11 @@
             return sign_in_answers::ask(self, request, moment);
         };
         if post && !session.token_valid(&self.key, route.form(), request.body.get("token")) {
-            let message = "The form carries no valid token of your session. Go back, reload the page and send it again.";
-            return refuse(403, "Refused", message);
+            log::warn!(
+                "console: refused a form without a valid token of {:?}",
+                session.operator
+            );
+            return sign_in_answers::refuse_token(self, &session, request, moment).await;
         }
         if !post && route.is_action() {
             return refuse(405, "Not a page", "This address only takes forms.");
@@ -160,7 +163,9 @@
 /// A post without `Origin` may come from another site, so nothing of it is kept.
 pub(crate) fn carried_of(request: &ConsoleRequest) -> Carried {
     match (request.method, &request.origin) {
-        (ConsoleMethod::Post, Some(_)) => Carried::of_post(&request.path, &request.body),
+        (ConsoleMethod::Post, Some(_)) => {
+            Carried::of_post(&request.path_and_query(), &request.body)
+        }
         (ConsoleMethod::Post, None) => Carried::default(),
         (ConsoleMethod::Get, _) => Carried {
             then: request.path_and_query(),
--- a/crates/console/src/answers/moment.rs
+++ b/crates/console/src/answers/moment.rs
@@ -1,5 +1,7 @@
 //! What a request takes from its surroundings.
 
+use std::time::{SystemTime, UNIX_EPOCH};
+
 use lw_base::WallMs;
 
 /// The time and the randomness of one request.
@@ -10,3 +12,16 @@
     /// Fresh random bytes, for the nonce of a session or the id of an operation.
     pub random: [u8; 16],
 }
+
+impl Moment {
+    /// Returns the time of the system clock and fresh random bytes, for the shell.
+    #[must_use]
+    pub fn of_system() -> Self {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        let now_ms = since.unwrap_or_default().as_millis();
+        Self {
+            now: WallMs(u64::try_from(now_ms).unwrap_or(u64::MAX)),
+            random: rand::random(),
+        }
+    }
+}
--- a/crates/console/src/answers/sign_in_answers.rs
+++ b/crates/console/src/answers/sign_in_answers.rs
@@ -80,18 +80,44 @@
     log::info!("console: {name:?} signed in");
     let session = Session::start(&operator.name, moment.random, moment.now);
     let response = match carried.has_fields() {
-        true => resume(console, &session, &carried, moment).await,
+        true => {
+            let message = "You are signed in. What you typed before is kept.";
+            resume(console, &session, &carried, moment, (200, message)).await
+        }
         false => ConsoleResponse::redirect(&carried.then),
     };
     with_cookie(response, SESSION_COOKIE, console, &session)
 }
 
+/// Refuses a form without a valid token.
+///
+/// A form of an older session, as when the operator signed in again in another tab, is shown for sending again. Without
+/// `Origin` the form may come from another site, so nothing of it is shown.
+pub(crate) async fn refuse_token(
+    console: &Console,
+    session: &Session,
+    request: &ConsoleRequest,
+    moment: Moment,
+) -> ConsoleResponse {
+    let carried = carried_of(request);
+    if !carried.has_fields() {
+        return refuse(
+            403,
+            "Refused",
+            "The form carries no valid token of your session.",
+        );
+    }
+    let message = "Nothing was done: the form belongs to another session. What you typed is kept.";
+    resume(console, session, &carried, moment, (403, message)).await
+}
+
 /// Answers with a button that sends the kept form again, now with a valid token.
 async fn resume(
     console: &Console,
     session: &Session,
     carried: &Carried,
     moment: Moment,
+    (status, message): (u16, &str),
 ) -> ConsoleResponse {
     let path = carried.then.split('?').next().unwrap_or("");
     let Some(route) = Route::parse(path) else {
@@ -107,7 +133,8 @@
         head_revision: head.map_or(draft.base_revision, |head| head.revision),
         now: moment.now,
     };
-    ConsoleResponse::html(200, &resume_page(&view, carried, route.form()))
+    let html = resume_page(&view, carried, route.form(), message);
+    ConsoleResponse::html(status, &html)
 }
 
 /// Ends the session in this browser.
--- a/crates/console/src/pages/message_page.rs
+++ b/crates/console/src/pages/message_page.rs
@@ -14,19 +14,15 @@
     page(view, title, "", alert("What happened", paragraph(message)))
 }
 
-/// Returns the page that continues a form after a sign-in; `form` is the form that the path takes.
+/// Returns the page that sends a kept form again; `form` is the form that the path takes.
 #[must_use]
-pub fn resume_page(view: &View<'_>, carried: &Carried, form: FormId) -> Html {
+pub fn resume_page(view: &View<'_>, carried: &Carried, form: FormId, message: &str) -> Html {
     let body = view
         .form(form, &carried.then)
         .child(hidden_all(&carried.without_draft()))
         .child(element("p").child(submit_button("Continue where you left off")));
-    let content = Html::new()
-        .child(paragraph(
-            "You are signed in. What you typed before is kept.",
-        ))
-        .child(body);
-    page(view, "Signed in", "", content)
+    let content = Html::new().child(paragraph(message)).child(body);
+    page(view, "Continue", "", content)
 }
 
 /// Returns a page with a problem for a visitor without a session.
--- a/crates/console/src/web/console_response.rs
+++ b/crates/console/src/web/console_response.rs
@@ -33,6 +33,10 @@
             )
     }
 
+    pub(crate) fn text(status: u16, text: &str) -> Self {
+        Self::of(status, text.to_owned()).with("content-type", "text/plain; charset=utf-8")
+    }
+
     fn of(status: u16, body: String) -> Self {
         let response = Self {
             status,
--- a/crates/console/src/web/console_server.rs
+++ b/crates/console/src/web/console_server.rs
@@ -1,14 +1,13 @@
-//! A listener for the console alone; a daemon may also call [`Console::answer`] from a listener of its own.
+//! A listener for the console alone; a daemon may also call [`answer_http`] from a listener of its own.
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::thread::JoinHandle;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use lw_base::WallMs;
 use tokio::runtime::Handle;
 use xitca_web::body::{BodyExt, Frame, RequestBody, ResponseBody};
 use xitca_web::handler::handler_service;
@@ -16,8 +15,8 @@
 use xitca_web::{App, WebContext};
 
 use crate::answers::{Console, Moment};
+use crate::web::answer_http::answer_http;
 use crate::web::console_response::ConsoleResponse;
-use crate::web::read_request::read_request;
 
 /// A document of 38,000 customers has about 3 MB, and the encoding of a form makes it up to three times as large.
 pub const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
@@ -105,41 +104,33 @@
     let body = std::mem::take(&mut *context.body_borrow_mut());
     let body = tokio::time::timeout(BODY_TIMEOUT, collect(body)).await;
     let Ok(Some(body)) = body else {
-        return plain(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "the form is too large or damaged",
-        );
-    };
-    let read = read_request(request.method(), request.uri(), request.headers(), body).await;
-    let request = match read {
-        Ok(request) => request,
-        Err(error) => return plain(StatusCode::BAD_REQUEST, &error.to_string()),
+        // The rest of the body is not read, so the connection cannot carry another request.
+        let response = ConsoleResponse::text(413, "the form is too large or damaged");
+        return web_response(response.with("connection", "close"));
     };
+    // A connection that ends early looks like the end of the body.
+    let declared = request.headers().get("content-length");
+    let declared = declared.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
+    if declared.is_some_and(|bytes| bytes != body.len()) {
+        return plain(400, "the form did not arrive whole");
+    }
+    let (method, uri) = (request.method().clone(), request.uri().clone());
+    let headers = request.headers().clone();
     let state = context.state();
     let console = state.console.clone();
-    let answer = async move { console.answer(&request, moment()).await };
+    let answer = async move {
+        let moment = Moment::of_system();
+        answer_http(&console, &method, &uri, &headers, body, moment).await
+    };
     match state.runtime.spawn(answer).await {
         Ok(response) => web_response(response),
         Err(error) => {
             log::error!("console: a request failed inside the console: {error}");
-            plain(
-                StatusCode::INTERNAL_SERVER_ERROR,
-                "the console failed; try again",
-            )
+            plain(500, "the console failed; try again")
         }
     }
 }
 
-fn moment() -> Moment {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    Moment {
-        now: WallMs(u64::try_from(since.as_millis()).unwrap_or(u64::MAX)),
-        random: rand::random(),
-    }
-}
-
 /// Returns the whole body; `None` when it is too large or broken.
 async fn collect(mut body: RequestBody) -> Option<Bytes> {
     let mut body = Pin::new(&mut body);
@@ -155,10 +146,8 @@
     Some(collected.freeze())
 }
 
-fn plain(status: StatusCode, text: &str) -> WebResponse {
-    let mut response = WebResponse::new(ResponseBody::bytes(Bytes::from(text.to_owned())));
-    *response.status_mut() = status;
-    response
+fn plain(status: u16, text: &str) -> WebResponse {
+    web_response(ConsoleResponse::text(status, text))
 }
 
 fn web_response(response: ConsoleResponse) -> WebResponse {
--- a/crates/console/tests/auth.rs
+++ b/crates/console/tests/auth.rs
@@ -243,6 +243,30 @@
     assert!(!browser.send(&request).body.contains("foundry-77"));
 }
 
+/// Guards against typed text that is lost when the operator signed in again in another tab, and against a token check
+/// that such a form skips.
+#[test]
+fn a_form_of_an_older_session_can_be_sent_again() {
+    let store = Store::new(sample());
+    let mut browser = Browser::signed_in(console(&store), "asha");
+    browser.get("/console/customers/edit?name=foundry-12");
+    let old = browser.page.clone();
+    browser.cookie = Browser::signed_in(console(&store), "karim").cookie;
+    browser.page = old.clone();
+    let page = browser.submit("/console/customers/save", &[("requests_per_s", "12")]);
+    assert_eq!(page.status, 403);
+    let kept = form_inputs(&page.body, "/console/customers/save");
+    assert_eq!(
+        (kept.get("requests_per_s"), kept.get("base_revision")),
+        ("12", "1")
+    );
+    assert_eq!(browser.submit("/console/customers/save", &[]).status, 200);
+    let body = form_inputs(&old.body, "/console/customers/save");
+    let mut request = browser.request(ConsoleMethod::Post, "/console/customers/save", body);
+    request.origin = None;
+    assert!(!browser.send(&request).body.contains("requests_per_s"));
+}
+
 const ACTIONS: [&str; 9] = [
     "/console/sign-out",
     "/console/targets/save",
--- a/crates/console/tests/document_file.rs
+++ b/crates/console/tests/document_file.rs
@@ -64,6 +64,7 @@
 #[test_case("{\"format\": 1, /* open", "comment"; "open comment")]
 #[test_case("{\n\"format\": 1,\n\"regions\": {\n\"a\": {\"zones\": []}}}", "regions/a/zones (line 4): the list is empty"; "validation")]
 #[test_case("{\"format\": 2}", "format (line 1): format 2 is not supported"; "format")]
+#[test_case("\n{\"format\": 2}", "format (line 2): format 2 is not supported"; "leading line break")]
 #[test_case(" \n", "Nothing was uploaded"; "nothing")]
 fn faulty_files_are_shown_with_lines(text: &str, expected: &str) {
     let store = Store::new(sample());
--- a/crates/console/tests/listener.rs
+++ b/crates/console/tests/listener.rs
@@ -16,6 +16,8 @@
 use support::browser::form_inputs;
 use support::store::Store;
 use support::{console, sample};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 struct Visitor {
     client: Client<HttpConnector, Full<Bytes>>,
@@ -61,13 +63,11 @@
             .map_or("", |value| value.to_str().expect("text"))
             .to_owned();
         let status = response.status();
+        let policy = response.headers().get("content-security-policy");
+        assert!(policy.is_some(), "{method} {path}");
         let body = response.into_body().collect().await.expect("a whole body");
         let body = String::from_utf8(body.to_bytes().to_vec()).expect("UTF-8");
         println!("{method} {path}: {status}, {} bytes", body.len());
-        if let Ok(directory) = std::env::var("LW_CONSOLE_PAGES") {
-            let name = path.replace(['/', '?', '='], "_");
-            let _ = std::fs::write(format!("{directory}/{method}{name}.html"), &body);
-        }
         Page {
             status,
             location,
@@ -197,6 +197,11 @@
 async fn refusals(visitor: &mut Visitor) {
     let page = visitor.send("DELETE", "/console", FORM, Bytes::new()).await;
     assert_eq!(page.status, StatusCode::BAD_REQUEST);
+    let head = head_bytes(visitor.address).await;
+    assert!(
+        head.starts_with("HTTP/1.1 200 ") && head.ends_with("\r\n\r\n"),
+        "{head}"
+    );
     let large = vec![b'a'; MAX_BODY_BYTES + 1];
     let page = visitor.send("POST", "/console/publish", FORM, large).await;
     assert_eq!(page.status, StatusCode::PAYLOAD_TOO_LARGE);
@@ -209,3 +214,17 @@
         .await;
     assert_eq!(page.status, StatusCode::FORBIDDEN);
 }
+
+/// Returns everything that the listener sends in answer to HEAD; a body would be read as the next response.
+async fn head_bytes(address: SocketAddr) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    let request = b"HEAD /console/sign-in HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    stream
+        .write_all(request)
+        .await
+        .expect("the request is sent");
+    let mut bytes = Vec::new();
+    let read = tokio::time::timeout(Duration::from_secs(30), stream.read_to_end(&mut bytes));
+    read.await.expect("in time").expect("a response");
+    String::from_utf8(bytes).expect("UTF-8")
+}
