Add the membership of a region and the region summaries

Cause: hosts need to know which members of their region answer, and relays need the state of the other regions within the byte budget of a node.

Change: SWIM-like probing with indirect probes, suspicion and refutation, clock comparison, relay choice and an exchange of region summaries. Regions probe one member a second per 16 members, because authority evidence needs more than half of the region within 11 s.

--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -1,9 +1,19 @@
 //! Membership inside a region, and summaries of the other regions.
 
+mod action;
+mod clock;
+mod gossip;
+mod membership;
 mod message;
+mod probing;
 mod region_summary;
+mod regions;
 mod update;
+mod updates;
 
+pub use action::MemberAction;
+pub use clock::CLOCK_OFF_MS;
+pub use membership::{Membership, SUSPECT_MS};
 pub use message::{Beat, MemberMessage};
 pub use region_summary::RegionSummary;
 pub use update::{MemberState, Update};
--- a/crates/member/src/message.rs
+++ b/crates/member/src/message.rs
@@ -51,9 +51,11 @@
     },
     /// Lists the versions of the known region summaries.
     RegionDigest {
-        /// Region name and version of its summary.
-        versions: Vec<(Arc<str>, u64)>,
-        /// True when the receiver shall answer with its own digest.
+        /// Stable hash of the region's name, and version of its summary.
+        versions: Vec<(u32, u64)>,
+        /// The peer address of the sender, which the receiver need not know otherwise.
+        address: Arc<str>,
+        /// True when the receiver shall ask for summaries that are newer here.
         reply: bool,
     },
     /// Carries newer region summaries.
--- /dev/null
+++ b/crates/member/src/probing.rs
@@ -0,0 +1,335 @@
+//! Probes, acknowledgements and indirect probes.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use lw_base::{MonoMs, WallMs};
+use rand::Rng;
+use rand::seq::{IndexedRandom, SliceRandom};
+
+use crate::action::MemberAction;
+use crate::membership::Membership;
+use crate::message::{Beat, MemberMessage};
+use crate::update::{MemberState, Update};
+
+/// How often members are probed.
+const PROBE_MS: u64 = 1_000;
+
+/// How long a direct or an indirect probe may take.
+const TIMEOUT_MS: u64 = 500;
+
+/// How many members one probe per round stands for.
+///
+/// Authority evidence needs acknowledgements of more than half of the region within 11 s, so larger regions probe more
+/// members a second: half of any region is reached within 8 s.
+const MEMBERS_PER_PROBE: usize = 16;
+
+/// How many members probe a silent one on behalf of this host.
+const HELPERS: usize = 2;
+
+/// One in so many probes goes to a dead member or a seed, to notice the end of a split.
+const LOST_PROBE_ONE_IN: u32 = 5;
+
+#[derive(Clone, Debug)]
+struct Outstanding {
+    /// Empty for a seed.
+    target: Arc<str>,
+    sent_at: MonoMs,
+    indirect: bool,
+    for_other: Option<(Arc<str>, u64)>,
+}
+
+/// The state of probing.
+#[derive(Debug)]
+pub(crate) struct Probing {
+    outstanding: BTreeMap<u64, Outstanding>,
+    round: Vec<Arc<str>>,
+    next_nonce: u64,
+    next_at: MonoMs,
+}
+
+impl Probing {
+    pub(crate) fn new(now: MonoMs) -> Self {
+        Self {
+            outstanding: BTreeMap::new(),
+            round: Vec::new(),
+            next_nonce: 1,
+            next_at: now,
+        }
+    }
+
+    pub(crate) fn clear(&mut self, now: MonoMs) {
+        self.outstanding.clear();
+        self.next_at = now;
+    }
+
+    /// Ends a probe after an indirect acknowledgement.
+    pub(crate) fn settle(&mut self, nonce: u64, target: &Arc<str>) {
+        let matches = self.outstanding.get(&nonce);
+        if matches.is_some_and(|probe| probe.target == *target) {
+            self.outstanding.remove(&nonce);
+        }
+    }
+}
+
+impl Membership {
+    pub(crate) fn tick_probes(&mut self, now: MonoMs, wall: WallMs, out: &mut Vec<MemberAction>) {
+        self.time_out(now, out);
+        if now < self.probing.next_at {
+            return;
+        }
+        self.probing.next_at = now.plus_ms(PROBE_MS);
+        let count = (self.members.len() + 1).div_ceil(MEMBERS_PER_PROBE);
+        for _ in 0..count {
+            if let Some(target) = self.next_target() {
+                self.probe(&target, None, now, wall, out);
+            }
+        }
+        self.probe_lost(now, wall, out);
+    }
+
+    /// Takes the next member of a shuffled round, so that each one is probed once a round.
+    fn next_target(&mut self) -> Option<Arc<str>> {
+        for _ in 0..=self.members.len() {
+            if self.probing.round.is_empty() {
+                self.probing.round = self.names();
+                self.probing.round.shuffle(&mut self.rng);
+            }
+            let name = self.probing.round.pop()?;
+            let member = self.members.get(&name);
+            if member.is_some_and(|member| member.update.state != MemberState::Dead) {
+                return Some(name);
+            }
+        }
+        None
+    }
+
+    fn probe_lost(&mut self, now: MonoMs, wall: WallMs, out: &mut Vec<MemberAction>) {
+        let alone = self.members.is_empty();
+        if !alone && !self.rng.random_ratio(1, LOST_PROBE_ONE_IN) {
+            return;
+        }
+        if let Some(address) = self.seeds.choose(&mut self.rng).cloned() {
+            let message = MemberMessage::Probe(self.open_probe("".into(), None, now, wall));
+            out.push(MemberAction::Send {
+                host: "".into(),
+                address,
+                message,
+            });
+        }
+        let dead = self.members.values().map(|member| &member.update);
+        let dead: Vec<Arc<str>> = dead
+            .filter(|update| update.state == MemberState::Dead)
+            .map(|update| update.host.clone())
+            .collect();
+        if let Some(host) = dead.choose(&mut self.rng) {
+            self.probe(host, None, now, wall, out);
+        }
+    }
+
+    fn probe(
+        &mut self,
+        target: &Arc<str>,
+        for_other: Option<(Arc<str>, u64)>,
+        now: MonoMs,
+        wall: WallMs,
+        out: &mut Vec<MemberAction>,
+    ) {
+        let beat = self.open_probe(target.clone(), for_other, now, wall);
+        self.send_to(target, MemberMessage::Probe(beat), out);
+    }
+
+    fn open_probe(
+        &mut self,
+        target: Arc<str>,
+        for_other: Option<(Arc<str>, u64)>,
+        now: MonoMs,
+        wall: WallMs,
+    ) -> Beat {
+        let nonce = self.probing.next_nonce;
+        self.probing.next_nonce += 1;
+        let known = self.members.get(&target);
+        let introduce = known.is_none_or(|member| member.acknowledged.is_none());
+        let beat = self.beat(nonce, Some(&target), introduce, wall);
+        let probe = Outstanding {
+            target,
+            sent_at: now,
+            indirect: false,
+            for_other,
+        };
+        self.probing.outstanding.insert(nonce, probe);
+        beat
+    }
+
+    fn beat(&mut self, nonce: u64, to: Option<&Arc<str>>, introduce: bool, wall: WallMs) -> Beat {
+        Beat {
+            nonce,
+            wall,
+            conf_revision: self.conf_revision,
+            map_revision: self.map_revision,
+            updates: self.piggyback(to, introduce),
+        }
+    }
+
+    pub(crate) fn on_probe(
+        &mut self,
+        from: (&Arc<str>, u64),
+        beat: Beat,
+        evidence: bool,
+        now: MonoMs,
+        wall: WallMs,
+        out: &mut Vec<MemberAction>,
+    ) {
+        let introduced = beat.updates.iter().any(|update| update.host == *from.0);
+        let nonce = beat.nonce;
+        self.take_beat(from, beat, now, out);
+        let known = self.members.get(from.0);
+        if known.is_none_or(|member| member.update.incarnation != from.1) {
+            return;
+        }
+        let beat = self.beat(nonce, Some(from.0), introduced, wall);
+        self.send_to(from.0, MemberMessage::ProbeAck { beat, evidence }, out);
+    }
+
+    pub(crate) fn on_ack(
+        &mut self,
+        from: (&Arc<str>, u64),
+        beat: Beat,
+        evidence: bool,
+        now: MonoMs,
+        wall: WallMs,
+        out: &mut Vec<MemberAction>,
+    ) {
+        let Some(probe) = self.probing.outstanding.remove(&beat.nonce) else {
+            return;
+        };
+        if !probe.target.is_empty() && probe.target != *from.0 {
+            return;
+        }
+        self.clocks
+            .sample(from.0, beat.wall, probe.sent_at, now, wall);
+        self.take_beat(from, beat, now, out);
+        let Some(member) = self.members.get_mut(from.0) else {
+            return;
+        };
+        if member.update.incarnation != from.1 {
+            return;
+        }
+        member.acknowledged = member.acknowledged.max(Some(probe.sent_at));
+        out.push(MemberAction::Acknowledged {
+            host: from.0.clone(),
+            incarnation: from.1,
+            sent_at: probe.sent_at,
+            evidence,
+        });
+        if let Some((asker, nonce)) = probe.for_other {
+            let target = from.0.clone();
+            self.send_to(&asker, MemberMessage::IndirectAck { nonce, target }, out);
+        }
+    }
+
+    fn take_beat(
+        &mut self,
+        from: (&Arc<str>, u64),
+        beat: Beat,
+        now: MonoMs,
+        out: &mut Vec<MemberAction>,
+    ) {
+        for update in beat.updates {
+            self.apply(update, now, out);
+        }
+        if let Some(member) = self.members.get_mut(from.0) {
+            member.conf_revision = member.conf_revision.max(beat.conf_revision);
+        }
+    }
+
+    pub(crate) fn on_indirect_probe(
+        &mut self,
+        asker: &Arc<str>,
+        nonce: u64,
+        target: &Arc<str>,
+        now: MonoMs,
+        wall: WallMs,
+        out: &mut Vec<MemberAction>,
+    ) {
+        if self.members.contains_key(target) {
+            self.probe(target, Some((asker.clone(), nonce)), now, wall, out);
+        }
+    }
+
+    pub(crate) fn on_leaving(
+        &mut self,
+        from: (&Arc<str>, u64),
+        now: MonoMs,
+        out: &mut Vec<MemberAction>,
+    ) {
+        let Some(member) = self.members.get(from.0) else {
+            return;
+        };
+        if member.update.incarnation == from.1 {
+            let update = Update {
+                state: MemberState::Leaving,
+                ..member.update.clone()
+            };
+            self.apply(update, now, out);
+        }
+    }
+
+    fn time_out(&mut self, now: MonoMs, out: &mut Vec<MemberAction>) {
+        let due = self.probing.outstanding.iter().filter(|(_, probe)| {
+            let limit_ms = if probe.indirect {
+                2 * TIMEOUT_MS
+            } else {
+                TIMEOUT_MS
+            };
+            now.since_ms(probe.sent_at) >= limit_ms
+        });
+        let due: Vec<(u64, Outstanding)> =
+            due.map(|(nonce, probe)| (*nonce, probe.clone())).collect();
+        for (nonce, probe) in due {
+            let helpers = self.helpers(&probe);
+            if helpers.is_empty() {
+                self.probing.outstanding.remove(&nonce);
+                self.suspect(&probe, now, out);
+                continue;
+            }
+            for helper in helpers {
+                let target = probe.target.clone();
+                self.send_to(&helper, MemberMessage::IndirectProbe { nonce, target }, out);
+            }
+            if let Some(probe) = self.probing.outstanding.get_mut(&nonce) {
+                probe.indirect = true;
+            }
+        }
+    }
+
+    /// Selects members for indirect probes; there are none for a second try, a seed or on behalf of another host.
+    fn helpers(&mut self, probe: &Outstanding) -> Vec<Arc<str>> {
+        if probe.indirect || probe.target.is_empty() || probe.for_other.is_some() {
+            return Vec::new();
+        }
+        let alive: Vec<Arc<str>> = self
+            .members()
+            .filter(|update| update.state <= MemberState::Leaving && update.host != probe.target)
+            .map(|update| update.host.clone())
+            .collect();
+        let chosen = alive.choose_multiple(&mut self.rng, HELPERS);
+        chosen.cloned().collect()
+    }
+
+    fn suspect(&mut self, probe: &Outstanding, now: MonoMs, out: &mut Vec<MemberAction>) {
+        if probe.for_other.is_some() {
+            return;
+        }
+        let Some(member) = self.members.get(&probe.target) else {
+            return;
+        };
+        if member.update.state <= MemberState::Leaving {
+            let update = Update {
+                state: MemberState::Suspect,
+                ..member.update.clone()
+            };
+            self.apply(update, now, out);
+        }
+    }
+}
--- a/crates/member/src/update.rs
+++ b/crates/member/src/update.rs
@@ -33,3 +33,12 @@
     /// Its state.
     pub state: MemberState,
 }
+
+impl Update {
+    /// Returns true when this statement replaces `other` about the same host.
+    #[must_use]
+    pub fn replaces(&self, other: &Self) -> bool {
+        let rank = |update: &Self| (update.incarnation, update.refutation, update.state);
+        rank(self) > rank(other)
+    }
+}
