Declare the crate node for the runtime of a host among its peers

Cause: transport, membership, at-most-once protocol, configuration shell and load collection need one place that runs them; the daemon should only wire.

--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The runtime of a host among its peers.
