Validate with the gateway's addresses in the test store of the console

Cause: the store of the tests accepted a target at an address of the gateway. Change: it validates with the addresses that the console gets.

--- a/crates/console/tests/support/store.rs
+++ b/crates/console/tests/support/store.rs
@@ -9,6 +9,8 @@
 use lw_doc::{Document, SourceMap, changes_between, validate};
 use uuid::Uuid;
 
+const GATEWAY: &str = "127.0.0.1:8080";
+
 /// What the store does with the next orders.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum Mood {
@@ -94,7 +96,7 @@
                     revision: Some(1),
                 }]
             }),
-            gateway_addresses: Arc::new(|| vec!["127.0.0.1:8080".parse().expect("an address")]),
+            gateway_addresses: Arc::new(|| vec![GATEWAY.parse().expect("an address")]),
         }
     }
 
@@ -109,7 +111,8 @@
 
     fn publish(&self, order: PublishOrder) -> PublishOutcome {
         let mut state = self.state();
-        let faults = validate(&order.document, &SourceMap::default(), &[]);
+        let gateway = [GATEWAY.parse().expect("an address")];
+        let faults = validate(&order.document, &SourceMap::default(), &gateway);
         assert_eq!(faults, [], "the console published an invalid document");
         let known = state
             .operations
