--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -1,1 +1,22 @@
-//! Membership inside a region and summaries of other regions.
+//! Membership inside a region, and summaries of the other regions.
+
+mod action;
+mod clock;
+mod gossip;
+mod membership;
+mod message;
+mod probing;
+mod region_summary;
+mod regions;
+mod update;
+mod updates;
+
+pub use action::MemberAction;
+pub use clock::CLOCK_OFF_MS;
+pub use membership::{Membership, SUSPECT_MS};
+pub use message::{Beat, MemberMessage};
+pub use region_summary::RegionSummary;
+pub use update::{MemberState, Update};
+
+/// The most member updates that one message carries.
+pub const UPDATES_PER_MESSAGE: usize = 8;
