Test buckets of busy customers and summaries over revisions

Cause: eviction of buckets and the carrying of summaries had no test. Change: two tests, and a constructor for summaries in thousandths as regions exchange them. Conclusion: a customer keeps its bucket while 38,000 others pass by.

--- a/crates/admit/tests/limits.rs
+++ b/crates/admit/tests/limits.rs
@@ -83,6 +83,24 @@
     assert_eq!(out.len(), EXCHANGED_CUSTOMERS);
 }
 
+/// Guards against a customer that gets a fresh bucket, and with it more than its limit, because 38,000 others pass by.
+#[test]
+fn a_busy_customer_keeps_its_bucket() {
+    let busy = CustomerId::of_name("busy");
+    let mut limits = CustomerLimits::default();
+    let mut admitted = 0;
+    for index in 0..100_000u64 {
+        let now = MonoMs(index / 10);
+        let other = CustomerId::of_name(&format!("customer-{}", index % 38_000));
+        let _ = limits.admit(now, other, 1.0, 1);
+        if index % 10 == 0 {
+            admitted += u32::from(limits.admit(now, busy, 10.0, 1).is_ok());
+        }
+    }
+    // Ten seconds at half of the limit, which is the least share of a host whose use was not exchanged yet.
+    assert!(admitted <= 51, "{admitted}");
+}
+
 /// Guards against a retry storm: with every request failing, retries stay within 10% of the requests.
 #[test_case(1_000 ; "100 requests per second")]
 #[test_case(10_000 ; "1,000 requests per second")]
--- a/crates/route/src/region_summary.rs
+++ b/crates/route/src/region_summary.rs
@@ -20,6 +20,17 @@
 }
 
 impl RegionSummary {
+    /// Builds the summary from the figures that regions exchange: slots, and the load in thousandths of them.
+    #[must_use]
+    pub fn from_permille(capacity_slots: u32, load_permille: u16, read_at: MonoMs) -> Self {
+        let capacity_slots = f64::from(capacity_slots);
+        Self {
+            capacity_slots,
+            load_slots: capacity_slots * f64::from(load_permille) / 1_000.0,
+            read_at,
+        }
+    }
+
     /// Returns the load relative to the capacity.
     #[must_use]
     pub fn use_ratio(&self) -> f64 {
--- a/crates/route/tests/spill.rs
+++ b/crates/route/tests/spill.rs
@@ -179,3 +179,33 @@
     let forwarded = view.decide_forwarded(at(span_ms), &query);
     assert!(matches!(forwarded, lw_route::LocalDecision::Target(_)));
 }
+
+/// Guards against a revision that forgets the other regions or mixes them up, and against a region whose idle plain
+/// services hide that its engines are full.
+#[test]
+fn summaries_survive_a_revision_and_services_take_precedence() {
+    let router = Router::new(MonoMs(0), &Arc::new(fleet(&[1, 1, 1])), "region-0", 3);
+    let view = router.view();
+    view.set_summary(
+        RegionKey(1),
+        RegionSummary::from_permille(100, 200, MonoMs(0)),
+    );
+    view.set_summary(
+        RegionKey(2),
+        RegionSummary::from_permille(100, 300, MonoMs(0)),
+    );
+    let full = RegionSummary::from_permille(10, 950, MonoMs(0));
+    view.set_service_summary(RegionKey(2), ServiceKey(0), full);
+    router.apply(MonoMs(10), &Arc::new(fleet(&[1, 1, 1])));
+    let view = router.view();
+    let query = Query::new(ServiceKey(0), all(view.fleet()));
+    let regions = view.explain(at(10), &query).regions;
+    let seen: Vec<_> = regions
+        .iter()
+        .map(|region| (region.use_ratio, region.takes_spill))
+        .collect();
+    assert_eq!(
+        seen,
+        [(None, false), (Some(0.2), true), (Some(0.95), false)]
+    );
+}
