--- a/crates/bench/src/play/mod.rs
+++ b/crates/bench/src/play/mod.rs
@@ -13,9 +13,12 @@
 mod region_load;
 mod scenario;
 mod world;
+mod world_attempt;
+mod world_periodic;
+mod world_request;
 
 pub use arrival::{Arrival, Stream};
-pub use deployment::Deployment;
+pub use deployment::{Deployment, MODEL, PLAIN};
 pub use engine::Engine;
 pub use figures::{ClassFigures, Figures};
 pub use policy::Policy;
