Do not send region summaries back to the host they came from

Cause: a relay at 45 regions used 11326 of 12000 B/s.

Change: each summary remembers the host that it came from, and the tree skips that host.

--- a/crates/member/src/gossip.rs
+++ b/crates/member/src/gossip.rs
@@ -62,7 +62,7 @@
             conf_revision: self.conf_revision,
             relays: relays.collect(),
         };
-        self.regions.take(summary);
+        self.regions.take(summary, &self.me.host);
     }
 
     fn address_of(&self, host: &Arc<str>) -> Arc<str> {
@@ -106,8 +106,13 @@
         let children = FAN_OUT * rank + 1..=FAN_OUT * rank + FAN_OUT;
         let other_relay = (rank == 1).then_some(0);
         for index in children.chain(other_relay) {
-            if let Some(host) = ordered.get(index) {
-                self.send_to(host, MemberMessage::RegionEntries(fresh.clone()), out);
+            let Some(host) = ordered.get(index) else {
+                continue;
+            };
+            let others = fresh.iter().filter(|(from, _)| from != host);
+            let entries: Vec<RegionSummary> = others.map(|(_, entry)| entry.clone()).collect();
+            if !entries.is_empty() {
+                self.send_to(host, MemberMessage::RegionEntries(entries), out);
             }
         }
     }
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -240,9 +240,9 @@
                 reply,
             } => self.on_digest(&versions, &address, reply, out),
             MemberMessage::RegionEntries(entries) => {
-                entries
-                    .into_iter()
-                    .for_each(|entry| self.regions.take(entry));
+                for entry in entries {
+                    self.regions.take(entry, from.0);
+                }
             }
             MemberMessage::Leaving => self.on_leaving(from, now, out),
         }
--- a/crates/member/src/regions.rs
+++ b/crates/member/src/regions.rs
@@ -1,6 +1,6 @@
 //! The known region summaries.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use lw_base::stable_hash;
@@ -11,8 +11,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Regions {
     summaries: BTreeMap<Arc<str>, RegionSummary>,
-    /// Regions whose summary changed since it was last passed on.
-    fresh: BTreeSet<Arc<str>>,
+    /// Regions whose summary changed since it was last passed on, and the host that it came from.
+    fresh: BTreeMap<Arc<str>, Arc<str>>,
 }
 
 impl Regions {
@@ -24,13 +24,13 @@
         self.summaries.values()
     }
 
-    /// Takes a summary if it is newer than the known one.
-    pub(crate) fn take(&mut self, summary: RegionSummary) {
+    /// Takes a summary from a host if it is newer than the known one.
+    pub(crate) fn take(&mut self, summary: RegionSummary, from: &Arc<str>) {
         let known = self.summaries.get(&summary.region);
         if known.is_some_and(|known| known.version >= summary.version) {
             return;
         }
-        self.fresh.insert(summary.region.clone());
+        self.fresh.insert(summary.region.clone(), from.clone());
         self.summaries.insert(summary.region.clone(), summary);
     }
 
@@ -66,11 +66,14 @@
         older.map(|(hash, _)| (*hash, own(hash))).collect()
     }
 
-    /// Returns and forgets the summaries that changed.
-    pub(crate) fn take_fresh(&mut self) -> Vec<RegionSummary> {
+    /// Returns and forgets the summaries that changed, with the host that each one came from.
+    pub(crate) fn take_fresh(&mut self) -> Vec<(Arc<str>, RegionSummary)> {
         let fresh = std::mem::take(&mut self.fresh);
-        let found = fresh.iter().filter_map(|name| self.summaries.get(name));
-        found.cloned().collect()
+        let found = fresh.into_iter().filter_map(|(region, from)| {
+            let summary = self.summaries.get(&region)?;
+            Some((from, summary.clone()))
+        });
+        found.collect()
     }
 }
 
