--- /dev/null
+++ b/crates/idem/tests/rules.rs
@@ -0,0 +1,335 @@
+//! Single rules of the protocol that random runs reach too rarely, on hosts with a hand-made map.
+
+use std::collections::BTreeMap;
+
+use lw_base::{ErrorKind, MonoMs, Outcome, WallMs};
+use lw_idem::{
+    BodyDigest, ClaimId, Cutoff, Ending, Idem, IdemAction, IdemMessage, IdemRequest, Instance,
+    MapHost, MemberStatus, ProposalResult, Record, RecordKey, SHARDS, ShardMap, ShardView, Ticket,
+};
+use test_case::test_case;
+use uuid::Builder;
+
+const WALL: u64 = 1_800_000_000_000;
+
+fn instance(host: &str) -> Instance {
+    Instance {
+        host: host.into(),
+        incarnation: 1,
+    }
+}
+
+fn map_host(host: &str) -> MapHost {
+    MapHost {
+        instance: instance(host),
+        zone: host.into(),
+    }
+}
+
+/// A map of the hosts a, b and c with `owner` and `backup` in every shard.
+fn map(revision: u64, epoch: u64, owner: &str, backup: &str) -> ShardMap {
+    let view = ShardView {
+        epoch,
+        owner: instance(owner),
+        backup: Some(instance(backup)),
+        backup_complete: true,
+        cutoff: None,
+        electorate: 1,
+    };
+    ShardMap {
+        revision,
+        hosts: ["a", "b", "c"].map(map_host).to_vec(),
+        electorates: BTreeMap::from([(1, vec!["a".into(), "b".into(), "c".into()])]),
+        shards: vec![view; SHARDS],
+    }
+}
+
+fn key(number: u8) -> RecordKey {
+    let id = Builder::from_unix_timestamp_millis(WALL + 50_000, &[number; 10]).into_uuid();
+    RecordKey { scope: 1, id }
+}
+
+fn wall(now: u64) -> WallMs {
+    WallMs(WALL + now)
+}
+
+struct Host(Idem);
+
+impl Host {
+    fn with(name: &str, map: &ShardMap) -> Self {
+        let host = Self(Idem::new(map_host(name), 1 << 20, MonoMs(0)));
+        host.read(1, map, 0);
+        for other in ["a", "b", "c"] {
+            host.0.on_member(&instance(other), MemberStatus::Alive);
+        }
+        host
+    }
+
+    fn read(&self, version: u64, map: &ShardMap, now: u64) {
+        let now_ms = MonoMs(now);
+        let mut out = Vec::new();
+        self.0
+            .on_map(version, Some(map), now_ms, now_ms, wall(now), &mut out);
+    }
+
+    fn request(&self, number: u8, digest: u8, now: u64) -> Vec<IdemAction> {
+        let request = IdemRequest {
+            ticket: Ticket(u64::from(number)),
+            key: key(number),
+            issued: wall(50_000),
+            digest: BodyDigest([digest; 16]),
+            first_attempt: false,
+            deadline: MonoMs(now + 60_000),
+        };
+        let mut out = Vec::new();
+        self.0
+            .on_request(&request, MonoMs(now), wall(now), &mut out);
+        out
+    }
+
+    fn claims(&self, number: u8, now: u64) -> bool {
+        let out = self.request(number, 1, now);
+        let sent = |action: &IdemAction| {
+            matches!(
+                action,
+                IdemAction::Send {
+                    message: IdemMessage::Claim { .. },
+                    ..
+                }
+            )
+        };
+        out.iter().any(sent)
+    }
+
+    fn acknowledges(&self, epoch: u64, number: u8, now: u64) -> bool {
+        let claim = ClaimId { epoch, number: 1 };
+        let record = Record {
+            key: key(number),
+            issued: wall(50_000),
+            digest: BodyDigest([1; 16]),
+            claim,
+            ending: None,
+            ended: None,
+        };
+        let shard = u8::try_from(lw_idem::shard_of(key(number))).unwrap();
+        let message = IdemMessage::Claim {
+            shard,
+            epoch,
+            record,
+        };
+        let out = self.message("a", message, now);
+        let accepted = |action: &IdemAction| {
+            matches!(
+                action,
+                IdemAction::Send {
+                    message: IdemMessage::ClaimAck { accepted: true, .. },
+                    ..
+                }
+            )
+        };
+        out.iter().any(accepted)
+    }
+
+    fn message(&self, from: &str, message: IdemMessage, now: u64) -> Vec<IdemAction> {
+        let mut out = Vec::new();
+        self.0
+            .on_message(&instance(from), message, MonoMs(now), &mut out);
+        out
+    }
+
+    fn proposal(&self, now: u64) -> Option<ShardMap> {
+        let mut out = Vec::new();
+        self.0.tick(MonoMs(now), wall(now), &mut out);
+        out.into_iter().find_map(|action| match action {
+            IdemAction::Propose { map, .. } => Some(ShardMap::clone(&map)),
+            _ => None,
+        })
+    }
+
+    fn proposed(&self, result: ProposalResult, now: u64) {
+        self.0
+            .on_proposed(result, MonoMs(now), wall(now), &mut Vec::new());
+    }
+}
+
+/// Guards against a cut-off owner that accepts keys on old evidence.
+#[test]
+fn evidence_expires() {
+    let host = Host::with("a", &map(5, 3, "a", "b"));
+    assert!(host.claims(1, 11_000));
+    assert!(!host.claims(2, 11_001));
+    host.0
+        .on_probe_ack(&instance("b"), MonoMs(20_000), false, MonoMs(20_010));
+    assert!(!host.claims(3, 20_100), "the voter withholds its evidence");
+    host.0
+        .on_probe_ack(&instance("b"), MonoMs(20_000), true, MonoMs(20_010));
+    assert!(host.claims(4, 31_000) && !host.claims(5, 31_001));
+}
+
+/// Guards against a voter that lets the former owner go on after its vote.
+#[test]
+fn a_voter_withholds_evidence() {
+    let host = Host::with("c", &map(5, 3, "a", "b"));
+    host.0.on_probe(&instance("a"), 5, MonoMs(10_000));
+    let query = || IdemMessage::TakeoverQuery {
+        revision: 5,
+        silent: vec![instance("a"), instance("b")],
+    };
+    let votes = |now| match host.message("d", query(), now).remove(0) {
+        IdemAction::Send {
+            message: IdemMessage::TakeoverVote { silent, .. },
+            ..
+        } => silent,
+        other => panic!("unexpected {other:?}"),
+    };
+    assert_eq!(votes(29_999), []);
+    assert_eq!(votes(30_000), [instance("b")], "a was heard 20 s ago");
+    assert!(host.0.on_probe(&instance("a"), 5, MonoMs(30_001)));
+    assert!(!host.0.on_probe(&instance("b"), 5, MonoMs(30_001)));
+    assert!(
+        !host.0.on_probe(&instance("b"), 5, MonoMs(90_000)),
+        "until the new map is shown"
+    );
+    assert!(host.0.on_probe(&instance("b"), 6, MonoMs(90_001)));
+}
+
+/// Guards against an owner that goes on alone after its own proposal took effect unseen: the new view may have another
+/// electorate, whose votes the old evidence does not exclude.
+#[test_case(ProposalResult::Unclear, false)]
+#[test_case(ProposalResult::NotWritten, true)]
+fn an_unclear_proposal_suspends_the_owner(result: ProposalResult, goes_on: bool) {
+    let host = Host::with("a", &map(5, 3, "a", "b"));
+    host.0.on_member(&instance("c"), MemberStatus::Lost);
+    let proposal = host.proposal(1_000).unwrap();
+    assert!(proposal.shards.iter().all(|view| view.epoch == 4));
+    host.proposed(result, 1_500);
+    host.0
+        .on_probe_ack(&instance("b"), MonoMs(20_000), true, MonoMs(20_010));
+    assert_eq!(host.claims(1, 20_100), goes_on);
+    host.read(2, &proposal, 20_200);
+    assert!(host.claims(2, 20_300), "the read settles the proposal");
+}
+
+/// Guards against a backup that acknowledges claims of the owner that it may already have replaced.
+#[test_case(ProposalResult::Unclear, false)]
+#[test_case(ProposalResult::NotWritten, true)]
+fn an_unclear_takeover_suspends_the_backup(result: ProposalResult, goes_on: bool) {
+    let host = Host::with("b", &map(5, 3, "a", "b"));
+    assert!(host.acknowledges(3, 1, 500));
+    host.0.on_member(&instance("a"), MemberStatus::Lost);
+    let proposal = host.proposal(1_000).unwrap();
+    assert!(
+        proposal
+            .shards
+            .iter()
+            .all(|view| view.owner == instance("b"))
+    );
+    host.proposed(result, 1_500);
+    assert_eq!(host.acknowledges(3, 2, 2_000), goes_on);
+}
+
+/// Guards against a backup that acknowledges another epoch or another owner.
+#[test]
+fn a_backup_knows_one_view() {
+    let host = Host::with("b", &map(5, 3, "a", "b"));
+    assert!(!host.acknowledges(2, 1, 100) && !host.acknowledges(4, 2, 100));
+    host.read(2, &map(6, 4, "b", "c"), 200);
+    assert!(!host.acknowledges(3, 3, 300), "it is the owner now");
+    host.read(3, &map(5, 3, "a", "b"), 400);
+    assert!(!host.acknowledges(3, 4, 500), "a lower epoch is not taken");
+    let written_back = host.proposal(1_500).unwrap();
+    assert!(written_back.shards.iter().all(|view| view.epoch >= 4));
+    assert!(written_back.revision > 6);
+}
+
+/// Guards against a takeover whose write took so long that the former owner could accept keys past the cutoff.
+#[test]
+fn a_late_cutoff_is_raised() {
+    let with_cutoff = |ahead_ms: u64| {
+        let mut map = map(5, 3, "a", "b");
+        let issued_before = wall(40_000 + ahead_ms);
+        for view in &mut map.shards {
+            view.cutoff = Some(Cutoff {
+                issued_before,
+                epoch: 3,
+            });
+        }
+        let host = Host::with("a", &self::map(4, 2, "c", "b"));
+        host.read(2, &map, 40_000);
+        host
+    };
+    assert!(!with_cutoff(9_000).claims(1, 41_000), "16 s must remain");
+    let next = with_cutoff(9_000).proposal(41_000).unwrap();
+    let cutoffs = next.shards.iter().map(|view| view.cutoff.unwrap());
+    assert!(
+        cutoffs
+            .into_iter()
+            .all(|cutoff| cutoff.issued_before == wall(71_000) && cutoff.epoch == 4)
+    );
+    let timely = with_cutoff(16_000);
+    let refused = timely.request(2, 1, 41_000);
+    assert_eq!(
+        refused[0],
+        refusal(2, ErrorKind::OutcomeUnknown, Outcome::Unknown)
+    );
+}
+
+fn refusal(number: u8, kind: ErrorKind, outcome: Outcome) -> IdemAction {
+    IdemAction::Refuse {
+        ticket: Ticket(u64::from(number)),
+        kind,
+        outcome,
+    }
+}
+
+/// Guards against a key that is used for two different requests.
+#[test]
+fn a_key_belongs_to_one_body() {
+    let host = Host::with("a", &map(5, 3, "a", "b"));
+    assert!(host.claims(1, 100));
+    let other = host.request(1, 2, 200);
+    assert_eq!(other[0], refusal(1, ErrorKind::KeyReused, Outcome::NotRun));
+}
+
+/// Guards against a late acknowledgement or release that is taken for a later claim of the same key.
+#[test]
+fn late_messages_do_not_count_for_a_later_claim() {
+    let host = Host::with("a", &map(5, 3, "a", "b"));
+    assert!(host.claims(1, 100));
+    let shard = u8::try_from(lw_idem::shard_of(key(1))).unwrap();
+    let ack = |number| IdemMessage::ClaimAck {
+        shard,
+        key: key(1),
+        claim: ClaimId { epoch: 3, number },
+        accepted: true,
+    };
+    let is_run = |action: &IdemAction| matches!(action, IdemAction::Run { .. });
+    let mut out = Vec::new();
+    host.0.tick(MonoMs(3_000), wall(3_000), &mut out);
+    assert!(out.contains(&refusal(1, ErrorKind::ClaimRefused, Outcome::Unknown)));
+    assert!(host.claims(1, 3_100), "the withdrawn key is claimed again");
+    assert!(!host.message("b", ack(1), 3_200).iter().any(is_run));
+    assert!(
+        !host.message("c", ack(2), 3_200).iter().any(is_run),
+        "not the backup"
+    );
+    assert!(host.message("b", ack(2), 3_200).iter().any(is_run));
+    assert!(
+        !host.message("b", ack(2), 3_300).iter().any(is_run),
+        "a duplicate"
+    );
+    let backup = Host::with("b", &map(5, 3, "a", "b"));
+    assert!(backup.acknowledges(3, 1, 100));
+    let release = IdemMessage::DoneCopy {
+        shard,
+        key: key(1),
+        claim: ClaimId {
+            epoch: 3,
+            number: 0,
+        },
+        ending: Ending::NotRun,
+        ended: wall(100),
+    };
+    backup.message("a", release, 200);
+    assert_eq!(backup.0.record_count(), 1);
+}
