Split the probing of members and bound the redial rate

Change: indirect probes and suspicion move to suspicion.rs; the pause between connection attempts doubles from 100 ms to 2 s.

Conclusion: behaviour is unchanged but for the redial pause.

--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -8,6 +8,7 @@
 mod probing;
 mod region_summary;
 mod regions;
+mod suspicion;
 mod update;
 mod updates;
 
--- a/crates/member/src/probing.rs
+++ b/crates/member/src/probing.rs
@@ -15,34 +15,28 @@
 /// How often members are probed.
 const PROBE_MS: u64 = 1_000;
 
-/// How long a direct or an indirect probe may take.
-const TIMEOUT_MS: u64 = 500;
-
 /// How many members one probe per round stands for.
 ///
 /// Authority evidence needs acknowledgements of more than half of the region within 11 s, so larger regions probe more
 /// members a second: half of any region is reached within 8 s.
 const MEMBERS_PER_PROBE: usize = 16;
 
-/// How many members probe a silent one on behalf of this host.
-const HELPERS: usize = 2;
-
 /// One in so many probes goes to a dead member or a seed, to notice the end of a split.
 const LOST_PROBE_ONE_IN: u32 = 5;
 
 #[derive(Clone, Debug)]
-struct Outstanding {
+pub(crate) struct Outstanding {
     /// Empty for a seed.
-    target: Arc<str>,
-    sent_at: MonoMs,
-    indirect: bool,
-    for_other: Option<(Arc<str>, u64)>,
+    pub(crate) target: Arc<str>,
+    pub(crate) sent_at: MonoMs,
+    pub(crate) indirect: bool,
+    pub(crate) for_other: Option<(Arc<str>, u64)>,
 }
 
 /// The state of probing.
 #[derive(Debug)]
 pub(crate) struct Probing {
-    outstanding: BTreeMap<u64, Outstanding>,
+    pub(crate) outstanding: BTreeMap<u64, Outstanding>,
     round: Vec<Arc<str>>,
     next_nonce: u64,
     next_at: MonoMs,
@@ -127,7 +121,7 @@
         }
     }
 
-    fn probe(
+    pub(crate) fn probe(
         &mut self,
         target: &Arc<str>,
         for_other: Option<(Arc<str>, u64)>,
@@ -243,20 +237,6 @@
         }
     }
 
-    pub(crate) fn on_indirect_probe(
-        &mut self,
-        asker: &Arc<str>,
-        nonce: u64,
-        target: &Arc<str>,
-        now: MonoMs,
-        wall: WallMs,
-        out: &mut Vec<MemberAction>,
-    ) {
-        if self.members.contains_key(target) {
-            self.probe(target, Some((asker.clone(), nonce)), now, wall, out);
-        }
-    }
-
     pub(crate) fn on_leaving(
         &mut self,
         from: (&Arc<str>, u64),
@@ -274,62 +254,4 @@
             self.apply(update, now, out);
         }
     }
-
-    fn time_out(&mut self, now: MonoMs, out: &mut Vec<MemberAction>) {
-        let due = self.probing.outstanding.iter().filter(|(_, probe)| {
-            let limit_ms = if probe.indirect {
-                2 * TIMEOUT_MS
-            } else {
-                TIMEOUT_MS
-            };
-            now.since_ms(probe.sent_at) >= limit_ms
-        });
-        let due: Vec<(u64, Outstanding)> =
-            due.map(|(nonce, probe)| (*nonce, probe.clone())).collect();
-        for (nonce, probe) in due {
-            let helpers = self.helpers(&probe);
-            if helpers.is_empty() {
-                self.probing.outstanding.remove(&nonce);
-                self.suspect(&probe, now, out);
-                continue;
-            }
-            for helper in helpers {
-                let target = probe.target.clone();
-                self.send_to(&helper, MemberMessage::IndirectProbe { nonce, target }, out);
-            }
-            if let Some(probe) = self.probing.outstanding.get_mut(&nonce) {
-                probe.indirect = true;
-            }
-        }
-    }
-
-    /// Selects members for indirect probes; there are none for a second try, a seed or on behalf of another host.
-    fn helpers(&mut self, probe: &Outstanding) -> Vec<Arc<str>> {
-        if probe.indirect || probe.target.is_empty() || probe.for_other.is_some() {
-            return Vec::new();
-        }
-        let alive: Vec<Arc<str>> = self
-            .members()
-            .filter(|update| update.state <= MemberState::Leaving && update.host != probe.target)
-            .map(|update| update.host.clone())
-            .collect();
-        let chosen = alive.choose_multiple(&mut self.rng, HELPERS);
-        chosen.cloned().collect()
-    }
-
-    fn suspect(&mut self, probe: &Outstanding, now: MonoMs, out: &mut Vec<MemberAction>) {
-        if probe.for_other.is_some() {
-            return;
-        }
-        let Some(member) = self.members.get(&probe.target) else {
-            return;
-        };
-        if member.update.state <= MemberState::Leaving {
-            let update = Update {
-                state: MemberState::Suspect,
-                ..member.update.clone()
-            };
-            self.apply(update, now, out);
-        }
-    }
 }
--- /dev/null
+++ b/crates/member/src/suspicion.rs
@@ -0,0 +1,92 @@
+//! Probes without an answer: indirect probes and suspicion.
+
+use std::sync::Arc;
+
+use lw_base::{MonoMs, WallMs};
+use rand::seq::IndexedRandom;
+
+use crate::action::MemberAction;
+use crate::membership::Membership;
+use crate::message::MemberMessage;
+use crate::probing::Outstanding;
+use crate::update::{MemberState, Update};
+
+/// How long a direct or an indirect probe may take.
+const TIMEOUT_MS: u64 = 500;
+
+/// How many members probe a silent one on behalf of this host.
+const HELPERS: usize = 2;
+
+impl Membership {
+    pub(crate) fn on_indirect_probe(
+        &mut self,
+        asker: &Arc<str>,
+        nonce: u64,
+        target: &Arc<str>,
+        now: MonoMs,
+        wall: WallMs,
+        out: &mut Vec<MemberAction>,
+    ) {
+        if self.members.contains_key(target) {
+            self.probe(target, Some((asker.clone(), nonce)), now, wall, out);
+        }
+    }
+
+    pub(crate) fn time_out(&mut self, now: MonoMs, out: &mut Vec<MemberAction>) {
+        let due = self.probing.outstanding.iter().filter(|(_, probe)| {
+            let limit_ms = if probe.indirect {
+                2 * TIMEOUT_MS
+            } else {
+                TIMEOUT_MS
+            };
+            now.since_ms(probe.sent_at) >= limit_ms
+        });
+        let due: Vec<(u64, Outstanding)> =
+            due.map(|(nonce, probe)| (*nonce, probe.clone())).collect();
+        for (nonce, probe) in due {
+            let helpers = self.helpers(&probe);
+            if helpers.is_empty() {
+                self.probing.outstanding.remove(&nonce);
+                self.suspect(&probe, now, out);
+                continue;
+            }
+            for helper in helpers {
+                let target = probe.target.clone();
+                self.send_to(&helper, MemberMessage::IndirectProbe { nonce, target }, out);
+            }
+            if let Some(probe) = self.probing.outstanding.get_mut(&nonce) {
+                probe.indirect = true;
+            }
+        }
+    }
+
+    /// Selects members for indirect probes; there are none for a second try, a seed or on behalf of another host.
+    fn helpers(&mut self, probe: &Outstanding) -> Vec<Arc<str>> {
+        if probe.indirect || probe.target.is_empty() || probe.for_other.is_some() {
+            return Vec::new();
+        }
+        let alive: Vec<Arc<str>> = self
+            .members()
+            .filter(|update| update.state <= MemberState::Leaving && update.host != probe.target)
+            .map(|update| update.host.clone())
+            .collect();
+        let chosen = alive.choose_multiple(&mut self.rng, HELPERS);
+        chosen.cloned().collect()
+    }
+
+    fn suspect(&mut self, probe: &Outstanding, now: MonoMs, out: &mut Vec<MemberAction>) {
+        if probe.for_other.is_some() {
+            return;
+        }
+        let Some(member) = self.members.get(&probe.target) else {
+            return;
+        };
+        if member.update.state <= MemberState::Leaving {
+            let update = Update {
+                state: MemberState::Suspect,
+                ..member.update.clone()
+            };
+            self.apply(update, now, out);
+        }
+    }
+}
--- a/crates/peer/src/nng_network.rs
+++ b/crates/peer/src/nng_network.rs
@@ -7,7 +7,9 @@
 
 use bytes::Bytes;
 use lw_base::FastMap;
-use nng::options::{Options, RecvMaxSize, RecvTimeout, SendBufferSize};
+use nng::options::{
+    Options, ReconnectMaxTime, ReconnectMinTime, RecvMaxSize, RecvTimeout, SendBufferSize,
+};
 use nng::{Error, Protocol, Socket};
 use parking_lot::Mutex;
 
@@ -17,6 +19,12 @@
 /// Frames that wait for one peer; a peer that is away for longer gets newer state by the protocols' own repeats.
 const QUEUE_FRAMES: i32 = 256;
 
+/// The first pause before another connection attempt to a peer; it doubles up to [`RECONNECT_MAX`].
+const RECONNECT_MIN: Duration = Duration::from_millis(100);
+
+/// The longest pause between connection attempts: a restarted peer answers within the time of a suspicion.
+const RECONNECT_MAX: Duration = Duration::from_secs(2);
+
 /// How often the receiving thread looks whether it shall end.
 const POLL_MS: u64 = 200;
 
@@ -147,6 +155,8 @@
 fn dial(address: &str) -> Result<Socket, Error> {
     let socket = Socket::new(Protocol::Push0)?;
     socket.set_opt::<SendBufferSize>(QUEUE_FRAMES)?;
+    socket.set_opt::<ReconnectMinTime>(Some(RECONNECT_MIN))?;
+    socket.set_opt::<ReconnectMaxTime>(Some(RECONNECT_MAX))?;
     socket.dial_async(&format!("tcp://{address}"))?;
     Ok(socket)
 }
