gate, daemon: serve callers over xitca-web and targets over hyper-util

Cause: hosts had no HTTP side. Change: listeners that close while connections go on, intake with one table of errors, admission per service, attempts with ids, deadlines and cancellation, held and streamed bodies with back-pressure, resume of cut streams, forwarding to other regions with an authenticated peer listener, the admin listener, settings, drain and exit codes. Requests that must not run twice are refused until their records exist. Conclusion: a lookup reaches its target and its whole response the caller.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,22 @@
 //! The daemon as a library, so that the demo embeds it.
+
+mod arguments;
+mod daemon;
+mod exit;
+mod listeners;
+mod logs;
+mod main_exit;
+mod run;
+mod settings;
+mod settings_error;
+mod start_error;
+
+pub use arguments::Arguments;
+pub use daemon::{Addresses, Daemon};
+pub use exit::Exit;
+pub use logs::start_logs;
+pub use main_exit::main_exit;
+pub use run::run;
+pub use settings::{ListenSettings, OperatorSettings, PlatformSettings, Settings};
+pub use settings_error::SettingsError;
+pub use start_error::StartError;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,7 @@
 //! The binary `lacewingstiled`.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    ExitCode::from(lw_daemon::main_exit().code())
+}
--- /dev/null
+++ b/crates/daemon/src/main_exit.rs
@@ -0,0 +1,82 @@
+//! The process around the daemon.
+
+use std::path::Path;
+
+use gumdrop::Options;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+
+use crate::arguments::Arguments;
+use crate::exit::Exit;
+use crate::logs::start_logs;
+use crate::run::run;
+use crate::settings::{Settings, level_of};
+
+/// Reads the arguments, runs the daemon until SIGTERM or SIGINT and returns how it ended.
+#[must_use]
+pub fn main_exit() -> Exit {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let arguments = match Arguments::parse_args_default(&words) {
+        Ok(arguments) => arguments,
+        Err(error) => return usage(&error.to_string()),
+    };
+    if arguments.help {
+        println!(
+            "Usage: lacewingstiled --settings FILE [--check]\n\n{}",
+            Arguments::usage()
+        );
+        return Exit::Ok;
+    }
+    let Some(path) = &arguments.settings else {
+        return usage("--settings FILE is missing");
+    };
+    match Settings::read(path) {
+        Err(error) => usage(&error.to_string()),
+        Ok(_) if arguments.check => {
+            println!("{}: ok", path.display());
+            Exit::Ok
+        }
+        Ok(settings) => serve(path, settings),
+    }
+}
+
+fn usage(message: &str) -> Exit {
+    eprintln!("lacewingstiled: {message}");
+    Exit::Usage
+}
+
+fn serve(path: &Path, settings: Settings) -> Exit {
+    start_logs(level_of(&settings.log_level).unwrap_or(log::LevelFilter::Info));
+    log::info!("daemon: settings read from {}", path.display());
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            log::error!("daemon: cannot start the runtime: {error}");
+            return Exit::Failed;
+        }
+    };
+    runtime.block_on(async {
+        let stop = CancellationToken::new();
+        match stop_on_signals(stop.clone()) {
+            Ok(()) => run(settings, stop).await,
+            Err(error) => {
+                log::error!("daemon: cannot wait for signals: {error}");
+                Exit::Failed
+            }
+        }
+    })
+}
+
+fn stop_on_signals(stop: CancellationToken) -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::spawn(async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        log::info!("daemon: received a stop signal");
+        stop.cancel();
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/settings.rs
@@ -0,0 +1,200 @@
+//! The settings of the daemon.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use lw_doc::{Digest, parse_json};
+use lw_gate::Operator;
+use serde::Deserialize;
+
+use crate::settings_error::SettingsError;
+
+/// The settings of one host.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The name of the host.
+    pub host: String,
+    /// The region.
+    pub region: String,
+    /// The availability zone.
+    pub zone: String,
+    /// The addresses to listen on.
+    pub listen: ListenSettings,
+    /// The addresses of the platform services.
+    #[serde(default)]
+    pub platform: PlatformSettings,
+    /// A document for a host without a key-value service.
+    #[serde(default)]
+    pub document_file: Option<String>,
+    /// The key that authenticates hosts to each other.
+    pub peer_key: String,
+    /// The operators who may use the admin listener.
+    #[serde(default)]
+    pub operators: Vec<OperatorSettings>,
+    /// Peer addresses of hosts of the same region, to join by.
+    #[serde(default)]
+    pub seeds: Vec<String>,
+    /// The lowest level that is logged: error, warn, info, debug or trace.
+    #[serde(default = "default_log_level")]
+    pub log_level: String,
+    /// The longest time that a planned stop waits for requests in flight, in milliseconds.
+    #[serde(default = "default_drain_limit_ms")]
+    pub drain_limit_ms: u64,
+    /// The time that a planned stop gives callers to move to other hosts, in milliseconds.
+    #[serde(default = "default_move_ms")]
+    pub move_ms: u64,
+    /// The threads of the listener for callers.
+    #[serde(default = "default_worker_threads")]
+    pub worker_threads: usize,
+}
+
+/// The addresses to listen on; port 0 picks a free port.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListenSettings {
+    /// HTTP for callers.
+    pub callers: SocketAddr,
+    /// HTTP for other hosts.
+    pub peers: SocketAddr,
+    /// Messages of other hosts.
+    pub nng: SocketAddr,
+    /// HTTP for operators and probes.
+    pub admin: SocketAddr,
+}
+
+/// The addresses of the platform services; a missing one is not used.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// The key-value service.
+    #[serde(default)]
+    pub key_value: Option<String>,
+    /// The host list.
+    #[serde(default)]
+    pub host_list: Option<String>,
+    /// The directory for clients.
+    #[serde(default)]
+    pub directory: Option<String>,
+    /// The weight store.
+    #[serde(default)]
+    pub weights: Option<String>,
+}
+
+/// An operator.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OperatorSettings {
+    /// The name.
+    pub name: String,
+    /// The SHA-256 digest of the bearer token in hex.
+    pub token_digest: String,
+}
+
+fn default_log_level() -> String {
+    "info".to_owned()
+}
+
+fn default_drain_limit_ms() -> u64 {
+    660_000
+}
+
+fn default_move_ms() -> u64 {
+    2_000
+}
+
+fn default_worker_threads() -> usize {
+    2
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first fault with file, place and fix.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|error| SettingsError::Unreadable {
+            file: file.clone(),
+            error: error.to_string(),
+        })?;
+        Self::parse(&file, &text)
+    }
+
+    /// Reads and checks settings; `file` names the text in errors.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first fault with file, place and fix.
+    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
+        let settings: Self = parse_json(file, text)?;
+        settings.check(file)?;
+        Ok(settings)
+    }
+
+    fn check(&self, file: &str) -> Result<(), SettingsError> {
+        let fault = |field: &'static str, message: &str| SettingsError::Invalid {
+            file: file.to_owned(),
+            field: field.to_owned(),
+            message: message.to_owned(),
+        };
+        for (field, value) in [
+            ("host", &self.host),
+            ("region", &self.region),
+            ("zone", &self.zone),
+        ] {
+            if value.is_empty() {
+                return Err(fault(field, "is empty; give a name"));
+            }
+        }
+        if self.peer_key.len() < 16 {
+            return Err(fault(
+                "peer_key",
+                "is shorter than 16 characters; use a longer key",
+            ));
+        }
+        if self.platform.key_value.is_none() && self.document_file.is_none() {
+            let message =
+                "is missing; give platform.key_value, or document_file for a host of its own";
+            return Err(fault("platform.key_value", message));
+        }
+        if level_of(&self.log_level).is_none() {
+            return Err(fault(
+                "log_level",
+                "is unknown; use error, warn, info, debug or trace",
+            ));
+        }
+        self.operators()
+            .map(drop)
+            .map_err(|name| SettingsError::Invalid {
+                file: file.to_owned(),
+                field: format!("operators.{name}.token_digest"),
+                message: "is not a SHA-256 digest; give 64 hex digits".to_owned(),
+            })
+    }
+
+    /// Returns the operators, or the name of the first one with a malformed digest.
+    pub(crate) fn operators(&self) -> Result<Vec<Operator>, String> {
+        let operators = self.operators.iter().map(|entry| {
+            let digest = Digest::from_hex(&entry.token_digest).ok_or_else(|| entry.name.clone())?;
+            Ok(Operator {
+                name: entry.name.clone(),
+                token_digest: digest.0,
+            })
+        });
+        operators.collect()
+    }
+}
+
+/// Returns the level with the given name.
+pub(crate) fn level_of(name: &str) -> Option<log::LevelFilter> {
+    match name {
+        "error" => Some(log::LevelFilter::Error),
+        "warn" => Some(log::LevelFilter::Warn),
+        "info" => Some(log::LevelFilter::Info),
+        "debug" => Some(log::LevelFilter::Debug),
+        "trace" => Some(log::LevelFilter::Trace),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/support/mod.rs
@@ -0,0 +1,180 @@
+//! A host with a document file, and a client.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use lw_daemon::{Daemon, Exit, Settings};
+
+pub(crate) type TestClient = Client<HttpConnector, Full<Bytes>>;
+
+/// The bearer token of the operator in the settings, and its digest.
+pub(crate) const OPERATOR_TOKEN: &str = "operator-token";
+const OPERATOR_DIGEST: &str = "0850123315d21ab90f4f7236408a52ef6dbd6a02a6550e5c10dc73f4d993680e";
+
+static NEXT_FILE: AtomicU32 = AtomicU32::new(0);
+
+pub(crate) fn local() -> SocketAddr {
+    "127.0.0.1:0".parse().unwrap()
+}
+
+/// Builds a document with plain services and model services, each with one target.
+pub(crate) fn document(
+    plain: &[(&str, SocketAddr)],
+    models: &[(&str, SocketAddr)],
+) -> serde_json::Value {
+    let mut document = serde_json::json!({
+        "format": 1,
+        "regions": {"east": {"zones": ["east-1"]}, "west": {"zones": ["west-1"]}},
+        "services": {}, "targets": {},
+        "customers": {
+            "bound-west": {"home_region": "west"},
+            "with-key": {"key_digest": "5e884898da28047151d0e56f8dc6292773603d0d6aabbdd62a11ef721d1542d8"},
+            "limited": {"requests_per_s": 1.0},
+        },
+    });
+    for (name, address) in plain {
+        document["services"][name] = serde_json::json!({
+            "kind": "plain", "priority": "lookup", "regions": ["east"], "deadline_ms": 5000,
+            "non_idempotent_methods": ["POST", "PATCH"],
+        });
+        add_target(&mut document, &format!("{name}-1"), name, *address);
+    }
+    for (name, address) in models {
+        document["services"][name] = serde_json::json!({
+            "kind": "model", "priority": "interactive", "regions": ["east"], "deadline_ms": 5000,
+            "non_idempotent_methods": [],
+        });
+        add_target(&mut document, &format!("{name}-1"), name, *address);
+    }
+    document
+}
+
+/// Adds a target that resumes streams.
+pub(crate) fn add_target(
+    document: &mut serde_json::Value,
+    name: &str,
+    service: &str,
+    address: SocketAddr,
+) {
+    document["targets"][name] = serde_json::json!({
+        "service": service, "zone": "east-1", "address": address.to_string(), "resume": true,
+    });
+}
+
+pub(crate) struct TestHost {
+    pub(crate) daemon: Daemon,
+    pub(crate) client: TestClient,
+}
+
+pub(crate) struct TestReply {
+    pub(crate) status: u16,
+    pub(crate) headers: HeaderMap,
+    /// The body, or `None` when it was aborted.
+    pub(crate) body: Option<Bytes>,
+}
+
+impl TestReply {
+    pub(crate) fn header(&self, name: &str) -> &str {
+        self.headers
+            .get(name)
+            .map_or("", |value| value.to_str().unwrap())
+    }
+
+    pub(crate) fn text(&self) -> String {
+        String::from_utf8_lossy(self.body.as_ref().expect("the body is whole")).into_owned()
+    }
+}
+
+/// Returns settings for a host with the document in a file.
+pub(crate) fn settings(document: &serde_json::Value) -> Settings {
+    let number = NEXT_FILE.fetch_add(1, Ordering::Relaxed);
+    let name = format!("lw-daemon-test-{}-{number}.json", std::process::id());
+    let file = std::env::temp_dir().join(name);
+    std::fs::write(&file, document.to_string()).unwrap();
+    let text = serde_json::json!({
+        "host": "host-1", "region": "east", "zone": "east-1",
+        "listen": {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0", "nng": "127.0.0.1:0", "admin": "127.0.0.1:0"},
+        "document_file": file,
+        "peer_key": "a key of the test hosts",
+        "operators": [{"name": "test", "token_digest": OPERATOR_DIGEST}],
+        "move_ms": 50, "drain_limit_ms": 5000,
+    });
+    Settings::parse("test settings", &text.to_string()).unwrap()
+}
+
+impl TestHost {
+    pub(crate) async fn start(document: &serde_json::Value) -> Self {
+        Self::start_with(settings(document)).await
+    }
+
+    pub(crate) async fn start_with(settings: Settings) -> Self {
+        Self {
+            daemon: Daemon::start(settings).await.unwrap(),
+            client: Client::builder(TokioExecutor::new()).build_http(),
+        }
+    }
+
+    pub(crate) async fn get(&self, path: &str) -> TestReply {
+        self.send(Method::GET, path, &[], "").await
+    }
+
+    pub(crate) async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> TestReply {
+        send(
+            &self.client,
+            self.daemon.addresses().callers,
+            method,
+            path,
+            headers,
+            body,
+        )
+        .await
+    }
+
+    pub(crate) async fn drain(self) {
+        assert_eq!(self.daemon.drain().await, Exit::Ok);
+    }
+}
+
+pub(crate) async fn send(
+    client: &TestClient,
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> TestReply {
+    let mut request = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"));
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request
+        .body(Full::new(Bytes::from(body.to_owned())))
+        .unwrap();
+    let response = client.request(request).await.unwrap();
+    let (head, body) = response.into_parts();
+    TestReply {
+        status: head.status.as_u16(),
+        headers: head.headers,
+        body: body
+            .collect()
+            .await
+            .ok()
+            .map(http_body_util::Collected::to_bytes),
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/thin_path.rs
@@ -0,0 +1,26 @@
+//! A host with a document file serves a request.
+
+mod support;
+
+use lw_stand::PlainStand;
+use support::{TestHost, document, local};
+
+/// Guards against a daemon that starts but passes no request on.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lookup_reaches_its_target() {
+    let stand = PlainStand::default();
+    let target = stand.start(local()).await.unwrap();
+    let host = TestHost::start(&document(&[("portal", target.address())], &[])).await;
+
+    let reply = host.get("/s/portal/orders/7?full=1").await;
+
+    assert_eq!(reply.status, 200);
+    assert_eq!(reply.header("lacewingstile-outcome"), "complete");
+    assert!(
+        reply.text().contains("/orders/7?full=1"),
+        "{}",
+        reply.text()
+    );
+    assert_eq!(stand.lookups(), 1);
+    host.drain().await;
+}
--- a/crates/flow/src/attempt_failure.rs
+++ b/crates/flow/src/attempt_failure.rs
@@ -17,6 +17,13 @@
     CrossedAnswer,
     /// The deadline passed after the request was sent.
     DeadlineAfterSend,
+    /// Another host of the gateway answered with an error.
+    Reported {
+        /// The error kind that it gave.
+        kind: ErrorKind,
+        /// The outcome that it gave.
+        outcome: Outcome,
+    },
 }
 
 impl AttemptFailure {
@@ -29,12 +36,16 @@
             Self::AnswerLost => ErrorKind::AnswerLost,
             Self::AnswerIncomplete | Self::CrossedAnswer => ErrorKind::AnswerIncomplete,
             Self::DeadlineAfterSend => ErrorKind::DeadlineAfterSend,
+            Self::Reported { kind, .. } => kind,
         }
     }
 
     /// Returns what is known about the work of the attempt.
     #[must_use]
     pub fn outcome(self) -> Outcome {
-        answer_for(self.kind()).outcome
+        match self {
+            Self::Reported { outcome, .. } => outcome,
+            _ => answer_for(self.kind()).outcome,
+        }
     }
 }
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -17,7 +17,7 @@
 pub use body_length::BodyLength;
 pub use ending::Ending;
 pub use request_flow::RequestFlow;
-pub use resume::{ResumeDecision, ResumeFacts, decide_resume};
+pub use resume::{CutStream, ResumeDecision, ResumeFacts, decide_resume};
 pub use retry::{MAX_ATTEMPTS, RetryDecision, RetryFacts, decide_retry};
 pub use stage::Stage;
 pub use stream_fault::StreamFault;
--- a/crates/flow/src/request_flow.rs
+++ b/crates/flow/src/request_flow.rs
@@ -5,6 +5,7 @@
 
 use crate::attempt_failure::AttemptFailure;
 use crate::ending::Ending;
+use crate::resume::{CutStream, ResumeDecision, ResumeFacts, decide_resume};
 use crate::retry::{RetryDecision, RetryFacts, decide_retry};
 use crate::stage::Stage;
 
@@ -123,16 +124,36 @@
         decision
     }
 
-    /// Records that the current attempt may have run, without deciding on a retry.
-    pub fn note_failure(&mut self, failure: AttemptFailure) {
-        if failure.outcome() == Outcome::Unknown {
-            self.may_have_run.get_or_insert(failure.kind());
+    /// Records that the stream of an attempt was cut after a part of it reached the caller, and decides on a resume.
+    pub fn stream_cut(
+        &mut self,
+        attempt: AttemptId,
+        cut: CutStream,
+        now: MonoMs,
+        take_budget: impl FnOnce() -> bool,
+    ) -> ResumeDecision {
+        if !self.is_current(attempt) {
+            return ResumeDecision::Abort;
         }
+        self.note_failure(AttemptFailure::AnswerIncomplete);
+        let facts = ResumeFacts {
+            engine_resumes: cut.engine_resumes,
+            idempotent: self.idempotent,
+            attempts: self.attempts,
+            tokens: cut.tokens,
+            remaining_ms: self.remaining_ms(now),
+        };
+        let decision = decide_resume(facts, take_budget);
+        if decision != ResumeDecision::Abort {
+            self.stage = Stage::Queued;
+        }
+        decision
     }
 
-    /// Records that the request was handed to another host whose answer said that it may have run.
-    pub fn note_unknown(&mut self, kind: ErrorKind) {
-        self.may_have_run.get_or_insert(kind);
+    fn note_failure(&mut self, failure: AttemptFailure) {
+        if failure.outcome() == Outcome::Unknown {
+            self.may_have_run.get_or_insert(failure.kind());
+        }
     }
 
     /// Returns the kind for a request whose deadline passed now.
--- a/crates/flow/src/resume.rs
+++ b/crates/flow/src/resume.rs
@@ -2,6 +2,15 @@
 
 use crate::retry::MAX_ATTEMPTS;
 
+/// A stream that was cut, as far as its connection knows it.
+#[derive(Clone, Copy, Debug)]
+pub struct CutStream {
+    /// Whether the engines of the service resume a stream from a given token.
+    pub engine_resumes: bool,
+    /// The tokens that the caller has received.
+    pub tokens: u64,
+}
+
 /// What the decision on a resume depends on.
 #[derive(Clone, Copy, Debug)]
 pub struct ResumeFacts {
--- a/crates/flow/src/stream_tracker.rs
+++ b/crates/flow/src/stream_tracker.rs
@@ -18,6 +18,7 @@
     partial: BytesMut,
     tokens: u64,
     done: bool,
+    error_seen: bool,
 }
 
 impl StreamTracker {
@@ -47,6 +48,12 @@
         self.done
     }
 
+    /// Returns true when an error event was seen.
+    #[must_use]
+    pub fn has_error(&self) -> bool {
+        self.error_seen
+    }
+
     /// Forgets a partial event, before the stream goes on from another engine.
     pub fn restart(&mut self) {
         self.partial.clear();
@@ -63,28 +70,36 @@
         self.partial.split_to(end).freeze()
     }
 
-    /// Counts whole events; an event without data, such as a comment, is no token.
+    /// Counts whole events; an error event and an event without data, such as a comment, are no tokens.
     fn count(&mut self, events: &[u8]) -> Result<(), StreamFault> {
         let mut event_data: Option<&[u8]> = None;
+        let mut is_error = false;
         for line in events.split(|byte| *byte == b'\n') {
             let line = line.strip_suffix(b"\r").unwrap_or(line);
             if let Some(data) = line.strip_prefix(b"data:") {
                 event_data.get_or_insert(data.trim_ascii());
             }
-            if line.is_empty()
-                && let Some(data) = event_data.take()
-            {
-                self.count_event(data)?;
+            if let Some(name) = line.strip_prefix(b"event:") {
+                is_error = name.trim_ascii() == b"error";
+            }
+            if !line.is_empty() {
+                continue;
+            }
+            let is_error = std::mem::take(&mut is_error);
+            if let Some(data) = event_data.take() {
+                self.count_event(data, is_error)?;
             }
         }
         Ok(())
     }
 
-    fn count_event(&mut self, data: &[u8]) -> Result<(), StreamFault> {
+    fn count_event(&mut self, data: &[u8], is_error: bool) -> Result<(), StreamFault> {
         if self.done {
             return Err(StreamFault::AfterEnd);
         }
-        if data == END_MARKER {
+        if is_error {
+            self.error_seen = true;
+        } else if data == END_MARKER {
             self.done = true;
         } else {
             self.tokens += 1;
--- a/crates/flow/tests/streams.rs
+++ b/crates/flow/tests/streams.rs
@@ -23,6 +23,8 @@
     passed: ": keep-alive\n\ndata: [DONE]\n\n", tokens: 0, done: true } ; "comment and split marker")]
 #[test_case(StreamCase { chunks: &["data: a\ndata: b\n\n"],
     passed: "data: a\ndata: b\n\n", tokens: 1, done: false } ; "two data lines are one event")]
+#[test_case(StreamCase { chunks: &["event: error\ndata: {}\n\ndata: a\n\n"],
+    passed: "event: error\ndata: {}\n\ndata: a\n\n", tokens: 1, done: false } ; "an error is no token")]
 #[test_case(StreamCase { chunks: &["data: say [DONE]\n\n"],
     passed: "data: say [DONE]\n\n", tokens: 1, done: false } ; "marker inside a text")]
 fn streams(case: StreamCase) {
--- /dev/null
+++ b/crates/gate/src/caller_service.rs
@@ -0,0 +1,95 @@
+//! The listener for callers.
+
+use std::sync::Arc;
+
+use http::header::{CONNECTION, CONTENT_TYPE};
+use http::{HeaderValue, Method, StatusCode};
+use lw_base::prelude::*;
+use serde::Serialize;
+
+use crate::entry_host::EntryHost;
+use crate::exchange::Exchange;
+use crate::gate::Gate;
+use crate::header_names::LEAVING;
+use crate::incoming::Incoming;
+use crate::problem::Problem;
+use crate::query_string::query_value;
+use crate::reply::Reply;
+use crate::server::Handler;
+
+/// The path of the list of entry hosts.
+const ENTRY_HOSTS_PATH: &str = "/v1/entry-hosts";
+
+#[derive(Serialize)]
+struct EntryHosts<'a> {
+    region: &'a str,
+    hosts: Vec<EntryHost>,
+    revision: u64,
+}
+
+impl Gate {
+    /// Returns the handler of the listener for callers.
+    #[must_use]
+    pub fn caller_handler(self: &Arc<Self>) -> Handler {
+        let gate = self.clone();
+        Arc::new(move |incoming| {
+            let gate = gate.clone();
+            Box::pin(async move { gate.serve_caller(incoming).await })
+        })
+    }
+
+    async fn serve_caller(self: Arc<Self>, incoming: Incoming) -> Reply {
+        let state = self.state.clone();
+        let mut reply = self.route_caller(incoming).await;
+        if state.is_leaving() {
+            let headers = &mut reply.headers;
+            headers.insert(LEAVING, HeaderValue::from_static("true"));
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        reply
+    }
+
+    async fn route_caller(self: Arc<Self>, incoming: Incoming) -> Reply {
+        if incoming.method == Method::GET && incoming.uri.path() == ENTRY_HOSTS_PATH {
+            return self.entry_hosts(&incoming);
+        }
+        match self.intake(&incoming) {
+            Ok(ask) => Exchange::new(self, ask).serve().await,
+            Err(problem) => self.rejected(&problem),
+        }
+    }
+
+    /// Counts and answers a request that is not accepted.
+    pub(crate) fn rejected(&self, problem: &Problem) -> Reply {
+        self.metrics.rejected(problem.kind);
+        problem.reply()
+    }
+
+    fn entry_hosts(&self, incoming: &Incoming) -> Reply {
+        let query = incoming.uri.query().unwrap_or("");
+        let region = query_value(query, "region");
+        let region = region.unwrap_or_else(|| self.identity.region.to_string());
+        let zone = query_value(query, "zone").unwrap_or_else(|| self.identity.zone.to_string());
+        let mut hosts = (self.hosts.entry_hosts)(&region);
+        hosts.sort_by_key(|host| (host.leaving, host.zone != zone));
+        let view = self.router.view();
+        if view.fleet().regions.key(&region).is_none() {
+            let message = format!("no region has the name {region:?}");
+            return self.rejected(&Problem::new(ErrorKind::BadRequest, message));
+        }
+        json_reply(&EntryHosts {
+            region: &region,
+            hosts,
+            revision: view.fleet().revision,
+        })
+    }
+}
+
+/// Builds a response with a JSON body.
+pub(crate) fn json_reply(body: &impl Serialize) -> Reply {
+    let json = serde_json::to_vec(body).unwrap_or_default();
+    let mut reply = Reply::whole(StatusCode::OK, json);
+    let value = HeaderValue::from_static("application/json");
+    reply.headers.insert(CONTENT_TYPE, value);
+    reply
+}
--- /dev/null
+++ b/crates/gate/src/error_reply.rs
@@ -0,0 +1,88 @@
+//! Responses that carry an error of the closed list.
+
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderValue, StatusCode};
+use lw_base::prelude::*;
+use lw_base::{RetryAdvice, answer_for};
+use lw_flow::Ending;
+use serde::Serialize;
+
+use crate::header_names::{ERROR, OUTCOME};
+use crate::reply::Reply;
+
+/// The error object of a response body.
+#[derive(Serialize)]
+struct ErrorObject<'a> {
+    kind: &'a str,
+    outcome: &'a str,
+    message: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+    #[serde(skip_serializing_if = "<[String]>::is_empty")]
+    entry_hosts: &'a [String],
+}
+
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    error: ErrorObject<'a>,
+}
+
+/// What a response says beyond the row of the answer table.
+#[derive(Clone, Debug, Default)]
+pub struct ErrorDetail {
+    /// What exactly is wrong, instead of the sentence of the table.
+    pub message: Option<String>,
+    /// When to try again, instead of the time of the table.
+    pub retry_after_ms: Option<u64>,
+    /// Entry hosts that the caller should use.
+    pub entry_hosts: Vec<String>,
+}
+
+/// Builds the response for an error kind from the answer table.
+#[must_use]
+pub fn error_reply(kind: ErrorKind) -> Reply {
+    ending_reply(Ending::rejected(kind), &ErrorDetail::default())
+}
+
+/// Builds the response for the end of a request without a complete answer.
+#[must_use]
+pub fn ending_reply(ending: Ending, detail: &ErrorDetail) -> Reply {
+    let kind = ending.kind.unwrap_or(ErrorKind::Internal);
+    let answer = answer_for(kind);
+    let retry_after_ms = retry_after_ms(answer.retry, detail);
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut reply = Reply::whole(status, error_json(kind, ending.outcome, detail));
+    let headers = &mut reply.headers;
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(ERROR, HeaderValue::from_static(kind.as_str()));
+    headers.insert(OUTCOME, HeaderValue::from_static(ending.outcome.as_str()));
+    if let Some(wait_ms) = retry_after_ms {
+        headers.insert(
+            RETRY_AFTER,
+            HeaderValue::from(wait_ms.div_ceil(1_000).max(1)),
+        );
+    }
+    reply
+}
+
+/// Returns the JSON text of an error, as bodies and error events carry it.
+pub(crate) fn error_json(kind: ErrorKind, outcome: Outcome, detail: &ErrorDetail) -> Vec<u8> {
+    let answer = answer_for(kind);
+    let body = ErrorBody {
+        error: ErrorObject {
+            kind: kind.as_str(),
+            outcome: outcome.as_str(),
+            message: detail.message.as_deref().unwrap_or(answer.message),
+            retry_after_ms: retry_after_ms(answer.retry, detail),
+            entry_hosts: &detail.entry_hosts,
+        },
+    };
+    serde_json::to_vec(&body).unwrap_or_default()
+}
+
+fn retry_after_ms(advice: RetryAdvice, detail: &ErrorDetail) -> Option<u64> {
+    match advice {
+        RetryAdvice::AfterMs(wait_ms) => Some(detail.retry_after_ms.unwrap_or(wait_ms)),
+        RetryAdvice::Never | RetryAdvice::OtherHost => None,
+    }
+}
--- /dev/null
+++ b/crates/gate/src/exchange.rs
@@ -0,0 +1,320 @@
+//! One accepted request on its way to a complete answer or a rejection.
+
+use std::sync::Arc;
+
+use lw_admit::Offer;
+use lw_base::prelude::*;
+use lw_base::violate;
+use lw_flow::{AttemptFailure, Ending, RequestFlow, RetryDecision};
+use lw_route::{AttemptEnd, Decision, LocalDecision, Query, Refusal, RegionSet, RouteView};
+
+use crate::answer::Source;
+use crate::ask::Ask;
+use crate::error_reply::{ErrorDetail, ending_reply};
+use crate::gate::Gate;
+use crate::gate_state::InFlightGuard;
+use crate::header_names::REQUEST_ID;
+use crate::headers::value_of;
+use crate::reply::Reply;
+use crate::service_door::{Entry, ServiceDoor, Slot};
+
+/// How a request of an idempotency key ended, for its record.
+#[derive(Clone, Debug)]
+#[allow(dead_code)]
+pub(crate) struct RunEnd {
+    pub(crate) ending: Ending,
+    /// Status, content type and body of a whole answer.
+    pub(crate) kept: Option<(u16, String, bytes::Bytes)>,
+}
+
+/// Called once with the end of a run.
+pub(crate) type OnEnd = Box<dyn FnOnce(RunEnd) + Send + Sync>;
+
+/// One accepted request. It owns the lifecycle, the slot of the service and the attempts.
+pub(crate) struct Exchange {
+    pub(crate) gate: Arc<Gate>,
+    pub(crate) ask: Ask,
+    pub(crate) flow: RequestFlow,
+    pub(crate) detail: ErrorDetail,
+    pub(crate) door: Option<Arc<ServiceDoor>>,
+    pub(crate) last_failure: Option<AttemptFailure>,
+    pub(crate) on_end: Option<OnEnd>,
+    pub(crate) revision: u64,
+    slot: Option<Slot>,
+    tried: Vec<Arc<str>>,
+    tried_regions: Vec<Arc<str>>,
+    _in_flight: InFlightGuard,
+}
+
+/// Where the next attempt goes.
+pub(crate) enum Place {
+    /// A target of the own region.
+    Target(Arc<RouteView>, TargetKey),
+    /// Another region.
+    Region(Arc<str>),
+}
+
+impl Exchange {
+    /// Starts the lifecycle of a request.
+    pub(crate) fn new(gate: Arc<Gate>, ask: Ask) -> Self {
+        let flow = RequestFlow::accept(ask.id, ask.idempotent, ask.deadline);
+        let in_flight = gate.state.begin();
+        Self {
+            revision: gate.revision(),
+            gate,
+            ask,
+            flow,
+            detail: ErrorDetail::default(),
+            door: None,
+            last_failure: None,
+            on_end: None,
+            slot: None,
+            tried: Vec::new(),
+            tried_regions: Vec::new(),
+            _in_flight: in_flight,
+        }
+    }
+
+    /// Decides where the next attempt goes; waits for a slot of the service when that is this region.
+    ///
+    /// The residency rule is applied again after the wait, with the newest revision.
+    pub(crate) async fn place(&mut self) -> Result<Place, Ending> {
+        loop {
+            let view = self.gate.router.view();
+            let target = match self.decide(&view) {
+                Decision::Target(target) => target,
+                Decision::Region(region) => {
+                    return Ok(Place::Region(view.fleet().regions.name(region).clone()));
+                }
+                Decision::Refuse(refusal) => return Err(self.refuse(refusal)),
+            };
+            if self.slot.is_some() {
+                return Ok(Place::Target(view, target));
+            }
+            self.enter(&view).await?;
+        }
+    }
+
+    fn decide(&mut self, view: &RouteView) -> Decision {
+        self.revision = view.fleet().revision;
+        let Some(service) = view.fleet().services.key(&self.ask.service) else {
+            return Decision::Refuse(Refusal {
+                kind: ErrorKind::UnknownService,
+                regions: RegionSet::EMPTY,
+            });
+        };
+        let door = self
+            .gate
+            .admission
+            .door(view, service, (self.gate.hosts.live_hosts)());
+        let targets = &view.fleet().targets;
+        let tried: Vec<TargetKey> = self
+            .tried
+            .iter()
+            .filter_map(|name| targets.key(name))
+            .collect();
+        let regions = &view.fleet().regions;
+        let mut query = Query::new(service, self.ask.allowed(view.fleet()));
+        query.prefix = self.ask.prefix.map(|(hash, _)| hash);
+        query.prefix_prefill_ms = self.ask.prefix.map_or(0.0, |(_, saved_ms)| saved_ms);
+        query.local_wait_ms = match self.slot {
+            Some(_) => 0.0,
+            None => door.expected_wait_ms(self.ask.class),
+        };
+        query.tried = &tried;
+        query.tried_regions = self
+            .tried_regions
+            .iter()
+            .filter_map(|name| regions.key(name))
+            .collect();
+        self.door = Some(door);
+        let now = self.gate.clock.now();
+        match self.ask.hop {
+            Hop::Caller if self.ask.idempotent => view.decide(now, &query),
+            // A key belongs to its region, so the owner's requests stay in it.
+            Hop::Caller | Hop::Region | Hop::Owner => local(view.decide_forwarded(now, &query)),
+        }
+    }
+
+    /// Waits for a slot of the service.
+    async fn enter(&mut self, view: &RouteView) -> Result<(), Ending> {
+        let Some(door) = self.door.clone() else {
+            return Err(self.end(ErrorKind::Internal));
+        };
+        door.count_request(self.gate.clock.mono());
+        let offer = Offer {
+            class: self.ask.class,
+            bytes: self.ask.body.len() as u64,
+            deadline: self.ask.deadline,
+        };
+        let place = match door.enter(self.gate.clock, offer) {
+            Entry::Slot(slot) => {
+                self.slot = Some(slot);
+                return Ok(());
+            }
+            Entry::Place(place) => place,
+            Entry::Refused {
+                kind,
+                retry_after_ms,
+            } => {
+                self.detail.retry_after_ms = Some(retry_after_ms);
+                log::debug!(
+                    "gate: {} refused at revision {}",
+                    self.ask.service,
+                    view.fleet().revision
+                );
+                return Err(self.end(kind));
+            }
+        };
+        self.flow.queue();
+        let gone = self.ask.gone.clone();
+        tokio::select! {
+            () = gone.cancelled() => Err(self.end(ErrorKind::CallerGone)),
+            waited = place.wait() => match waited {
+                Ok(slot) => {
+                    self.slot = Some(slot);
+                    Ok(())
+                }
+                Err(_) => Err(self.end(ErrorKind::DeadlineBeforeSend)),
+            },
+        }
+    }
+
+    fn refuse(&mut self, refusal: Refusal) -> Ending {
+        self.detail.entry_hosts = self.gate.entry_addresses(refusal.regions.iter());
+        // The failure of the last attempt says more than that no further target is left.
+        match self.last_failure {
+            Some(failure) if refusal.kind == ErrorKind::NoTarget => self.end_failed(failure),
+            _ => self.end(refusal.kind),
+        }
+    }
+
+    /// Handles the failure of an attempt: returns when another one may follow.
+    pub(crate) fn failed(
+        &mut self,
+        attempt: AttemptId,
+        failure: AttemptFailure,
+    ) -> Result<(), Ending> {
+        let now = self.gate.clock.mono();
+        let door = self.door.clone();
+        let take = || door.is_some_and(|door| door.take_retry(now));
+        log::debug!("gate: attempt {attempt} failed: {failure:?}");
+        self.last_failure = Some(failure);
+        match self.flow.attempt_failed(attempt, failure, now, take) {
+            RetryDecision::Retry => {
+                self.gate.metrics.attempt(&self.ask.service, "retry");
+                Ok(())
+            }
+            RetryDecision::GiveUp(ErrorKind::RetryBudgetSpent) => {
+                Err(self.end(ErrorKind::RetryBudgetSpent))
+            }
+            RetryDecision::GiveUp(_) | RetryDecision::Ignore => Err(self.end_failed(failure)),
+        }
+    }
+
+    /// Notes the target of an attempt, so that the next attempt takes another one.
+    pub(crate) fn tried_target(&mut self, name: Arc<str>) {
+        self.tried.push(name);
+    }
+
+    /// Notes the region of an attempt.
+    pub(crate) fn tried_region(&mut self, name: Arc<str>) {
+        self.tried_regions.push(name);
+    }
+
+    /// Counts a violation when a target outside of the allowed regions is about to receive the request.
+    pub(crate) fn check_residency(&self, view: &RouteView, target: TargetKey) -> bool {
+        let region = view.fleet().targets[target].region;
+        self.check_region(view, region)
+    }
+
+    /// Counts a violation when a region that is not allowed is about to receive the request.
+    pub(crate) fn check_region(&self, view: &RouteView, region: RegionKey) -> bool {
+        if self.ask.allowed(view.fleet()).contains(region) {
+            return true;
+        }
+        violate(
+            Invariant::Residency,
+            format_args!("request {} was about to leave its regions", self.ask.id),
+        );
+        false
+    }
+
+    /// Returns the point at which the deadline comes.
+    pub(crate) fn deadline(&self) -> tokio::time::Instant {
+        self.gate.clock.instant(self.ask.deadline)
+    }
+
+    /// Gives up the attempt of `source`, which may still work on it.
+    pub(crate) fn abandon(&self, attempt: AttemptId, source: Source, end: AttemptEnd) {
+        let Source::Target {
+            in_flight,
+            address,
+            cancels,
+            ..
+        } = source
+        else {
+            return;
+        };
+        in_flight.finish(self.gate.clock.mono(), end);
+        if cancels {
+            self.gate.targets.cancel(&address, &attempt.to_string());
+        }
+    }
+
+    /// Ends the request for the reason `kind`.
+    pub(crate) fn end(&mut self, kind: ErrorKind) -> Ending {
+        let ending = self.flow.reject(kind);
+        self.note_end(ending, None);
+        ending
+    }
+
+    /// Ends the request for the failure of its last attempt.
+    pub(crate) fn end_failed(&mut self, failure: AttemptFailure) -> Ending {
+        let ending = match failure {
+            AttemptFailure::Reported { kind, outcome } => self.flow.reject_as(kind, outcome),
+            _ => self.flow.reject(failure.kind()),
+        };
+        self.note_end(ending, None);
+        ending
+    }
+
+    /// Ends the request with the whole answer of `attempt`.
+    pub(crate) fn complete(
+        &mut self,
+        attempt: AttemptId,
+        kept: Option<(u16, String, bytes::Bytes)>,
+    ) {
+        let ending = self.flow.complete(attempt);
+        self.note_end(ending, kept);
+    }
+
+    fn note_end(&mut self, ending: Ending, kept: Option<(u16, String, bytes::Bytes)>) {
+        self.slot = None;
+        self.gate.metrics.ended(&self.ask.service, ending);
+        if let Some(on_end) = self.on_end.take() {
+            on_end(RunEnd { ending, kept });
+        }
+    }
+
+    /// Builds the response for a request without a complete answer.
+    pub(crate) fn rejection(&self, ending: Ending) -> Reply {
+        let mut reply = ending_reply(ending, &self.detail);
+        let id = value_of(&self.ask.id.to_string());
+        reply.headers.insert(REQUEST_ID, id);
+        reply
+    }
+}
+
+fn local(decision: LocalDecision) -> Decision {
+    decision.into()
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        // A process that ends cuts its requests; the callers see broken connections.
+        if self.flow.ending().is_none() && self.gate.state.is_halted() {
+            self.flow.reject(ErrorKind::Internal);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gate/src/gate.rs
@@ -0,0 +1,114 @@
+//! The shared state of the HTTP side of a host.
+
+use std::sync::Arc;
+
+use lw_admit::CustomerLimits;
+use lw_base::prelude::*;
+use lw_route::Router;
+use parking_lot::Mutex;
+
+use crate::admission::Admission;
+use crate::clock::Clock;
+use crate::credentials::Operator;
+use crate::entry_host::HostView;
+use crate::gate_state::GateState;
+use crate::identity::Identity;
+use crate::metrics::GateMetrics;
+use crate::peer_auth::PeerAuth;
+use crate::target_client::TargetClient;
+
+/// What a gate is built from.
+pub struct GateParts {
+    /// The place of the host.
+    pub identity: Identity,
+    /// The clock of the host.
+    pub clock: Clock,
+    /// The routing state, which also holds the configuration that requests are decided on.
+    pub router: Arc<Router>,
+    /// The knowledge about other hosts.
+    pub hosts: HostView,
+    /// The key that authenticates requests between hosts.
+    pub peer_key: Vec<u8>,
+    /// The operators who may use the admin listener.
+    pub operators: Vec<Operator>,
+}
+
+/// The HTTP side of a host.
+pub struct Gate {
+    pub(crate) identity: Identity,
+    pub(crate) clock: Clock,
+    pub(crate) router: Arc<Router>,
+    pub(crate) hosts: HostView,
+    pub(crate) operators: Vec<Operator>,
+    pub(crate) state: Arc<GateState>,
+    pub(crate) admission: Admission,
+    pub(crate) customers: Mutex<CustomerLimits>,
+    pub(crate) targets: TargetClient,
+    pub(crate) peer_auth: PeerAuth,
+    pub(crate) metrics: GateMetrics,
+}
+
+impl Gate {
+    /// Builds a gate; it rejects requests until [`GateState::set_ready`].
+    #[must_use]
+    pub fn new(parts: GateParts) -> Arc<Self> {
+        Arc::new(Self {
+            identity: parts.identity,
+            clock: parts.clock,
+            router: parts.router,
+            hosts: parts.hosts,
+            operators: parts.operators,
+            state: Arc::default(),
+            admission: Admission::default(),
+            customers: Mutex::default(),
+            targets: TargetClient::new(),
+            peer_auth: PeerAuth::new(&parts.peer_key),
+            metrics: GateMetrics::new(),
+        })
+    }
+
+    /// Returns the switches of the gate.
+    #[must_use]
+    pub fn state(&self) -> &Arc<GateState> {
+        &self.state
+    }
+
+    /// Returns the limits per customer, which exchange their use with other hosts.
+    #[must_use]
+    pub fn customers(&self) -> &Mutex<CustomerLimits> {
+        &self.customers
+    }
+
+    /// Returns the metrics registry, for further metrics of the daemon.
+    #[must_use]
+    pub fn registry(&self) -> &prometheus::Registry {
+        self.metrics.registry()
+    }
+
+    /// Ends waits whose deadline has come and adapts the queues to the current load. The daemon calls it every 50 ms.
+    pub fn tick(&self) {
+        let view = self.router.view();
+        self.admission
+            .tick(self.clock.mono(), &view, (self.hosts.live_hosts)());
+    }
+
+    /// Returns the revision that requests are decided on now.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.router.view().fleet().revision
+    }
+
+    /// Returns the addresses of entry hosts in the given regions.
+    pub(crate) fn entry_addresses(&self, regions: impl Iterator<Item = RegionKey>) -> Vec<String> {
+        let view = self.router.view();
+        let names = regions.filter_map(|key| {
+            view.fleet().regions.get(key)?;
+            Some(view.fleet().regions.name(key).clone())
+        });
+        names
+            .flat_map(|name| (self.hosts.entry_hosts)(&name))
+            .filter(|host| !host.leaving)
+            .map(|host| host.address)
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/gate/src/metrics.rs
@@ -0,0 +1,126 @@
+//! Metrics of the HTTP side.
+
+use lw_base::invariant_count;
+use lw_base::prelude::*;
+use lw_flow::Ending;
+use prometheus::{Encoder, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder};
+
+/// Counters and gauges of one gate, in a registry of their own.
+pub(crate) struct GateMetrics {
+    registry: Registry,
+    outcomes: IntCounterVec,
+    rejected: IntCounterVec,
+    attempts: IntCounterVec,
+    invariants: IntCounterVec,
+    queue: IntGaugeVec,
+    in_flight: IntGauge,
+    pub(crate) peer_refused: IntCounterVec,
+}
+
+impl GateMetrics {
+    pub(crate) fn new() -> Self {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let counters = IntCounterVec::new(Opts::new(name, help), labels);
+            let counters = counters.expect("metric names are literals");
+            register(&registry, counters.clone());
+            counters
+        };
+        let gauges = |name: &str, help: &str, labels: &[&str]| {
+            let gauges = IntGaugeVec::new(Opts::new(name, help), labels);
+            let gauges = gauges.expect("metric names are literals");
+            register(&registry, gauges.clone());
+            gauges
+        };
+        let in_flight = IntGauge::new("lacewingstile_in_flight", "Requests in flight");
+        let in_flight = in_flight.expect("metric names are literals");
+        register(&registry, in_flight.clone());
+        Self {
+            outcomes: counters(
+                "lacewingstile_requests_total",
+                "Accepted requests by service, outcome and error kind",
+                &["service", "outcome", "kind"],
+            ),
+            rejected: counters(
+                "lacewingstile_rejected_total",
+                "Requests that were rejected at entry, by error kind",
+                &["kind"],
+            ),
+            attempts: counters(
+                "lacewingstile_attempts_total",
+                "Attempts by service and type: first, retry, resume, region, owner",
+                &["service", "type"],
+            ),
+            invariants: counters(
+                "lacewingstile_invariant_violations_total",
+                "Violations of invariants in this process",
+                &["invariant"],
+            ),
+            queue: gauges(
+                "lacewingstile_queue_length",
+                "Waiting requests by service",
+                &["service"],
+            ),
+            peer_refused: counters(
+                "lacewingstile_peer_refused_total",
+                "Refused requests of other hosts, by reason",
+                &["reason"],
+            ),
+            in_flight,
+            registry,
+        }
+    }
+
+    pub(crate) fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
+    /// Counts the end of an accepted request.
+    pub(crate) fn ended(&self, service: &str, ending: Ending) {
+        let kind = ending.kind.map_or("", ErrorKind::as_str);
+        self.outcomes
+            .with_label_values(&[service, ending.outcome.as_str(), kind])
+            .inc();
+    }
+
+    /// Counts a request that was rejected at entry.
+    pub(crate) fn rejected(&self, kind: ErrorKind) {
+        self.rejected.with_label_values(&[kind.as_str()]).inc();
+    }
+
+    /// Counts an attempt.
+    pub(crate) fn attempt(&self, service: &str, attempt_type: &str) {
+        self.attempts
+            .with_label_values(&[service, attempt_type])
+            .inc();
+    }
+
+    /// Returns the text form of all metrics.
+    pub(crate) fn encode(
+        &self,
+        in_flight: usize,
+        waiting: &[(std::sync::Arc<str>, usize)],
+    ) -> Vec<u8> {
+        for invariant in Invariant::ALL {
+            let counter = self.invariants.with_label_values(&[invariant.as_str()]);
+            counter.inc_by(invariant_count(invariant).saturating_sub(counter.get()));
+        }
+        for (service, length) in waiting {
+            let length = i64::try_from(*length).unwrap_or(i64::MAX);
+            self.queue.with_label_values(&[&**service]).set(length);
+        }
+        self.in_flight
+            .set(i64::try_from(in_flight).unwrap_or(i64::MAX));
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::error!("gate: metrics cannot be encoded: {error}");
+        }
+        text
+    }
+}
+
+fn register(registry: &Registry, metric: impl prometheus::core::Collector + 'static) {
+    registry
+        .register(Box::new(metric))
+        .expect("each metric is registered once");
+}
