Apply small changes without work on the whole document

Change: the digest is a tree over 64 buckets per section, so a change hashes only its bucket; recompile() replaces changed customers and targets in a copy of the fleet and compiles everything only for other changes.

--- a/crates/conf/src/assembly.rs
+++ b/crates/conf/src/assembly.rs
@@ -1,7 +1,7 @@
 //! A document that arrives in parts.
 
 use bytes::Bytes;
-use lw_doc::{Digest, Document};
+use lw_doc::Applied;
 
 use crate::entry::Entry;
 use crate::head::Mark;
@@ -55,12 +55,10 @@
     }
 
     /// Returns the document and its entry; `None` when the digest or the form is wrong.
-    pub(crate) fn finish(&self) -> Option<(Document, Entry)> {
-        if Digest::of(&self.bytes) != self.mark.digest {
-            return None;
-        }
+    pub(crate) fn finish(&self) -> Option<(Applied, Entry)> {
         let entry: Entry = serde_json::from_slice(&self.entry).ok()?;
-        let document = serde_json::from_slice(&self.bytes).ok()?;
-        (entry.mark == self.mark).then_some((document, entry))
+        let applied = Applied::new(serde_json::from_slice(&self.bytes).ok()?);
+        let sound = entry.mark == self.mark && applied.tree.root() == self.mark.digest;
+        sound.then_some((applied, entry))
     }
 }
--- a/crates/conf/src/chain.rs
+++ b/crates/conf/src/chain.rs
@@ -1,6 +1,6 @@
 //! Walking the audit chain backwards from the head.
 
-use lw_doc::{Change, Document};
+use lw_doc::{Applied, Change, Document};
 use lw_plat::Kv;
 use uuid::Uuid;
 
@@ -78,7 +78,7 @@
 pub async fn load_document(kv: &Kv, head: &Head) -> Result<Document, ServiceError> {
     let snapshot = read_snapshot(kv, &head.snapshot).await?;
     if head.snapshot.mark == head.mark {
-        return Ok(snapshot);
+        return Ok(snapshot.document);
     }
     let since = head.snapshot.mark.revision;
     let entries = walk(kv, head, MAX_WALK, |entry| entry.base.revision > since).await?;
@@ -86,19 +86,19 @@
 }
 
 fn apply_all<'a>(
-    document: Document,
+    snapshot: Applied,
     entries: impl Iterator<Item = &'a Entry>,
 ) -> Result<Document, ServiceError> {
-    let mut document = document;
+    let mut applied = snapshot;
     for entry in entries {
         let key = entry.key();
         let message = "an entry after the snapshot has no changes".to_owned();
         let next = entry
-            .apply_to(&document)
+            .apply_to(applied)
             .ok_or(ServiceError::Damaged { key, message })?;
-        document = next?;
+        applied = next?;
     }
-    Ok(document)
+    Ok(applied.document)
 }
 
 /// Loads an older document of the chain of `head`.
--- a/crates/conf/src/commit.rs
+++ b/crates/conf/src/commit.rs
@@ -25,6 +25,7 @@
 pub(crate) struct Commit {
     pub(crate) revision: u64,
     pub(crate) base: Mark,
+    pub(crate) digest: Digest,
     pub(crate) bytes: Bytes,
     pub(crate) changes: Vec<Change>,
     pub(crate) operation: Uuid,
@@ -63,7 +64,7 @@
 fn entry_of(stored: &StoredHead, content: &Commit) -> (Entry, bool) {
     let mark = Mark {
         revision: content.revision,
-        digest: Digest::of(&content.bytes),
+        digest: content.digest,
     };
     let changes_fit = encode(&content.changes).len() <= MAX_CHANGES_BYTES;
     let last = stored.head.as_ref().map(|head| head.snapshot);
--- a/crates/conf/src/config.rs
+++ b/crates/conf/src/config.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwapOption;
-use lw_doc::{Document, Fleet};
+use lw_doc::{DigestTree, Document, Fleet};
 
 use crate::entry::Entry;
 use crate::head::Mark;
@@ -15,6 +15,8 @@
     pub mark: Mark,
     /// The document.
     pub document: Arc<Document>,
+    /// The digest tree of the document.
+    pub tree: Arc<DigestTree>,
     /// The compiled document.
     pub fleet: Arc<Fleet>,
     /// The entry that led to it.
--- a/crates/conf/src/publish.rs
+++ b/crates/conf/src/publish.rs
@@ -87,6 +87,7 @@
     let content = Commit {
         revision: stored.revision() + 1,
         base,
+        digest: request.next.digest(),
         bytes,
         changes,
         operation: request.operation,
--- a/crates/conf/src/reconcile.rs
+++ b/crates/conf/src/reconcile.rs
@@ -75,7 +75,7 @@
 }
 
 fn join(theirs: &Document, missing: &[Change]) -> Document {
-    let Ok(joined) = apply_changes(theirs, missing) else {
+    let Ok(joined) = apply_changes(theirs.clone(), missing) else {
         return theirs.clone();
     };
     let faults = validate(&joined, &SourceMap::default(), &[]);
@@ -104,6 +104,7 @@
     Commit {
         revision: mark.revision.max(head.mark.revision) + 1,
         base: head.mark,
+        digest: joined.digest(),
         bytes: Bytes::from(joined.canonical_bytes()),
         changes: changes_between(theirs, joined),
         operation: operation_of(mark, head.mark),
--- a/crates/conf/src/replica.rs
+++ b/crates/conf/src/replica.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use lw_base::prelude::*;
 use lw_base::violate;
-use lw_doc::{Document, compile};
+use lw_doc::{Applied, Document, Fleet, compile, recompile};
 
 use crate::action::{ConfAction, Held};
 use crate::config::{Config, ConfigReader};
@@ -106,7 +106,7 @@
     /// Takes a revision that this host published, and pushes it at once.
     pub fn on_published(&mut self, published: Published, out: &mut Vec<ConfAction>) {
         let Published { entry, document } = published;
-        if self.install(document, entry.clone()) {
+        if self.install(Applied::new(document), entry.clone()) {
             self.push_own(&[entry], out);
         }
     }
@@ -124,17 +124,20 @@
         applied
     }
 
-    fn next_document(&self, entry: &Entry) -> Option<Document> {
-        let genesis = Document::default();
-        let (held, base) = match &self.config {
-            Some(config) => (config.mark, &*config.document),
-            None => (genesis_mark(&genesis), &genesis),
-        };
+    fn next_document(&self, entry: &Entry) -> Option<Applied> {
+        let held = self.mark().unwrap_or_else(genesis_mark);
         if entry.base != held || entry.mark.revision <= held.revision {
             return None;
         }
+        let base = match &self.config {
+            Some(config) => Applied {
+                document: (*config.document).clone(),
+                tree: (*config.tree).clone(),
+            },
+            None => Applied::new(Document::default()),
+        };
         match entry.apply_to(base)? {
-            Ok(document) => Some(document),
+            Ok(applied) => Some(applied),
             Err(error) => {
                 log::warn!(
                     "conf: revision {} is unusable: {error}",
@@ -146,7 +149,7 @@
     }
 
     /// Puts a document of a peer in force, and remembers the one before until the service shows that it is a part of it.
-    pub(crate) fn install_from_peer(&mut self, document: Document, entry: Entry) {
+    pub(crate) fn install_from_peer(&mut self, document: Applied, entry: Entry) {
         let held = self.config.clone().map(|config| Held {
             config,
             entries: self.history.entries(),
@@ -162,7 +165,7 @@
     }
 
     /// Puts a document in force when its revision is higher than the one in force.
-    pub(crate) fn install(&mut self, document: Document, entry: Entry) -> bool {
+    pub(crate) fn install(&mut self, applied: Applied, entry: Entry) -> bool {
         let held = self.mark().map_or(0, |mark| mark.revision);
         if entry.mark.revision <= held {
             return false;
@@ -170,8 +173,9 @@
         let entry = Arc::new(entry);
         let config = Arc::new(Config {
             mark: entry.mark,
-            fleet: Arc::new(compile(&document, entry.mark.revision)),
-            document: Arc::new(document),
+            fleet: Arc::new(self.compiled(&applied.document, &entry)),
+            document: Arc::new(applied.document),
+            tree: Arc::new(applied.tree),
             entry: entry.clone(),
         });
         if let Some(in_force) = self.reader.load()
@@ -192,6 +196,17 @@
         true
     }
 
+    /// Compiles only the changes when the entry leads on from the revision in force.
+    fn compiled(&self, document: &Document, entry: &Entry) -> Fleet {
+        let revision = entry.mark.revision;
+        match (&self.config, &entry.changes) {
+            (Some(config), Some(changes)) if config.mark == entry.base => {
+                recompile(&config.fleet, document, changes, revision)
+            }
+            _ => compile(document, revision),
+        }
+    }
+
     /// Pushes entries down the tree whose root is this host.
     pub(crate) fn push_own(&mut self, entries: &[Entry], out: &mut Vec<ConfAction>) {
         let Some(mark) = self.mark() else {
@@ -237,9 +252,9 @@
     }
 }
 
-fn genesis_mark(genesis: &Document) -> Mark {
+fn genesis_mark() -> Mark {
     Mark {
         revision: 0,
-        digest: genesis.digest(),
+        digest: Document::default().digest(),
     }
 }
--- a/crates/conf/src/replica_service.rs
+++ b/crates/conf/src/replica_service.rs
@@ -1,6 +1,7 @@
 //! How a replica uses the key-value service.
 
 use lw_base::prelude::*;
+use lw_doc::Applied;
 
 use crate::action::{ConfAction, Held, ServiceCall, ServiceEvent};
 use crate::head::{Mark, StoredHead};
@@ -60,7 +61,7 @@
             }
             ServiceEvent::Whole(published) => {
                 let entry = published.entry.clone();
-                if self.install(published.document, published.entry) {
+                if self.install(Applied::new(published.document), published.entry) {
                     self.push_if_relay(&[entry], out);
                 }
                 self.relay.read_again();
--- a/crates/doc/src/apply.rs
+++ b/crates/doc/src/apply.rs
@@ -5,33 +5,30 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
+use crate::applied::Applied;
 use crate::apply_error::ApplyError;
 use crate::change::Change;
 use crate::difference::Difference;
-use crate::digest::Digest;
 use crate::document::Document;
+use crate::section::Section;
 
-/// Applies a difference to the document whose digest is `digest`.
+/// Applies a difference to a document with its digest tree.
 ///
 /// # Errors
 ///
 /// Refuses a difference of another base, an unusable change, and a result of another digest than the difference names.
-pub fn apply(
-    document: &Document,
-    digest: Digest,
-    difference: &Difference,
-) -> Result<Document, ApplyError> {
-    let wanted = difference.base;
-    if wanted != digest {
-        let found = digest;
+pub fn apply(base: Applied, difference: &Difference) -> Result<Applied, ApplyError> {
+    let (wanted, found) = (difference.base, base.tree.root());
+    if wanted != found {
         return Err(ApplyError::WrongBase { wanted, found });
     }
-    let next = apply_changes(document, &difference.changes)?;
-    let (wanted, found) = (difference.result, next.digest());
+    let document = apply_changes(base.document, &difference.changes)?;
+    let tree = base.tree.updated(&document, &difference.changes);
+    let (wanted, found) = (difference.result, tree.root());
     if wanted != found {
         return Err(ApplyError::WrongResult { wanted, found });
     }
-    Ok(next)
+    Ok(Applied { document, tree })
 }
 
 /// Applies changes without a check of digests, for changes that an operator edits.
@@ -39,8 +36,8 @@
 /// # Errors
 ///
 /// Refuses paths that name no part of a document and values of the wrong form.
-pub fn apply_changes(document: &Document, changes: &[Change]) -> Result<Document, ApplyError> {
-    let mut next = document.clone();
+pub fn apply_changes(document: Document, changes: &[Change]) -> Result<Document, ApplyError> {
+    let mut next = document;
     for change in changes {
         apply_change(&mut next, change)?;
     }
@@ -61,18 +58,14 @@
         }
         _ => {}
     }
-    let (section, name) = path.split_once('/').ok_or_else(unknown)?;
+    let (section, name) = Section::split(path).ok_or_else(unknown)?;
     match section {
-        "regions" => set(&mut document.regions, name, change),
-        "services" => set(&mut document.services, name, change),
-        "targets" => set(&mut document.targets, name, change),
-        "customers" => set(&mut document.customers, name, change),
-        "planned_stops" => set(&mut document.planned_stops, name, change),
-        "engine" => {
-            let name = name.strip_prefix("models/").ok_or_else(unknown)?;
-            set(&mut document.engine.models, name, change)
-        }
-        _ => Err(unknown()),
+        Section::Regions => set(&mut document.regions, name, change),
+        Section::Services => set(&mut document.services, name, change),
+        Section::Targets => set(&mut document.targets, name, change),
+        Section::Customers => set(&mut document.customers, name, change),
+        Section::PlannedStops => set(&mut document.planned_stops, name, change),
+        Section::Models => set(&mut document.engine.models, name, change),
     }
 }
 
--- a/crates/doc/src/compile.rs
+++ b/crates/doc/src/compile.rs
@@ -5,7 +5,7 @@
 use lw_base::prelude::*;
 
 use crate::digest::Digest;
-use crate::document::{Document, RegionEntry, ServiceEntry, TargetEntry};
+use crate::document::{CustomerEntry, Document, RegionEntry, ServiceEntry, TargetEntry};
 use crate::fleet::{Customer, Fleet, Region, Service, Target, Zone};
 use crate::stop_window::StopWindow;
 
@@ -130,7 +130,7 @@
     }
 }
 
-fn compile_target(fleet: &Fleet, entry: &TargetEntry) -> Option<Target> {
+pub(crate) fn compile_target(fleet: &Fleet, entry: &TargetEntry) -> Option<Target> {
     let zone = fleet.zones.key(&entry.zone)?;
     Some(Target {
         service: fleet.services.key(&entry.service)?,
@@ -146,19 +146,21 @@
 
 fn add_customers(fleet: &mut Fleet, document: &Document) {
     for (name, entry) in &document.customers {
-        let home_region = match &entry.home_region {
-            Some(region) => match fleet.regions.key(region) {
-                Some(key) => Some(key),
-                // Compiled as unbound, the customer's requests could leave its home region.
-                None => continue,
-            },
-            None => None,
-        };
-        let customer = Customer {
-            home_region,
-            requests_per_s: entry.requests_per_s,
-            key_digest: Digest::from_hex(&entry.key_digest).map(|digest| digest.0),
-        };
-        fleet.customers.push(name.as_str(), customer);
+        if let Some(customer) = compile_customer(fleet, entry) {
+            fleet.customers.push(name.as_str(), customer);
+        }
     }
 }
+
+/// Returns `None` for an unknown home region: compiled as unbound, the customer's requests could leave it.
+pub(crate) fn compile_customer(fleet: &Fleet, entry: &CustomerEntry) -> Option<Customer> {
+    let home_region = match &entry.home_region {
+        Some(region) => Some(fleet.regions.key(region)?),
+        None => None,
+    };
+    Some(Customer {
+        home_region,
+        requests_per_s: entry.requests_per_s,
+        key_digest: Digest::from_hex(&entry.key_digest).map(|digest| digest.0),
+    })
+}
--- a/crates/doc/src/difference.rs
+++ b/crates/doc/src/difference.rs
@@ -7,6 +7,7 @@
 use crate::change::Change;
 use crate::digest::Digest;
 use crate::document::Document;
+use crate::section::Section;
 
 /// What leads from one document to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -39,32 +40,42 @@
     if base.weights != next.weights {
         changes.push(changed("weights".into(), &next.weights));
     }
-    add_section(&mut changes, "regions", &base.regions, &next.regions);
-    add_section(&mut changes, "services", &base.services, &next.services);
-    add_section(&mut changes, "targets", &base.targets, &next.targets);
-    add_section(&mut changes, "customers", &base.customers, &next.customers);
+    add_section(&mut changes, Section::Regions, &base.regions, &next.regions);
+    add_section(
+        &mut changes,
+        Section::Services,
+        &base.services,
+        &next.services,
+    );
+    add_section(&mut changes, Section::Targets, &base.targets, &next.targets);
+    add_section(
+        &mut changes,
+        Section::Customers,
+        &base.customers,
+        &next.customers,
+    );
     let stops = (&base.planned_stops, &next.planned_stops);
-    add_section(&mut changes, "planned_stops", stops.0, stops.1);
+    add_section(&mut changes, Section::PlannedStops, stops.0, stops.1);
     let models = (&base.engine.models, &next.engine.models);
-    add_section(&mut changes, "engine/models", models.0, models.1);
+    add_section(&mut changes, Section::Models, models.0, models.1);
     changes
 }
 
 fn add_section<T: PartialEq + Serialize>(
     changes: &mut Vec<Change>,
-    section: &str,
+    section: Section,
     base: &BTreeMap<String, T>,
     next: &BTreeMap<String, T>,
 ) {
     for name in base.keys().filter(|name| !next.contains_key(*name)) {
         changes.push(Change {
-            path: format!("{section}/{name}"),
+            path: format!("{}{name}", section.prefix()),
             value: None,
         });
     }
     for (name, entry) in next {
         if base.get(name) != Some(entry) {
-            changes.push(changed(format!("{section}/{name}"), entry));
+            changes.push(changed(format!("{}{name}", section.prefix()), entry));
         }
     }
 }
--- a/crates/doc/src/document.rs
+++ b/crates/doc/src/document.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::digest::Digest;
+use crate::digest_tree::DigestTree;
 use crate::service_kind::ServiceKind;
 
 /// The whole configuration document.
@@ -40,7 +41,7 @@
 }
 
 impl Document {
-    /// Returns the bytes that the digest covers: compact JSON with members in a fixed order.
+    /// Returns the document as compact JSON with members in a fixed order.
     ///
     /// # Panics
     ///
@@ -50,10 +51,10 @@
         serde_json::to_vec(self).expect("a document has a JSON form")
     }
 
-    /// Returns the SHA-256 digest of the canonical bytes.
+    /// Returns the digest of the content, see [`DigestTree`].
     #[must_use]
     pub fn digest(&self) -> Digest {
-        Digest::of(&self.canonical_bytes())
+        DigestTree::of(self).root()
     }
 }
 
--- a/crates/doc/src/lib.rs
+++ b/crates/doc/src/lib.rs
@@ -1,5 +1,6 @@
 //! The configuration document and the compiled form that the request path reads.
 
+mod applied;
 mod apply;
 mod apply_error;
 mod change;
@@ -12,13 +13,16 @@
 mod compile;
 mod difference;
 mod digest;
+mod digest_tree;
 mod document;
 mod fault;
 mod fault_kind;
 mod fleet;
 mod parse;
 mod parse_error;
+mod recompile;
 mod rfc3339;
+mod section;
 mod service_kind;
 mod source_map;
 mod state_warnings;
@@ -27,12 +31,14 @@
 mod warning;
 mod warnings;
 
+pub use applied::Applied;
 pub use apply::{apply, apply_changes};
 pub use apply_error::ApplyError;
 pub use change::Change;
 pub use compile::{DEFAULT_REGION_DELAY_MS, compile};
 pub use difference::{Difference, changes_between, diff};
 pub use digest::Digest;
+pub use digest_tree::DigestTree;
 pub use document::{
     CustomerEntry, Document, EngineEntry, ModelEntry, PlannedStopEntry, RegionEntry, ServiceEntry,
     TargetEntry, Weights,
@@ -42,6 +48,7 @@
 pub use fleet::{Customer, Fleet, Region, Service, Target, Zone};
 pub use parse::{ParsedDocument, parse_document, parse_json};
 pub use parse_error::ParseError;
+pub use recompile::recompile;
 pub use rfc3339::{format_rfc3339, parse_rfc3339};
 pub use service_kind::ServiceKind;
 pub use source_map::SourceMap;
