--- a/crates/conf/src/action.rs
+++ b/crates/conf/src/action.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use lw_doc::Document;
+
 use crate::config::Config;
 use crate::entry::Entry;
 use crate::head::{Head, Mark, StoredHead};
@@ -63,6 +65,15 @@
     },
 }
 
+/// A whole document from the service.
+#[derive(Clone, Debug)]
+pub struct Loaded {
+    /// The document.
+    pub document: Document,
+    /// The newest entries up to the document, oldest first.
+    pub entries: Vec<Entry>,
+}
+
 /// The revision in force with the entries that lead to it, oldest first.
 #[derive(Clone, Debug)]
 pub struct Held {
@@ -82,7 +93,7 @@
     /// The entries that lead from the known document to the head, oldest first.
     Entries(Vec<Entry>),
     /// The whole document of a head.
-    Whole(Box<crate::publish_request::Published>),
+    Whole(Box<Loaded>),
     /// The chain of the head does not contain the known document.
     Forked(StoredHead),
     /// The held revision is the head again.
--- a/crates/conf/src/assembly.rs
+++ b/crates/conf/src/assembly.rs
@@ -14,7 +14,7 @@
 #[derive(Debug)]
 pub(crate) struct Assembly {
     mark: Mark,
-    entry: Bytes,
+    recent: Vec<Bytes>,
     total_bytes: u64,
     bytes: Vec<u8>,
 }
@@ -27,7 +27,7 @@
         }
         Some(Self {
             mark: part.mark,
-            entry: part.entry.clone(),
+            recent: part.recent.clone(),
             total_bytes: part.total_bytes,
             bytes: Vec::new(),
         })
@@ -54,11 +54,16 @@
         }
     }
 
-    /// Returns the document and its entry; `None` when the digest or the form is wrong.
-    pub(crate) fn finish(&self) -> Option<(Applied, Entry)> {
-        let entry: Entry = serde_json::from_slice(&self.entry).ok()?;
+    /// Returns the document and the entries up to it, oldest first; `None` when the digest or the form is wrong.
+    pub(crate) fn finish(&self) -> Option<(Applied, Vec<Entry>)> {
+        let decoded = self
+            .recent
+            .iter()
+            .map(|entry| serde_json::from_slice(entry));
+        let entries: Vec<Entry> = decoded.collect::<Result<_, _>>().ok()?;
         let applied = Applied::new(serde_json::from_slice(&self.bytes).ok()?);
-        let sound = entry.mark == self.mark && applied.tree.root() == self.mark.digest;
-        sound.then_some((applied, entry))
+        let named = entries.last().is_some_and(|entry| entry.mark == self.mark);
+        let sound = named && applied.tree.root() == self.mark.digest;
+        sound.then_some((applied, entries))
     }
 }
--- a/crates/conf/src/chain.rs
+++ b/crates/conf/src/chain.rs
@@ -4,6 +4,7 @@
 use lw_plat::Kv;
 use uuid::Uuid;
 
+use crate::action::Loaded;
 use crate::entry::Entry;
 use crate::head::{Head, Mark};
 use crate::service::read_entry;
@@ -76,13 +77,27 @@
 ///
 /// Fails when the service fails or a part is missing or damaged.
 pub async fn load_document(kv: &Kv, head: &Head) -> Result<Document, ServiceError> {
+    Ok(load(kv, head, 0).await?.document)
+}
+
+/// Loads a document together with at least `min_entries` of the entries up to it, as far as the chain reaches.
+pub(crate) async fn load(kv: &Kv, head: &Head, min_entries: usize) -> Result<Loaded, ServiceError> {
     let snapshot = read_snapshot(kv, &head.snapshot).await?;
-    if head.snapshot.mark == head.mark {
-        return Ok(snapshot.document);
-    }
     let since = head.snapshot.mark.revision;
-    let entries = walk(kv, head, MAX_WALK, |entry| entry.base.revision > since).await?;
-    apply_all(snapshot, entries.iter().rev())
+    let wanted = match head.snapshot.mark == head.mark {
+        true => min_entries,
+        false => MAX_WALK,
+    };
+    let mut left = min_entries;
+    let more = |entry: &Entry| {
+        left = left.saturating_sub(1);
+        left > 0 || entry.base.revision > since
+    };
+    let mut entries = walk(kv, head, wanted, more).await?;
+    entries.reverse();
+    let later = entries.iter().filter(|entry| entry.mark.revision > since);
+    let document = apply_all(snapshot, later)?;
+    Ok(Loaded { document, entries })
 }
 
 fn apply_all<'a>(
--- a/crates/conf/src/execute.rs
+++ b/crates/conf/src/execute.rs
@@ -3,14 +3,16 @@
 use lw_plat::Kv;
 
 use crate::action::{Held, ServiceCall, ServiceEvent};
-use crate::chain::{Relation, load_document, relation};
+use crate::chain::{Relation, load, relation};
 use crate::head::{Mark, StoredHead};
-use crate::publish_request::Published;
 use crate::reconcile::reconcile;
-use crate::service::{read_entry, read_head, watch_head};
+use crate::service::{read_head, watch_head};
 use crate::service_error::ServiceError;
 use crate::write_back::write_back;
 
+/// Entries that a host loads with a document, so that it can repair the service when it loses its last writes.
+const RECENT_ENTRIES: usize = 16;
+
 /// Performs a call; failures are an event too.
 pub async fn execute(kv: &Kv, call: ServiceCall) -> ServiceEvent {
     let result = match call {
@@ -57,7 +59,6 @@
             Relation::Forked => return Ok(ServiceEvent::Forked(stored)),
         }
     }
-    let document = load_document(kv, head).await?;
-    let entry = read_entry(kv, &head.entry_key).await?;
-    Ok(ServiceEvent::Whole(Box::new(Published { entry, document })))
+    let loaded = load(kv, head, RECENT_ENTRIES).await?;
+    Ok(ServiceEvent::Whole(Box::new(loaded)))
 }
--- a/crates/conf/src/history.rs
+++ b/crates/conf/src/history.rs
@@ -63,6 +63,27 @@
         self.items.iter().map(|(entry, _)| entry.clone()).collect()
     }
 
+    /// Returns the newest encoded entries within the bounds, oldest first; empty when the newest alone is too large.
+    pub(crate) fn recent(&self, max_entries: usize, max_bytes: usize) -> Vec<Bytes> {
+        let mut size = 0;
+        let newest_first = self.items.iter().rev().take(max_entries);
+        let fitting = newest_first.take_while(|(_, encoded)| {
+            size += encoded.len();
+            size <= max_bytes
+        });
+        let mut recent: Vec<Bytes> = fitting.map(|(_, encoded)| encoded.clone()).collect();
+        recent.reverse();
+        recent
+    }
+
+    /// Replaces the chain by `entries`, oldest first.
+    pub(crate) fn reset(&mut self, entries: impl IntoIterator<Item = Arc<Entry>>) {
+        *self = Self::default();
+        for entry in entries {
+            self.push(entry);
+        }
+    }
+
     /// Returns the encoded entries that follow `mark`, as many as fit into a message.
     ///
     /// Returns `None` when the chain does not pass through `mark` or the next entry does not fit.
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -35,7 +35,7 @@
 mod tree;
 mod write_back;
 
-pub use action::{ConfAction, Held, ServiceCall, ServiceEvent};
+pub use action::{ConfAction, Held, Loaded, ServiceCall, ServiceEvent};
 pub use audit::{AuditRecord, read_audit};
 pub use chain::{document_at, load_document};
 pub use commit::{MAX_CHANGES_BYTES, SNAPSHOT_INTERVAL};
--- a/crates/conf/src/message.rs
+++ b/crates/conf/src/message.rs
@@ -58,8 +58,8 @@
 pub struct Part {
     /// The document.
     pub mark: Mark,
-    /// The entry of the document; without its changes when they are large.
-    pub entry: Bytes,
+    /// The newest entries up to the one of the document, oldest first; only the first part has them.
+    pub recent: Vec<Bytes>,
     /// The length of the document.
     pub total_bytes: u64,
     /// The position of the first byte.
--- a/crates/conf/src/reconcile.rs
+++ b/crates/conf/src/reconcile.rs
@@ -13,13 +13,11 @@
 use lw_plat::Kv;
 use uuid::Uuid;
 
-use crate::action::{Held, ServiceEvent};
+use crate::action::{Held, Loaded, ServiceEvent};
 use crate::chain::{MAX_WALK, joined_changes, load_document, walk};
 use crate::commit::{Commit, CommitError, commit};
 use crate::entry::Entry;
 use crate::head::{Head, Mark, StoredHead};
-use crate::publish_request::Published;
-use crate::service::read_entry;
 use crate::service_error::ServiceError;
 
 /// Joined revisions carry this name in the audit, followed by the operators whose changes were joined.
@@ -46,15 +44,10 @@
     let missing = missing_changes(ours, &their_entries);
     let joined = join(&theirs, &missing);
     if joined == theirs && head.mark.revision > held.config.mark.revision {
-        let entry = read_entry(kv, &head.entry_key).await?;
-        let published = Published {
-            entry,
-            document: theirs,
-        };
-        return Ok(ServiceEvent::Whole(Box::new(published)));
+        return Ok(whole(theirs, their_entries));
     }
     let content = content_of(head, held, &theirs, &joined, operator_of(ours));
-    publish_joined(kv, stored, content, joined).await
+    publish_joined(kv, stored, content, joined, their_entries).await
 }
 
 /// Returns the changes of the held chain to entities that the service's chain does not touch.
@@ -86,6 +79,11 @@
     joined
 }
 
+fn whole(document: Document, newest_first: Vec<Entry>) -> ServiceEvent {
+    let entries = newest_first.into_iter().rev().collect();
+    ServiceEvent::Whole(Box::new(Loaded { document, entries }))
+}
+
 fn operator_of(ours: Option<&[Arc<Entry>]>) -> String {
     let entries = ours.unwrap_or_default().iter();
     let names: BTreeSet<&str> = entries.map(|entry| entry.operator.as_str()).collect();
@@ -118,11 +116,13 @@
     stored: &StoredHead,
     content: Commit,
     document: Document,
+    their_entries: Vec<Entry>,
 ) -> Result<ServiceEvent, ServiceError> {
     match commit(kv, stored, content).await {
         Ok(entry) => {
-            let published = Published { entry, document };
-            Ok(ServiceEvent::Whole(Box::new(published)))
+            let mut entries = their_entries;
+            entries.insert(0, entry);
+            Ok(whole(document, entries))
         }
         Err(CommitError::Swapped | CommitError::Unknown) => Ok(ServiceEvent::Overtaken),
         Err(CommitError::Service(error)) => Err(error),
--- a/crates/conf/src/replica.rs
+++ b/crates/conf/src/replica.rs
@@ -149,13 +149,14 @@
     }
 
     /// Puts a document of a peer in force, and remembers the one before until the service shows that it is a part of it.
-    pub(crate) fn install_from_peer(&mut self, document: Applied, entry: Entry) {
+    pub(crate) fn install_from_peer(&mut self, document: Applied, entries: Vec<Entry>) {
         let held = self.config.clone().map(|config| Held {
             config,
             entries: self.history.entries(),
         });
-        let linked = self.mark() == Some(entry.base);
-        if !self.install(document, entry) || linked {
+        let passes = |held: &Mark| entries.iter().any(|entry| entry.base == *held);
+        let linked = self.mark().as_ref().is_some_and(passes);
+        if !self.install_whole(document, entries) || linked {
             return;
         }
         self.unverified.extend(held);
@@ -164,6 +165,18 @@
         }
     }
 
+    /// Puts a whole document in force; `entries` lead up to it, oldest first.
+    pub(crate) fn install_whole(&mut self, document: Applied, entries: Vec<Entry>) -> bool {
+        let Some(newest) = entries.last().cloned() else {
+            return false;
+        };
+        let installed = self.install(document, newest);
+        if installed {
+            self.history.reset(entries.into_iter().map(Arc::new));
+        }
+        installed
+    }
+
     /// Puts a document in force when its revision is higher than the one in force.
     pub(crate) fn install(&mut self, applied: Applied, entry: Entry) -> bool {
         let held = self.mark().map_or(0, |mark| mark.revision);
--- a/crates/conf/src/replica_peers.rs
+++ b/crates/conf/src/replica_peers.rs
@@ -81,7 +81,7 @@
             let newer = have.is_none_or(|have| serving.mark().revision > have.revision);
             newer && serving.in_use(now) && self.history.contains(serving.mark())
         });
-        let serving = frozen.unwrap_or_else(|| Serving::new(config, now));
+        let serving = frozen.unwrap_or_else(|| Serving::new(config, &self.history, now));
         let part = self.serving.insert(serving).part(0, now);
         ConfMessage::Part(part)
     }
@@ -152,8 +152,8 @@
             return;
         }
         match assembly.finish() {
-            Some((document, entry)) => {
-                self.install_from_peer(document, entry);
+            Some((document, entries)) => {
+                self.install_from_peer(document, entries);
                 // What was published during the transfer follows as entries.
                 self.start_pull(now, from, out);
             }
--- a/crates/conf/src/replica_service.rs
+++ b/crates/conf/src/replica_service.rs
@@ -59,10 +59,10 @@
                 }
                 self.push_if_relay(&applied, out);
             }
-            ServiceEvent::Whole(published) => {
-                let entry = published.entry.clone();
-                if self.install(Applied::new(published.document), published.entry) {
-                    self.push_if_relay(&[entry], out);
+            ServiceEvent::Whole(loaded) => {
+                let newest = loaded.entries.last().cloned();
+                if self.install_whole(Applied::new(loaded.document), loaded.entries) {
+                    self.push_if_relay(newest.as_slice(), out);
                 }
                 self.relay.read_again();
             }
--- a/crates/conf/src/serving.rs
+++ b/crates/conf/src/serving.rs
@@ -6,13 +6,15 @@
 use crate::config::Config;
 use crate::entry::Entry;
 use crate::head::Mark;
+use crate::history::History;
 use crate::message::{Part, PartRequest};
 use crate::service::encode;
 
 /// Document bytes of one part.
 pub(crate) const PART_BYTES: usize = 32 * 1024;
-/// Entries above this size travel without their changes.
-const MAX_ENTRY_BYTES: usize = 8 * 1024;
+/// Entries that travel with a document, so that a restarted host can repair the service when it loses writes.
+const MAX_RECENT_ENTRIES: usize = 32;
+const MAX_RECENT_BYTES: usize = 16 * 1024;
 /// A document that nobody fetched for this time is dropped.
 const KEEP_MS: u64 = 5_000;
 
@@ -20,24 +22,24 @@
 #[derive(Debug)]
 pub(crate) struct Serving {
     mark: Mark,
-    entry: Bytes,
+    recent: Vec<Bytes>,
     bytes: Bytes,
     used_at: MonoMs,
 }
 
 impl Serving {
-    pub(crate) fn new(config: &Config, now: MonoMs) -> Self {
-        let mut entry = encode(&*config.entry);
-        if entry.len() > MAX_ENTRY_BYTES {
+    pub(crate) fn new(config: &Config, history: &History, now: MonoMs) -> Self {
+        let mut recent = history.recent(MAX_RECENT_ENTRIES, MAX_RECENT_BYTES);
+        if recent.is_empty() {
             let short = Entry {
                 changes: None,
                 ..(*config.entry).clone()
             };
-            entry = encode(&short);
+            recent.push(encode(&short));
         }
         Self {
             mark: config.mark,
-            entry,
+            recent,
             bytes: Bytes::from(config.document.canonical_bytes()),
             used_at: now,
         }
@@ -64,7 +66,10 @@
         let end = self.bytes.len().min(start + PART_BYTES);
         Part {
             mark: self.mark,
-            entry: self.entry.clone(),
+            recent: match offset {
+                0 => self.recent.clone(),
+                _ => Vec::new(),
+            },
             total_bytes: self.bytes.len() as u64,
             offset,
             bytes: self.bytes.slice(start..end),
--- a/crates/conf/tests/publish.rs
+++ b/crates/conf/tests/publish.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use lw_conf::{
-    AuditRecord, Entry, Mark, PublishError, SNAPSHOT_INTERVAL, SNAPSHOT_PART_BYTES, load_document,
-    prepare_rollback, publish, read_audit, read_head,
+    AuditRecord, Entry, Mark, PublishError, Replica, SNAPSHOT_INTERVAL, SNAPSHOT_PART_BYTES,
+    load_document, prepare_rollback, publish, read_audit, read_head,
 };
 use support::{FakeKv, Fault, large_document, request, sample, with_customer};
 use test_case::test_case;
@@ -148,17 +148,17 @@
     publish(&kv, &request(1, 0, document.clone()))
         .await
         .expect("the first revision");
+    let mut replica = Replica::new("host-0");
     for revision in 1..300 {
         document = with_customer(&document, &format!("c-{}", revision % 7));
         document
             .customers
             .remove(&format!("c-{}", (revision + 3) % 7));
-        let attempt = request(
-            revision + 1,
-            u64::try_from(revision).unwrap(),
-            document.clone(),
-        );
-        publish(&kv, &attempt).await.expect("a revision");
+        let base = u64::try_from(revision).unwrap();
+        let mut attempt = request(revision + 1, base, document.clone());
+        attempt.known = replica.reader().load();
+        let published = publish(&kv, &attempt).await.expect("a revision");
+        replica.on_published(published, &mut Vec::new());
     }
     let head = read_head(&kv).await.expect("up").head.expect("a head");
     assert_eq!(head.mark.revision, 300);
--- a/crates/conf/tests/support/sim.rs
+++ b/crates/conf/tests/support/sim.rs
@@ -1,18 +1,20 @@
 //! Several hosts with lossy messages between them, in virtual time.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use lw_base::MonoMs;
 use lw_conf::{ConfMessage, ConfShell, MAX_MESSAGE_BYTES, Mark, ShellParts};
+use lw_doc::Document;
+use lw_plat::{Kv, KvError};
 use parking_lot::Mutex;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::task::JoinHandle;
 
-use super::FakeKv;
+use super::{FakeKv, request};
 
 pub(crate) struct Net {
     pub(crate) rng: ChaCha8Rng,
@@ -23,6 +25,8 @@
     shells: BTreeMap<String, Arc<ConfShell>>,
     regions: BTreeMap<String, Vec<String>>,
     highest: BTreeMap<String, u64>,
+    /// Hosts that do not reach the key-value service.
+    pub(crate) cut_off: BTreeSet<String>,
 }
 
 #[derive(Clone)]
@@ -52,6 +56,7 @@
             shells: BTreeMap::new(),
             regions: by_region.clone(),
             highest: BTreeMap::new(),
+            cut_off: BTreeSet::new(),
         };
         let kv = FakeKv::default();
         kv.0.lock().latency_ms = 2;
@@ -72,7 +77,7 @@
         let (sender, random) = (self.clone(), self.net.clone());
         let from = name.to_owned();
         let parts = ShellParts {
-            kv: self.kv.client(),
+            kv: self.link(name),
             send: Box::new(move |to, bytes| sender.send(&from, to, bytes)),
             now: Box::new(move || MonoMs(u64::try_from(start.elapsed().as_millis()).unwrap())),
             random: Box::new(move || random.lock().rng.random()),
@@ -93,6 +98,21 @@
         }
     }
 
+    /// Returns a client of the service that fails while the host is cut off from it.
+    fn link(&self, name: &str) -> Kv {
+        let (kv, net, host) = (self.kv.client(), self.net.clone(), name.to_owned());
+        Kv::new(move |call| {
+            let cut = net.lock().cut_off.contains(&host);
+            let kv = kv.clone();
+            Box::pin(async move {
+                match cut {
+                    true => Err(KvError::Unreachable),
+                    false => kv.call(call).await,
+                }
+            })
+        })
+    }
+
     pub(crate) fn shell(&self, name: &str) -> Arc<ConfShell> {
         self.net.lock().shells[name].clone()
     }
@@ -238,3 +258,32 @@
         self.rng.random_range(0..100) >= dropped
     }
 }
+
+/// A revision must be in force everywhere within this time (I9).
+pub(crate) const BOUND_MS: u64 = 11_000;
+
+pub(crate) async fn pause(ms: u64) {
+    tokio::time::sleep(Duration::from_millis(ms)).await;
+}
+
+pub(crate) async fn publish_at(sim: &Sim, host: &str, operation: u128, next: Document) {
+    let base = sim.shell(host).mark().map_or(0, |mark| mark.revision);
+    let published = sim
+        .shell(host)
+        .publish(request(operation, base, next))
+        .await;
+    published.expect("published");
+}
+
+pub(crate) fn holders(sim: &Sim, hosts: &[String], customer: &str) -> usize {
+    let configs = hosts
+        .iter()
+        .filter_map(|host| sim.shell(host).reader().load());
+    let holding = configs.filter(|config| config.document.customers.contains_key(customer));
+    holding.count()
+}
+
+pub(crate) fn has_customer(sim: &Sim, name: &str) -> bool {
+    let names = sim.names();
+    holders(sim, &names, name) == names.len()
+}
