--- a/crates/conf/src/reconcile.rs
+++ b/crates/conf/src/reconcile.rs
@@ -68,7 +68,7 @@
 }
 
 fn join(theirs: &Document, missing: &[Change]) -> Document {
-    let Ok(joined) = apply_changes(theirs.clone(), missing) else {
+    let Ok(joined) = apply_changes(theirs, missing) else {
         return theirs.clone();
     };
     let faults = validate(&joined, &SourceMap::default(), &[]);
--- a/crates/doc/src/apply.rs
+++ b/crates/doc/src/apply.rs
@@ -22,8 +22,9 @@
     if wanted != found {
         return Err(ApplyError::WrongBase { wanted, found });
     }
-    let document = apply_changes(base.document, &difference.changes)?;
-    let tree = base.tree.updated(&document, &difference.changes);
+    let Applied { mut document, tree } = base;
+    change_all(&mut document, &difference.changes)?;
+    let tree = tree.updated(&document, &difference.changes);
     let (wanted, found) = (difference.result, tree.root());
     if wanted != found {
         return Err(ApplyError::WrongResult { wanted, found });
@@ -36,14 +37,17 @@
 /// # Errors
 ///
 /// Refuses paths that name no part of a document and values of the wrong form.
-pub fn apply_changes(document: Document, changes: &[Change]) -> Result<Document, ApplyError> {
-    let mut next = document;
-    for change in changes {
-        apply_change(&mut next, change)?;
-    }
+pub fn apply_changes(document: &Document, changes: &[Change]) -> Result<Document, ApplyError> {
+    let mut next = document.clone();
+    change_all(&mut next, changes)?;
     Ok(next)
 }
 
+fn change_all(document: &mut Document, changes: &[Change]) -> Result<(), ApplyError> {
+    let mut changes = changes.iter();
+    changes.try_for_each(|change| apply_change(document, change))
+}
+
 fn apply_change(document: &mut Document, change: &Change) -> Result<(), ApplyError> {
     let path = change.path.as_str();
     let unknown = || ApplyError::UnknownPath { path: path.into() };
