Update the table of prefix homes instead of building it anew

Change: a changed set of targets keeps the buckets whose homes stay and compares only the added targets. Conclusion: updated and new tables are equal in the tests.

--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -221,7 +221,8 @@
         }
         set.homes = match old {
             Some((_, entry)) if entry.targets.names == set.names => entry.targets.homes.clone(),
-            _ => Arc::new(HomeTable::new(&set.names)),
+            Some((_, entry)) => Arc::new(entry.targets.homes.updated(&set.names)),
+            None => Arc::new(HomeTable::new(&set.names)),
         };
         if let Some((_, entry)) = old {
             forget_removed(shared, &entry.targets, &set);
--- a/crates/route/tests/targets.rs
+++ b/crates/route/tests/targets.rs
@@ -243,6 +243,26 @@
     assert!(per_target.iter().all(|buckets| *buckets < 4 * mean));
 }
 
+/// Guards against hosts whose tables differ because they saw different changes: an updated table equals a new one.
+#[test_case(&[3], &[] ; "one removed")]
+#[test_case(&[], &["worker-x"] ; "one added")]
+#[test_case(&[0, 40, 79], &["a", "worker-x", "z"] ; "some exchanged")]
+#[test_case(&[1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12], &[] ; "many removed")]
+fn updated_tables_equal_new_ones(removed: &[usize], added: &[&str]) {
+    let names: Vec<String> = (0..80).map(|n| format!("worker-{n}")).collect();
+    let mut changed: Vec<String> = added.iter().map(ToString::to_string).collect();
+    let kept = names
+        .iter()
+        .enumerate()
+        .filter(|(index, _)| !removed.contains(index))
+        .map(|(_, name)| name.clone());
+    changed.extend(kept);
+    changed.sort();
+    let updated = HomeTable::new(&names).updated(&changed);
+    assert!(updated == HomeTable::new(&changed));
+    assert!(updated.updated(&names) == HomeTable::new(&names));
+}
+
 /// Guards against a load that is off by more than the quantisation after its two-byte trip.
 #[test]
 fn board_encoding_stays_within_its_steps() {
