--- a/crates/admit/src/retry_budget.rs
+++ b/crates/admit/src/retry_budget.rs
@@ -22,6 +22,13 @@
     floor: f64,
 }
 
+impl Default for RetryBudget {
+    /// Returns the budget of the only host; [`RetryBudget::set_hosts`] tells it of others.
+    fn default() -> Self {
+        Self::new(1)
+    }
+}
+
 impl RetryBudget {
     /// Creates a budget of a host that shares the service with others, `hosts` in total.
     #[must_use]
