gate: run requests that must not run twice by decision of their key's owner

Cause: such requests were refused. Change: the gate reads the key, asks a decision closure, runs with a permit, replays recorded answers and forwards to the owner; runs go on when their caller leaves. Tests over loopback for errors of callers, sizes, conflicting lengths, customers, whole, cut, crossed, slow and short answers, deadlines and callers that leave. Conclusion: a host without records of keys still refuses.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -7,7 +7,7 @@
 use lw_base::prelude::*;
 use lw_base::{stable_hash, violate};
 use lw_doc::{Fleet, compile, parse_document};
-use lw_gate::{AdminActions, Clock, Gate, GateParts, HostView, Identity};
+use lw_gate::{AdminActions, Clock, Gate, GateParts, HostView, Identity, KeyedRuns};
 use lw_route::Router;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -63,6 +63,7 @@
             clock,
             router,
             hosts: HostView::alone(),
+            keyed: KeyedRuns::refused(),
             peer_key: settings.peer_key.clone().into_bytes(),
             operators: settings.operators().map_err(StartError::Operator)?,
         });
--- /dev/null
+++ b/crates/daemon/tests/answers.rs
@@ -0,0 +1,278 @@
+//! Answers of targets: whole, crossed, cut, slow and late.
+
+mod support;
+
+use std::time::Duration;
+
+use http::Method;
+use lw_base::{Invariant, invariant_count};
+use lw_stand::{EngineStand, PlainStand, whole_answer};
+use support::{TestHost, add_target, chat_body, document, engine_options, local, until};
+use test_case::test_case;
+
+const CHAT: &str = "/v1/chat/completions";
+
+/// Returns the text of the tokens of a stream of events.
+fn streamed_text(events: &str) -> String {
+    let data = events
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "));
+    let chunks = data.filter_map(|data| serde_json::from_str::<serde_json::Value>(data).ok());
+    chunks
+        .filter_map(|chunk| {
+            chunk["choices"][0]["delta"]["content"]
+                .as_str()
+                .map(str::to_owned)
+        })
+        .collect()
+}
+
+fn assert_no_violation() {
+    for invariant in Invariant::ALL {
+        assert_eq!(invariant_count(invariant), 0, "{invariant:?}");
+    }
+}
+
+/// Guards against a stream or a body that is not the whole answer to its own prompt.
+#[test_case(true ; "stream")]
+#[test_case(false ; "one body")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_chat_is_answered_whole(stream: bool) {
+    let engine = EngineStand::new(engine_options());
+    let target = engine.start(local()).await.unwrap();
+    let host = TestHost::start(&document(&[], &[("chat", target.address())])).await;
+    let reply = host
+        .send(Method::POST, CHAT, &[], &chat_body("grade 7", 20, stream))
+        .await;
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    let text = reply.text();
+    if stream {
+        assert_eq!(streamed_text(&text), whole_answer("grade 7", 20));
+        assert!(text.ends_with("data: [DONE]\n\n"));
+    } else {
+        assert!(text.contains(&whole_answer("grade 7", 20)), "{text}");
+        assert_eq!(reply.header("lacewingstile-outcome"), "complete");
+    }
+    host.drain().await;
+    assert_no_violation();
+}
+
+/// Guards against a cut stream that looks complete, or that goes on with missing or repeated tokens.
+#[test_case(true ; "resumed on another engine")]
+#[test_case(false ; "ended with an error event")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_stream(resume: bool) {
+    let engines = [
+        EngineStand::new(engine_options()),
+        EngineStand::new(engine_options()),
+    ];
+    let first = engines[0].start(local()).await.unwrap();
+    let second = engines[1].start(local()).await.unwrap();
+    let mut document = document(&[], &[("chat", first.address())]);
+    add_target(&mut document, "chat-2", "chat", second.address());
+    for target in ["chat-1", "chat-2"] {
+        document["targets"][target]["resume"] = resume.into();
+    }
+    let host = TestHost::start(&document).await;
+    // Whichever engine is asked first cuts its stream, and the other one does not.
+    engines[0].break_after_tokens(5, 1);
+    let mut cut = false;
+    for number in 0..20 {
+        let prompt = format!("prompt {number}");
+        let reply = host
+            .send(Method::POST, CHAT, &[], &chat_body(&prompt, 12, true))
+            .await;
+        if resume {
+            assert_eq!(streamed_text(&reply.text()), whole_answer(&prompt, 12));
+        } else if reply.body.is_none() {
+            cut = true;
+        } else {
+            assert!(reply.text().ends_with("data: [DONE]\n\n"));
+        }
+    }
+    assert!(resume || cut, "no stream was cut");
+    host.drain().await;
+    assert_no_violation();
+}
+
+/// Guards against an error event that is lost when a body is aborted.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_aborted_stream_names_its_error() {
+    let engine = EngineStand::new(engine_options());
+    let target = engine.start(local()).await.unwrap();
+    let host = TestHost::start(&document(&[], &[("chat", target.address())])).await;
+    engine.break_after_tokens(5, 1);
+    let body = chat_body("grade 7", 12, true);
+    let request = format!(
+        "POST {CHAT} HTTP/1.1\r\nHost: a\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let answer = support::raw_exchange(host.daemon.addresses().callers, request.as_bytes()).await;
+    assert!(
+        answer.contains("event: error\ndata: {\"error\":{\"kind\":\"answer_incomplete\""),
+        "{answer}"
+    );
+    assert!(
+        !answer.contains("[DONE]") && !answer.ends_with("0\r\n\r\n"),
+        "{answer}"
+    );
+    host.drain().await;
+}
+
+/// Guards against a response of another request, and against a retry that is not allowed.
+#[tokio::test(flavor = "multi_thread")]
+async fn crossed_and_refused_answers() {
+    let stands = [PlainStand::default(), PlainStand::default()];
+    let first = stands[0].start(local()).await.unwrap();
+    let second = stands[1].start(local()).await.unwrap();
+    let mut document = document(&[("portal", first.address())], &[]);
+    let host = TestHost::start(&document).await;
+    stands[0].answer_with_wrong_attempt(1);
+    let reply = host.get("/s/portal/crossed").await;
+    assert_eq!(reply.header("lacewingstile-error"), "answer_incomplete");
+    assert_eq!(
+        (reply.status, reply.header("lacewingstile-outcome")),
+        (502, "unknown")
+    );
+    host.drain().await;
+
+    // A host of its own, because the first case has spent the retry that is allowed per second.
+    let host = TestHost::start(&document).await;
+    stands[0].refuse(1);
+    let reply = host.get("/s/portal/refused").await;
+    assert_eq!(
+        (reply.status, reply.header("lacewingstile-error")),
+        (503, "target_refused")
+    );
+    assert_eq!(reply.header("lacewingstile-outcome"), "not-run");
+    host.drain().await;
+
+    // With a second target it is retried, because a lookup may run twice.
+    add_target(&mut document, "portal-2", "portal", second.address());
+    let host = TestHost::start(&document).await;
+    stands[0].answer_with_wrong_attempt(1);
+    for number in 0..20 {
+        let reply = host.get(&format!("/s/portal/{number}")).await;
+        assert_eq!(reply.status, 200, "{}", reply.text());
+    }
+    assert_eq!(stands[0].lookups() + stands[1].lookups(), 1 + 21);
+    host.drain().await;
+}
+
+/// Guards against a wrong outcome when the deadline passes.
+#[tokio::test(flavor = "multi_thread")]
+async fn deadlines() {
+    let stand = PlainStand::default();
+    let target = stand.start(local()).await.unwrap();
+    let mut document = document(&[("portal", target.address())], &[]);
+    document["targets"]["portal-1"]["slots"] = 1.into();
+    document["services"]["portal"]["max_in_flight_per_target"] = 1.into();
+    let host = TestHost::start(&document).await;
+    stand.set_delay_ms(1_000);
+    let headers = [("lacewingstile-deadline-ms", "300")];
+    let slow = host.send(Method::GET, "/s/portal/slow", &headers, "");
+    let queued = async {
+        until("the first request", || stand.lookups() == 1).await;
+        host.send(
+            Method::GET,
+            "/s/portal/queued",
+            &[("lacewingstile-deadline-ms", "100")],
+            "",
+        )
+        .await
+    };
+    let (slow, queued) = tokio::join!(slow, queued);
+    assert_eq!(slow.header("lacewingstile-error"), "deadline_after_send");
+    assert_eq!(
+        (slow.status, slow.header("lacewingstile-outcome")),
+        (504, "unknown")
+    );
+    assert_eq!(queued.header("lacewingstile-outcome"), "not-run");
+    let kind = queued.header("lacewingstile-error");
+    assert!(
+        ["deadline_before_send", "deadline_unreachable"].contains(&kind),
+        "{kind}"
+    );
+    assert_eq!(stand.lookups(), 1);
+    host.drain().await;
+}
+
+/// Guards against work for callers that are gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_goes_away_frees_its_engine() {
+    let engine = EngineStand::new(lw_stand::EngineOptions {
+        decode_ms: 50.0,
+        ..engine_options()
+    });
+    let target = engine.start(local()).await.unwrap();
+    let host = TestHost::start(&document(&[], &[("chat", target.address())])).await;
+    let body = chat_body("long", 2_000, false);
+    let send = host.send(Method::POST, CHAT, &[], &body);
+    assert!(
+        tokio::time::timeout(Duration::from_millis(300), send)
+            .await
+            .is_err()
+    );
+    until("the engine to stop", || {
+        engine.queued_and_running() == (0, 0)
+    })
+    .await;
+    until("the request to end", || {
+        host.daemon.gate().state().in_flight() == 0
+    })
+    .await;
+    host.drain().await;
+    assert_no_violation();
+}
+
+/// Guards against a body that is buffered without bound for a slow reader.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_reader_holds_up_its_target() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    const BYTES: usize = 64 * 1024 * 1024;
+    let (listener, sent) = support::endless_target(BYTES).await;
+    let host = TestHost::start(&document(&[("portal", listener)], &[])).await;
+    let mut socket = tokio::net::TcpStream::connect(host.daemon.addresses().callers)
+        .await
+        .unwrap();
+    socket
+        .write_all(b"GET /s/portal/big HTTP/1.1\r\nHost: a\r\n\r\n")
+        .await
+        .unwrap();
+    let mut first = [0; 1024];
+    socket.read_exact(&mut first).await.unwrap();
+    let sent_bytes = || sent.load(std::sync::atomic::Ordering::Acquire);
+    // The target stops to send once the buffers of both connections are full.
+    let mut before = 0;
+    loop {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        if sent_bytes() == before {
+            break;
+        }
+        before = sent_bytes();
+    }
+    assert!(
+        before < BYTES / 2,
+        "{before} of {BYTES} bytes were taken from the target"
+    );
+    drop(socket);
+    until("the request to end", || {
+        host.daemon.gate().state().in_flight() == 0
+    })
+    .await;
+    host.drain().await;
+}
+
+/// Guards against a short body that is passed on as a whole one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_short_body_is_an_error() {
+    let address = support::short_target().await;
+    let host = TestHost::start(&document(&[("portal", address)], &[])).await;
+    let reply = host.get("/s/portal/short").await;
+    assert_eq!(
+        (reply.status, reply.header("lacewingstile-error")),
+        (502, "answer_incomplete")
+    );
+    assert_eq!(reply.header("lacewingstile-outcome"), "unknown");
+    host.drain().await;
+}
--- /dev/null
+++ b/crates/daemon/tests/errors.rs
@@ -0,0 +1,289 @@
+//! Errors that a caller can cause.
+
+mod support;
+
+use http::Method;
+use lw_stand::{EngineStand, PlainStand};
+use support::{TestHost, document, local, raw_exchange};
+
+struct Case {
+    name: &'static str,
+    method: &'static str,
+    path: &'static str,
+    headers: &'static [(&'static str, &'static str)],
+    body: &'static str,
+    status: u16,
+    kind: &'static str,
+    outcome: &'static str,
+}
+
+const PLAIN: Case = Case {
+    name: "",
+    method: "GET",
+    path: "/s/portal/x",
+    headers: &[],
+    body: "",
+    status: 400,
+    kind: "bad_request",
+    outcome: "not-run",
+};
+
+const CHAT: Case = Case {
+    method: "POST",
+    path: "/v1/chat/completions",
+    ..PLAIN
+};
+
+const ENDED_KEY: &str = "east.not-a-uuid";
+
+const CASES: &[Case] = &[
+    Case {
+        name: "malformed JSON",
+        body: "{",
+        ..CHAT
+    },
+    Case {
+        name: "no model in the body",
+        body: "{}",
+        ..CHAT
+    },
+    Case {
+        name: "chat by GET",
+        method: "GET",
+        ..CHAT
+    },
+    Case {
+        name: "unknown model",
+        body: r#"{"model":"none"}"#,
+        status: 404,
+        kind: "unknown_service",
+        ..CHAT
+    },
+    Case {
+        name: "plain service as a model",
+        body: r#"{"model":"portal"}"#,
+        status: 404,
+        kind: "unknown_service",
+        ..CHAT
+    },
+    Case {
+        name: "unknown service",
+        path: "/s/none/x",
+        status: 404,
+        kind: "unknown_service",
+        ..PLAIN
+    },
+    Case {
+        name: "unknown path",
+        path: "/other",
+        status: 404,
+        kind: "unknown_service",
+        ..PLAIN
+    },
+    Case {
+        name: "internal header",
+        headers: &[("lw-hop", "owner")],
+        ..PLAIN
+    },
+    Case {
+        name: "attempt id of a caller",
+        headers: &[("x-attempt-id", "1")],
+        ..PLAIN
+    },
+    Case {
+        name: "own via",
+        headers: &[("via", "1.1 other, 1.1 lacewingstile")],
+        status: 508,
+        kind: "loop_detected",
+        ..PLAIN
+    },
+    Case {
+        name: "unknown customer",
+        headers: &[("x-customer", "nobody")],
+        status: 401,
+        kind: "unauthorized",
+        ..PLAIN
+    },
+    Case {
+        name: "missing credential",
+        headers: &[("x-customer", "with-key")],
+        status: 401,
+        kind: "unauthorized",
+        ..PLAIN
+    },
+    Case {
+        name: "wrong credential",
+        headers: &[
+            ("x-customer", "with-key"),
+            ("authorization", "Bearer other"),
+        ],
+        status: 401,
+        kind: "unauthorized",
+        ..PLAIN
+    },
+    Case {
+        name: "bound to another region",
+        headers: &[("x-customer", "bound-west")],
+        status: 421,
+        kind: "misdirected",
+        ..PLAIN
+    },
+    Case {
+        name: "unknown class",
+        headers: &[("lacewingstile-priority", "urgent")],
+        ..PLAIN
+    },
+    Case {
+        name: "zero deadline",
+        headers: &[("lacewingstile-deadline-ms", "0")],
+        ..PLAIN
+    },
+    Case {
+        name: "missing key",
+        method: "POST",
+        kind: "key_missing",
+        ..PLAIN
+    },
+    Case {
+        name: "malformed key",
+        method: "POST",
+        headers: &[("idempotency-key", ENDED_KEY)],
+        kind: "key_malformed",
+        ..PLAIN
+    },
+    Case {
+        name: "key of another region",
+        method: "POST",
+        headers: &[(
+            "idempotency-key",
+            "west.0190a0a0-a0a0-7000-8000-00000000000a",
+        )],
+        status: 421,
+        kind: "misdirected",
+        ..PLAIN
+    },
+    Case {
+        name: "key of an unknown region",
+        method: "POST",
+        headers: &[(
+            "idempotency-key",
+            "north.0190a0a0-a0a0-7000-8000-00000000000a",
+        )],
+        kind: "key_malformed",
+        ..PLAIN
+    },
+];
+
+/// Guards against errors that reach a target, or that callers cannot tell apart.
+#[tokio::test(flavor = "multi_thread")]
+async fn errors_of_callers() {
+    let (portal, engine) = (
+        PlainStand::default(),
+        EngineStand::new(support::engine_options()),
+    );
+    let targets = (
+        portal.start(local()).await.unwrap(),
+        engine.start(local()).await.unwrap(),
+    );
+    let models = [("chat", targets.1.address())];
+    let host = TestHost::start(&document(&[("portal", targets.0.address())], &models)).await;
+    for case in CASES {
+        let method: Method = case.method.parse().unwrap();
+        let reply = host.send(method, case.path, case.headers, case.body).await;
+        let text = reply.text();
+        assert_eq!(reply.status, case.status, "{}: {text}", case.name);
+        assert_eq!(
+            reply.header("lacewingstile-error"),
+            case.kind,
+            "{}",
+            case.name
+        );
+        assert_eq!(
+            reply.header("lacewingstile-outcome"),
+            case.outcome,
+            "{}",
+            case.name
+        );
+        let body: serde_json::Value = serde_json::from_str(&text).unwrap();
+        assert_eq!(body["error"]["kind"], case.kind, "{}", case.name);
+    }
+    assert_eq!(portal.lookups() + portal.orders(), 0);
+    host.drain().await;
+}
+
+/// Guards against requests without bound in headers or body.
+#[tokio::test(flavor = "multi_thread")]
+async fn sizes_are_limited() {
+    let portal = PlainStand::default();
+    let target = portal.start(local()).await.unwrap();
+    let host = TestHost::start(&document(&[("portal", target.address())], &[])).await;
+
+    let long = "x".repeat(lw_gate::MAX_HEADER_BYTES);
+    let reply = host
+        .send(Method::GET, "/s/portal/x", &[("x-long", &long)], "")
+        .await;
+    assert_eq!(
+        (reply.status, reply.header("lacewingstile-error")),
+        (431, "headers_too_large")
+    );
+
+    let body = "x".repeat(lw_gate::MAX_BODY_BYTES + 1);
+    let reply = host.send(Method::PUT, "/s/portal/x", &[], &body).await;
+    assert_eq!(
+        (reply.status, reply.header("lacewingstile-error")),
+        (413, "body_too_large")
+    );
+    assert_eq!(portal.lookups() + portal.orders(), 0);
+    host.drain().await;
+}
+
+/// Guards against two readings of one message by the gateway and a target.
+#[tokio::test(flavor = "multi_thread")]
+async fn conflicting_lengths_are_refused() {
+    let portal = PlainStand::default();
+    let target = portal.start(local()).await.unwrap();
+    let host = TestHost::start(&document(&[("portal", target.address())], &[])).await;
+    let address = host.daemon.addresses().callers;
+    let heads = [
+        "Content-Length: 3\r\nContent-Length: 5\r\n",
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length: 3x\r\n",
+    ];
+    for head in heads {
+        let request = format!("PUT /s/portal/x HTTP/1.1\r\nHost: a\r\n{head}\r\nabcde");
+        let answer = raw_exchange(address, request.as_bytes()).await;
+        assert!(answer.starts_with("HTTP/1.1 400"), "{head:?}: {answer}");
+    }
+    assert_eq!(portal.lookups() + portal.orders(), 0);
+    host.drain().await;
+}
+
+/// Guards against a customer that takes more than its limit, and against a credential that is not accepted.
+#[tokio::test(flavor = "multi_thread")]
+async fn customers() {
+    let portal = PlainStand::default();
+    let target = portal.start(local()).await.unwrap();
+    let host = TestHost::start(&document(&[("portal", target.address())], &[])).await;
+    let headers = [
+        ("x-customer", "with-key"),
+        ("authorization", "Bearer password"),
+    ];
+    let reply = host.send(Method::GET, "/s/portal/x", &headers, "").await;
+    assert_eq!(reply.status, 200);
+
+    let mut kinds = Vec::new();
+    for _ in 0..5 {
+        let reply = host
+            .send(Method::GET, "/s/portal/x", &[("x-customer", "limited")], "")
+            .await;
+        kinds.push(reply.header("lacewingstile-error").to_owned());
+        if reply.status == 429 {
+            assert!(!reply.header("retry-after").is_empty());
+        }
+    }
+    assert!(
+        kinds.iter().any(|kind| kind == "limit_exceeded"),
+        "{kinds:?}"
+    );
+    host.drain().await;
+}
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -178,3 +178,90 @@
             .map(http_body_util::Collected::to_bytes),
     }
 }
+
+/// Options of a fast engine that serves the model `chat`.
+pub(crate) fn engine_options() -> lw_stand::EngineOptions {
+    lw_stand::EngineOptions {
+        model: "chat".to_owned(),
+        decode_ms: 2.0,
+        resume: true,
+        ..lw_stand::EngineOptions::default()
+    }
+}
+
+/// Builds the body of a chat request.
+pub(crate) fn chat_body(prompt: &str, tokens: usize, stream: bool) -> String {
+    serde_json::json!({
+        "model": "chat", "messages": [{"role": "user", "content": prompt}],
+        "max_tokens": tokens, "stream": stream,
+    })
+    .to_string()
+}
+
+/// Sends bytes and returns what comes back until the connection ends.
+pub(crate) async fn raw_exchange(address: SocketAddr, request: &[u8]) -> String {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let mut socket = tokio::net::TcpStream::connect(address).await.unwrap();
+    socket.write_all(request).await.unwrap();
+    let mut answer = Vec::new();
+    let read = socket.read_to_end(&mut answer);
+    let _ = tokio::time::timeout(std::time::Duration::from_secs(5), read).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Polls until `done` holds.
+pub(crate) async fn until(what: &str, mut done: impl FnMut() -> bool) {
+    for _ in 0..1_000 {
+        if done() {
+            return;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+    panic!("still waiting for {what}");
+}
+
+/// Serves a body of `bytes` bytes as fast as it is read; returns the address and the count of sent bytes.
+pub(crate) async fn endless_target(
+    bytes: usize,
+) -> (SocketAddr, std::sync::Arc<std::sync::atomic::AtomicUsize>) {
+    use tokio::io::AsyncWriteExt;
+    let listener = tokio::net::TcpListener::bind(local()).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let sent = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
+    let count = sent.clone();
+    tokio::spawn(async move {
+        let (mut socket, _) = listener.accept().await.unwrap();
+        read_head(&mut socket).await;
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {bytes}\r\n\r\n");
+        socket.write_all(head.as_bytes()).await.unwrap();
+        let part = vec![b'x'; 16 * 1024];
+        while count.load(Ordering::Acquire) < bytes && socket.write_all(&part).await.is_ok() {
+            count.fetch_add(part.len(), Ordering::AcqRel);
+        }
+    });
+    (address, sent)
+}
+
+/// Serves bodies that end before their declared length.
+pub(crate) async fn short_target() -> SocketAddr {
+    use tokio::io::AsyncWriteExt;
+    let listener = tokio::net::TcpListener::bind(local()).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut socket, _)) = listener.accept().await {
+            read_head(&mut socket).await;
+            let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort";
+            let _ = socket.write_all(answer).await;
+        }
+    });
+    address
+}
+
+async fn read_head(socket: &mut tokio::net::TcpStream) {
+    use tokio::io::AsyncReadExt;
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") && matches!(socket.read(&mut byte).await, Ok(1)) {
+        head.push(byte[0]);
+    }
+}
--- a/crates/gate/src/ask.rs
+++ b/crates/gate/src/ask.rs
@@ -11,7 +11,6 @@
 
 /// What is known about a request. Entities are held by name, because keys change with each revision.
 #[derive(Clone, Debug)]
-#[allow(dead_code)]
 pub(crate) struct Ask {
     pub(crate) id: RequestId,
     pub(crate) hop: Hop,
@@ -31,7 +30,6 @@
     /// The headers that travel to the target.
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
-    pub(crate) stream: bool,
     /// The stable hash of the reusable prefix, and the prefill time that it saves.
     pub(crate) prefix: Option<(u64, f64)>,
     pub(crate) deadline: MonoMs,
--- a/crates/gate/src/chat_request.rs
+++ b/crates/gate/src/chat_request.rs
@@ -18,9 +18,6 @@
 pub(crate) struct ChatRequest<'a> {
     /// The name of the service.
     pub(crate) model: String,
-    /// Whether the answer is a stream of events.
-    #[serde(default)]
-    pub(crate) stream: bool,
     #[serde(borrow, default)]
     messages: Vec<&'a RawValue>,
 }
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -20,7 +20,6 @@
 
 /// How a request of an idempotency key ended, for its record.
 #[derive(Clone, Debug)]
-#[allow(dead_code)]
 pub(crate) struct RunEnd {
     pub(crate) ending: Ending,
     /// Status, content type and body of a whole answer.
@@ -279,6 +278,19 @@
         ending
     }
 
+    /// Ends the request for the reason `kind` with an outcome that differs from the answer table.
+    pub(crate) fn end_as(&mut self, kind: ErrorKind, outcome: Outcome) -> Ending {
+        let ending = self.flow.reject_as(kind, outcome);
+        self.note_end(ending, None);
+        ending
+    }
+
+    /// Ends the request with the recorded answer of an earlier attempt.
+    pub(crate) fn complete_from_record(&mut self) {
+        let ending = self.flow.complete_from_record();
+        self.note_end(ending, None);
+    }
+
     /// Ends the request with the whole answer of `attempt`.
     pub(crate) fn complete(
         &mut self,
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -13,6 +13,7 @@
 use crate::entry_host::HostView;
 use crate::gate_state::GateState;
 use crate::identity::Identity;
+use crate::keyed::KeyedRuns;
 use crate::metrics::GateMetrics;
 use crate::peer_auth::PeerAuth;
 use crate::target_client::TargetClient;
@@ -27,6 +28,8 @@
     pub router: Arc<Router>,
     /// The knowledge about other hosts.
     pub hosts: HostView,
+    /// The decisions on requests that must not run twice.
+    pub keyed: KeyedRuns,
     /// The key that authenticates requests between hosts.
     pub peer_key: Vec<u8>,
     /// The operators who may use the admin listener.
@@ -39,6 +42,7 @@
     pub(crate) clock: Clock,
     pub(crate) router: Arc<Router>,
     pub(crate) hosts: HostView,
+    pub(crate) keyed: KeyedRuns,
     pub(crate) operators: Vec<Operator>,
     pub(crate) state: Arc<GateState>,
     pub(crate) admission: Admission,
@@ -57,6 +61,7 @@
             clock: parts.clock,
             router: parts.router,
             hosts: parts.hosts,
+            keyed: parts.keyed,
             operators: parts.operators,
             state: Arc::default(),
             admission: Admission::default(),
--- a/crates/gate/src/intake.rs
+++ b/crates/gate/src/intake.rs
@@ -28,7 +28,6 @@
 pub(crate) struct Wanted {
     pub(crate) service: Arc<str>,
     pub(crate) path: Arc<str>,
-    pub(crate) stream: bool,
     pub(crate) prefix: Option<(u64, f64)>,
 }
 
@@ -144,7 +143,6 @@
     Ok(Wanted {
         service: service.into(),
         path: path.into(),
-        stream: false,
         prefix: None,
     })
 }
@@ -158,7 +156,6 @@
     Ok(Wanted {
         service: chat.model.as_str().into(),
         path: CHAT_PATH.into(),
-        stream: chat.stream,
         prefix: chat.prefix(),
     })
 }
@@ -219,7 +216,6 @@
         path: wanted.path,
         headers: incoming.headers.clone(),
         body,
-        stream: wanted.stream,
         prefix: wanted.prefix,
         deadline: MonoMs(0),
         sender_allowed: None,
--- /dev/null
+++ b/crates/gate/src/keyed.rs
@@ -0,0 +1,83 @@
+//! Decisions on requests that must not run twice, as the gate receives them.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+
+use lw_base::prelude::*;
+use lw_idem::{BodyDigest, Ending, RecordKey};
+
+/// A request that must not run twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeyedAsk {
+    /// The key.
+    pub key: RecordKey,
+    /// The issue time of the key.
+    pub issued: WallMs,
+    /// What the request contains.
+    pub digest: BodyDigest,
+    /// The caller marked its first attempt with this key.
+    pub first_attempt: bool,
+    /// When the caller stops to wait.
+    pub deadline: MonoMs,
+    /// Another host of the region forwarded the request, so that it must not be forwarded again.
+    pub forwarded: bool,
+}
+
+/// Permission to run a request once; called with its end. A permit that is dropped reports an unknown end.
+pub type RunPermit = Box<dyn FnOnce(&Ending) + Send + Sync>;
+
+/// The decision on a request that must not run twice.
+pub enum KeyedAnswer {
+    /// Send the request to a target once.
+    Run(RunPermit),
+    /// Answer with the recorded end of an earlier attempt.
+    Replay(Ending),
+    /// Answer with an error; the outcome may be more certain than the answer table says.
+    Refuse {
+        /// The error kind.
+        kind: ErrorKind,
+        /// The outcome to tell.
+        outcome: Outcome,
+    },
+    /// Send the request to the owner of its key at this address.
+    Forward(String),
+}
+
+type Decide = dyn Fn(KeyedAsk) -> Pin<Box<dyn Future<Output = KeyedAnswer> + Send>> + Send + Sync;
+
+/// Decides on requests that must not run twice.
+#[derive(Clone)]
+pub struct KeyedRuns {
+    decide: Arc<Decide>,
+}
+
+impl KeyedRuns {
+    /// Builds the decision from a closure. Its future may be dropped.
+    pub fn new<F>(decide: impl Fn(KeyedAsk) -> F + Send + Sync + 'static) -> Self
+    where
+        F: Future<Output = KeyedAnswer> + Send + 'static,
+    {
+        Self {
+            decide: Arc::new(move |ask| Box::pin(decide(ask))),
+        }
+    }
+
+    /// Refuses every request, for a host without records of keys.
+    #[must_use]
+    pub fn refused() -> Self {
+        Self::new(|ask| async move {
+            KeyedAnswer::Refuse {
+                kind: ErrorKind::ClaimRefused,
+                outcome: match ask.first_attempt {
+                    true => Outcome::NotRun,
+                    false => Outcome::Unknown,
+                },
+            }
+        })
+    }
+
+    pub(crate) async fn decide(&self, ask: KeyedAsk) -> KeyedAnswer {
+        (self.decide)(ask).await
+    }
+}
--- a/crates/gate/src/peer_service.rs
+++ b/crates/gate/src/peer_service.rs
@@ -160,7 +160,6 @@
         path: path.into(),
         headers: headers.clone(),
         body: bytes::Bytes::new(),
-        stream: false,
         prefix: None,
         deadline: MonoMs(0),
         sender_allowed: Some(allowed.split(',').map(Arc::from).collect()),
@@ -181,7 +180,6 @@
     }
     let body = ask.body.clone();
     if let Ok(chat) = ChatRequest::parse(&body) {
-        ask.stream = chat.stream;
         ask.prefix = chat.prefix();
     }
 }
--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -41,15 +41,31 @@
                 Err(ending) => return self.rejection(ending),
             };
             match self.begin(answer).await {
-                Begun::Whole(answer, body) => return self.whole(answer, body),
-                Begun::Relay(relay) => return self.relay(relay),
-                Begun::Stream(relay) => return self.stream(relay),
-                Begun::Ended(ending) => return self.rejection(ending),
                 Begun::Failed(attempt, failure) => {
                     if let Err(ending) = self.failed(attempt, failure) {
                         return self.rejection(ending);
                     }
                 }
+                begun => return self.pass(begun),
+            }
+        }
+    }
+
+    /// Passes on the only answer that the request may have.
+    pub(crate) async fn pass_answer(mut self, answer: Answer) -> Reply {
+        let begun = self.begin(answer).await;
+        self.pass(begun)
+    }
+
+    fn pass(mut self, begun: Begun) -> Reply {
+        match begun {
+            Begun::Whole(answer, body) => self.whole(answer, body),
+            Begun::Relay(relay) => self.relay(relay),
+            Begun::Stream(relay) => self.stream(relay),
+            Begun::Ended(ending) => self.rejection(ending),
+            Begun::Failed(_, failure) => {
+                let ending = self.end_failed(failure);
+                self.rejection(ending)
             }
         }
     }
