--- a/crates/gate/src/admission.rs
+++ b/crates/gate/src/admission.rs
@@ -30,7 +30,7 @@
         let config = config_of(view, service, hosts);
         let mut doors = self.doors.write();
         let door = doors.entry(name.clone());
-        door.or_insert_with(|| Arc::new(ServiceDoor::new(config)))
+        door.or_insert_with(|| Arc::new(ServiceDoor::new(config, hosts)))
             .clone()
     }
 
@@ -38,7 +38,7 @@
     pub(crate) fn tick(&self, now: MonoMs, view: &RouteView, hosts: u32) {
         for (service, _, _) in view.fleet().services.iter() {
             let door = self.door(view, service, hosts);
-            door.tick(now, config_of(view, service, hosts));
+            door.tick(now, config_of(view, service, hosts), hosts);
         }
     }
 
--- a/crates/gate/src/service_door.rs
+++ b/crates/gate/src/service_door.rs
@@ -64,14 +64,14 @@
 }
 
 impl ServiceDoor {
-    pub(crate) fn new(config: QueueConfig) -> Self {
+    pub(crate) fn new(config: QueueConfig, hosts: u32) -> Self {
         let waiting = Waiting {
             queue: ServiceQueue::new(config),
             wakers: FastMap::default(),
         };
         Self {
             waiting: Mutex::new(waiting),
-            retries: Mutex::new(RetryBudget::default()),
+            retries: Mutex::new(RetryBudget::new(hosts)),
         }
     }
 
@@ -121,7 +121,8 @@
     }
 
     /// Takes new bounds, ends waits whose deadline has come and starts what may start.
-    pub(crate) fn tick(&self, now: MonoMs, config: QueueConfig) {
+    pub(crate) fn tick(&self, now: MonoMs, config: QueueConfig, hosts: u32) {
+        self.retries.lock().set_hosts(hosts);
         let mut waiting = self.waiting.lock();
         waiting.queue.set_concurrency(config.concurrency);
         waiting.queue.set_config(config);
--- /dev/null
+++ b/crates/gate/tests/peers.rs
@@ -0,0 +1,275 @@
+//! Forwarding between hosts of two regions.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use lw_base::{Invariant, Outcome, invariant_count};
+use lw_doc::{compile, parse_document};
+use lw_gate::{
+    Clock, Gate, GateParts, HostView, HttpServer, Identity, KeyedAnswer, KeyedRuns, MAX_BODY_BYTES,
+    ServerOptions,
+};
+use lw_idem::Ending;
+use lw_route::Router;
+use lw_stand::PlainStand;
+use parking_lot::Mutex;
+
+const OPTIONS: ServerOptions = ServerOptions {
+    worker_threads: 1,
+    max_body_bytes: MAX_BODY_BYTES,
+    body_timeout_ms: 5_000,
+    keep_alive_ms: 5_000,
+};
+
+const KEY: &str = "east.0190a0a0-a0a0-7000-8000-00000000000a";
+
+fn local() -> SocketAddr {
+    "127.0.0.1:0".parse().unwrap()
+}
+
+/// The portal has its only target in `west`.
+fn document(target: SocketAddr, allowed: &str) -> String {
+    format!(
+        r#"{{"format": 1,
+        "regions": {{"east": {{"zones": ["east-1"]}}, "west": {{"zones": ["west-1"]}}}},
+        "services": {{"portal": {{"kind": "plain", "priority": "lookup", "regions": ["east", "west"],
+            "allowed_regions": [{allowed}], "deadline_ms": 3000}}}},
+        "targets": {{"portal-1": {{"service": "portal", "zone": "ZONE", "address": "{target}"}}}}}}"#
+    )
+}
+
+struct Host {
+    gate: Arc<Gate>,
+    callers: HttpServer,
+    peers: HttpServer,
+}
+
+fn host(
+    region: &str,
+    document: &str,
+    key: &str,
+    forward: Option<SocketAddr>,
+    keyed: KeyedRuns,
+) -> Host {
+    let parsed = parse_document("test", document).unwrap();
+    let fleet = Arc::new(compile(&parsed.document, 1));
+    let clock = Clock::start();
+    let mut hosts = HostView::alone();
+    hosts.forward_addresses = Arc::new(move |_| forward.iter().map(ToString::to_string).collect());
+    let gate = Gate::new(GateParts {
+        identity: Identity {
+            host: format!("{region}-host").as_str().into(),
+            region: region.into(),
+            zone: format!("{region}-1").as_str().into(),
+        },
+        clock,
+        router: Arc::new(Router::new(clock.mono(), &fleet, region, 7)),
+        hosts,
+        keyed,
+        peer_key: key.as_bytes().to_vec(),
+        operators: Vec::new(),
+    });
+    gate.state().set_ready(true);
+    Host {
+        callers: HttpServer::start(local(), OPTIONS, gate.caller_handler()).unwrap(),
+        peers: HttpServer::start(local(), OPTIONS, gate.peer_handler()).unwrap(),
+        gate,
+    }
+}
+
+async fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+) -> Response<Bytes> {
+    let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+    let mut request = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"));
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Full::default()).unwrap();
+    let (head, body) = client.request(request).await.unwrap().into_parts();
+    Response::from_parts(head, body.collect().await.unwrap().to_bytes())
+}
+
+fn header<'a>(response: &'a Response<Bytes>, name: &str) -> &'a str {
+    response
+        .headers()
+        .get(name)
+        .map_or("", |value| value.to_str().unwrap())
+}
+
+/// Guards against a request that does not reach the region of its targets, and against a wrong answer from there.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_forwarded_to_the_region_of_its_target() {
+    let stand = PlainStand::default();
+    let target = stand.start(local()).await.unwrap();
+    let document = document(target.address(), "").replace("ZONE", "west-1");
+    let west = host(
+        "west",
+        &document,
+        "one key for both",
+        None,
+        KeyedRuns::refused(),
+    );
+    let address = west.peers.address();
+    let east = host(
+        "east",
+        &document,
+        "one key for both",
+        Some(address),
+        KeyedRuns::refused(),
+    );
+    let reply = call(east.callers.address(), "GET", "/s/portal/x", &[]).await;
+    assert_eq!(reply.status(), 200, "{:?}", reply.body());
+    assert_eq!(header(&reply, "lacewingstile-outcome"), "complete");
+    assert_eq!(stand.lookups(), 1);
+
+    // A request that another region forwarded goes no further (I2).
+    let document = document.replace("west-1\", \"address", "east-1\", \"address");
+    let west = host(
+        "west",
+        &document,
+        "one key for both",
+        Some(east.peers.address()),
+        KeyedRuns::refused(),
+    );
+    let back = document.replace("east-1\", \"address", "west-1\", \"address");
+    let east = host(
+        "east",
+        &back,
+        "one key for both",
+        Some(west.peers.address()),
+        KeyedRuns::refused(),
+    );
+    let reply = call(east.callers.address(), "GET", "/s/portal/x", &[]).await;
+    assert_eq!(
+        (
+            reply.status().as_u16(),
+            header(&reply, "lacewingstile-error")
+        ),
+        (503, "no_target")
+    );
+    assert_eq!(header(&reply, "lacewingstile-outcome"), "not-run");
+    assert_eq!(stand.lookups(), 1);
+    assert_eq!(invariant_count(Invariant::Residency), 0);
+}
+
+/// Guards against a newer, stricter rule of the receiving region that is not applied (I1).
+#[tokio::test(flavor = "multi_thread")]
+async fn the_stricter_rule_of_both_sides_decides() {
+    let stand = PlainStand::default();
+    let target = stand.start(local()).await.unwrap();
+    let open = document(target.address(), "").replace("ZONE", "west-1");
+    let strict = document(target.address(), "\"east\"").replace("ZONE", "west-1");
+    let west = host(
+        "west",
+        &strict,
+        "one key for both",
+        None,
+        KeyedRuns::refused(),
+    );
+    let address = west.peers.address();
+    let east = host(
+        "east",
+        &open,
+        "one key for both",
+        Some(address),
+        KeyedRuns::refused(),
+    );
+    let reply = call(east.callers.address(), "GET", "/s/portal/x", &[]).await;
+    assert_eq!(header(&reply, "lacewingstile-outcome"), "not-run");
+    assert_eq!(stand.lookups(), 0);
+}
+
+/// Guards against requests of strangers on the listener for hosts.
+#[tokio::test(flavor = "multi_thread")]
+async fn hosts_authenticate_each_other() {
+    let stand = PlainStand::default();
+    let target = stand.start(local()).await.unwrap();
+    let document = document(target.address(), "").replace("ZONE", "west-1");
+    let west = host("west", &document, "one key", None, KeyedRuns::refused());
+    let address = west.peers.address();
+    let east = host(
+        "east",
+        &document,
+        "another key",
+        Some(address),
+        KeyedRuns::refused(),
+    );
+    let reply = call(east.callers.address(), "GET", "/s/portal/x", &[]).await;
+    assert_eq!(header(&reply, "lacewingstile-error"), "unauthorized");
+    let reply = call(address, "GET", "/peer/forward/x", &[("lw-hop", "region")]).await;
+    assert_eq!(reply.status(), 401);
+    assert_eq!(stand.lookups(), 0);
+    assert_eq!(west.gate.state().in_flight(), 0);
+}
+
+/// Guards against a second run of a key, and against a run that is not reported to its record.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_runs_a_key_once_and_replays_it() {
+    let stand = PlainStand::default();
+    let target = stand.start(local()).await.unwrap();
+    let document = document(target.address(), "").replace("ZONE", "east-1");
+    let record: Arc<Mutex<Option<Ending>>> = Arc::default();
+    let kept = record.clone();
+    let owner_keyed = KeyedRuns::new(move |ask| {
+        let kept = kept.clone();
+        assert!(ask.forwarded);
+        async move {
+            match kept.lock().clone() {
+                Some(ending) => KeyedAnswer::Replay(ending),
+                None => {
+                    let record = kept.clone();
+                    KeyedAnswer::Run(Box::new(move |ending| {
+                        *record.lock() = Some(ending.clone());
+                    }))
+                }
+            }
+        }
+    });
+    let owner = host("east", &document, "one key", None, owner_keyed);
+    let owner_address = owner.peers.address().to_string();
+    let forward = KeyedRuns::new(move |_| {
+        let answer = KeyedAnswer::Forward(owner_address.clone());
+        async move { answer }
+    });
+    let entry = host("east", &document, "one key", None, forward);
+    for replayed in ["", "true"] {
+        let headers = [("idempotency-key", KEY)];
+        let reply = call(entry.callers.address(), "POST", "/s/portal/order", &headers).await;
+        assert_eq!(reply.status(), 200, "{:?}", reply.body());
+        assert_eq!(header(&reply, "lacewingstile-replayed"), replayed);
+        assert_eq!(header(&reply, "lacewingstile-outcome"), "complete");
+        assert_eq!(stand.runs_of(KEY), 1);
+    }
+}
+
+/// Guards against a wrong outcome when the owner cannot be reached: only a first attempt has certainly not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unreachable_owner() {
+    let stand = PlainStand::default();
+    let target = stand.start(local()).await.unwrap();
+    let document = document(target.address(), "").replace("ZONE", "east-1");
+    let closed = std::net::TcpListener::bind(local())
+        .unwrap()
+        .local_addr()
+        .unwrap();
+    let forward = KeyedRuns::new(move |_| async move { KeyedAnswer::Forward(closed.to_string()) });
+    let entry = host("east", &document, "one key", None, forward);
+    for (attempt, outcome) in [("1", Outcome::NotRun), ("2", Outcome::Unknown)] {
+        let headers = [("idempotency-key", KEY), ("lacewingstile-attempt", attempt)];
+        let reply = call(entry.callers.address(), "POST", "/s/portal/order", &headers).await;
+        assert_eq!(header(&reply, "lacewingstile-error"), "owner_unreachable");
+        assert_eq!(header(&reply, "lacewingstile-outcome"), outcome.as_str());
+    }
+    assert_eq!(stand.orders(), 0);
+}
