Add the runtime of a host among its peers

Cause: membership, the at-most-once protocol, configuration and load reports are decided by pure crates and had no host that ran them. Change: crate node runs them over nng or an attached transport: probes, shard map reads and writes, relays, load polls and boards, customer usage, host list, directory, isolation, planned stops.

--- /dev/null
+++ b/crates/node/src/customer_usage.rs
@@ -0,0 +1,29 @@
+//! The exchange of customer usage between hosts.
+
+use std::sync::Arc;
+
+use lw_admit::CustomerId;
+use lw_base::prelude::*;
+
+type Take = Arc<dyn Fn(MonoMs) -> Vec<(CustomerId, f64)> + Send + Sync>;
+type Give = Arc<dyn Fn(MonoMs, u64, &[(CustomerId, f64)]) + Send + Sync>;
+
+/// The customer limits of the host, as closures.
+#[derive(Clone)]
+pub struct CustomerUsage {
+    /// Closes a period of observation and returns the most active customers with their requests per second.
+    pub take: Take,
+    /// Takes the most active customers of the host with the given number.
+    pub give: Give,
+}
+
+impl CustomerUsage {
+    /// Exchanges nothing.
+    #[must_use]
+    pub fn none() -> Self {
+        Self {
+            take: Arc::new(|_| Vec::new()),
+            give: Arc::new(|_, _, _| {}),
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,51 @@
 //! The runtime of a host among its peers.
+//!
+//! A [`Node`] connects the deciding crates (`member`, `idem`, `conf`) with the peer transport, the platform services
+//! and the clocks of one host. Many nodes can run in one process.
+
+mod answers;
+mod clock;
+mod config_feed;
+mod contact;
+mod core;
+mod customer_usage;
+mod directory_task;
+mod dispatch;
+mod entry_host;
+mod entry_hosts;
+mod host_list_task;
+mod idem_answer;
+mod idem_ask;
+mod identity;
+mod leave;
+mod load_message;
+mod load_task;
+mod map_store;
+mod map_task;
+mod node;
+mod node_error;
+mod node_parts;
+mod node_status;
+mod parts_actions;
+mod region_feed;
+mod run_permit;
+mod standing;
+mod start;
+mod submit;
+mod target_list;
+mod tick_task;
+mod traffic;
+mod transport;
+
+pub use clock::NodeClock;
+pub use customer_usage::CustomerUsage;
+pub use entry_host::EntryHost;
+pub use idem_answer::IdemAnswer;
+pub use idem_ask::IdemAsk;
+pub use identity::NodeIdentity;
+pub use node::Node;
+pub use node_error::NodeError;
+pub use node_parts::{NodeParts, OnConfig};
+pub use node_status::NodeStatus;
+pub use run_permit::RunPermit;
+pub use transport::Transport;
--- /dev/null
+++ b/crates/node/src/load_message.rs
@@ -0,0 +1,71 @@
+//! The load board message.
+
+use lw_admit::CustomerId;
+use serde::{Deserialize, Serialize};
+
+/// Steps per doubling of a customer's rate; the error is below 0.2%.
+const RATE_STEPS_PER_OCTAVE: f64 = 256.0;
+
+/// The rate of code 0, in requests per second.
+const LEAST_RATE_PER_S: f64 = 0.01;
+
+/// Loads of targets and use of customers, as one host sends them to the others of its region.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct LoadMessage {
+    /// The digest of the sender's target list.
+    pub(crate) targets_digest: u64,
+    /// The number of targets between the entry and the one before it, and the load in two bytes.
+    loads: Vec<(u32, [u8; 2])>,
+    /// The stable hash of a customer's name, and its rate as a code.
+    customers: Vec<([u8; 8], u16)>,
+}
+
+impl LoadMessage {
+    pub(crate) fn new(targets_digest: u64) -> Self {
+        Self {
+            targets_digest,
+            ..Self::default()
+        }
+    }
+
+    /// Appends the load of the target with the given number, in rising order.
+    pub(crate) fn push_load(&mut self, next: &mut u32, number: u32, load: [u8; 2]) {
+        self.loads.push((number - *next, load));
+        *next = number + 1;
+    }
+
+    /// Returns the numbers of the targets with their loads.
+    pub(crate) fn numbered_loads(&self) -> impl Iterator<Item = (usize, [u8; 2])> {
+        let mut next = 0_usize;
+        self.loads.iter().map(move |(gap, load)| {
+            let number = next.saturating_add(*gap as usize);
+            next = number.saturating_add(1);
+            (number, *load)
+        })
+    }
+
+    pub(crate) fn set_customers(&mut self, rates: &[(CustomerId, f64)]) {
+        let coded = rates
+            .iter()
+            .map(|(customer, rate)| (customer.0.to_be_bytes(), rate_code(*rate)));
+        self.customers = coded.collect();
+    }
+
+    pub(crate) fn customers(&self) -> Vec<(CustomerId, f64)> {
+        let coded = self.customers.iter();
+        coded
+            .map(|(id, code)| (CustomerId(u64::from_be_bytes(*id)), rate_of(*code)))
+            .collect()
+    }
+}
+
+fn rate_code(rate_per_s: f64) -> u16 {
+    let octaves = (rate_per_s / LEAST_RATE_PER_S).log2();
+    (octaves * RATE_STEPS_PER_OCTAVE)
+        .round()
+        .clamp(0.0, f64::from(u16::MAX)) as u16
+}
+
+fn rate_of(code: u16) -> f64 {
+    LEAST_RATE_PER_S * (f64::from(code) / RATE_STEPS_PER_OCTAVE).exp2()
+}
--- /dev/null
+++ b/crates/node/src/node_error.rs
@@ -0,0 +1,16 @@
+//! Why a node does not start.
+
+use thiserror::Error;
+
+/// Why a node does not start.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum NodeError {
+    /// The address for peer messages cannot be used.
+    #[error("cannot listen on {address} for peer messages: {reason}; give a free address")]
+    Listen {
+        /// The address.
+        address: String,
+        /// The error of the transport.
+        reason: String,
+    },
+}
--- /dev/null
+++ b/crates/node/src/parts_actions.rs
@@ -0,0 +1,96 @@
+//! Performing the actions of membership and of the at-most-once protocol.
+
+use std::sync::Arc;
+
+use lw_idem::{ClaimId, Ending, IdemAction, Instance, MemberStatus, RecordKey};
+use lw_member::{MemberAction, MemberState, Update};
+use lw_peer::Message;
+
+use crate::core::Core;
+use crate::idem_answer::IdemAnswer;
+use crate::map_task::Proposed;
+use crate::run_permit::RunPermit;
+
+impl Core {
+    pub(crate) fn perform_members(&self, actions: Vec<MemberAction>) {
+        for action in actions {
+            match action {
+                MemberAction::Send {
+                    host,
+                    address,
+                    message,
+                } => self.send(&host, &address, &Message::Member(message)),
+                MemberAction::Changed(update) => self.on_member_change(&update),
+                MemberAction::Acknowledged {
+                    host,
+                    incarnation,
+                    sent_at,
+                    evidence,
+                } => {
+                    let from = Instance { host, incarnation };
+                    self.idem
+                        .on_probe_ack(&from, sent_at, evidence, self.clock.mono());
+                }
+            }
+        }
+    }
+
+    fn on_member_change(&self, update: &Update) {
+        let instance = Instance {
+            host: update.host.clone(),
+            incarnation: update.incarnation,
+        };
+        log::info!("node: {instance} is {:?}", update.state);
+        let status = match update.state {
+            MemberState::Alive => MemberStatus::Alive,
+            MemberState::Leaving => MemberStatus::Leaving,
+            MemberState::Dead => MemberStatus::Lost,
+            // A suspect has time to refute, and its shards stay with it.
+            MemberState::Suspect => return,
+        };
+        self.idem.on_member(&instance, status);
+    }
+
+    pub(crate) fn perform_idem(self: &Arc<Self>, actions: Vec<IdemAction>) {
+        for action in actions {
+            match action {
+                IdemAction::Send { to, message } => self.send_idem(&to, message),
+                IdemAction::Run { ticket, key, claim } => {
+                    let permit = RunPermit::new(self.clone(), key, claim);
+                    self.answers.deliver(ticket, IdemAnswer::Run(permit));
+                }
+                IdemAction::Replay { ticket, ending } => {
+                    self.answers.deliver(ticket, IdemAnswer::Replay(ending));
+                }
+                IdemAction::Refuse {
+                    ticket,
+                    kind,
+                    outcome,
+                } => self
+                    .answers
+                    .deliver(ticket, IdemAnswer::Refuse { kind, outcome }),
+                IdemAction::Propose { map, if_version } => {
+                    // The receiver is gone only after the node stopped.
+                    drop(self.proposals.send(Proposed { map, if_version }));
+                }
+                IdemAction::ReadMap => self.read_map.notify_one(),
+            }
+        }
+    }
+
+    /// A message for a former process of a host is not sent to its present one.
+    fn send_idem(&self, to: &Instance, message: lw_idem::IdemMessage) {
+        if let Some((address, Some(incarnation))) = self.address_of(&to.host)
+            && incarnation == to.incarnation
+        {
+            self.send(&to.host, &address, &Message::Idem(message));
+        }
+    }
+
+    pub(crate) fn end_run(self: &Arc<Self>, key: RecordKey, claim: ClaimId, ending: &Ending) {
+        let mut out = Vec::new();
+        self.idem
+            .on_ended(key, claim, ending, self.clock.wall(), &mut out);
+        self.perform_idem(out);
+    }
+}
--- /dev/null
+++ b/crates/node/src/region_feed.rs
@@ -0,0 +1,70 @@
+//! Region summaries for the router, and the own region's load for its summary.
+
+use std::sync::Arc;
+
+use lw_base::prelude::*;
+use lw_route::RegionSummary;
+
+use crate::core::Core;
+
+/// When each region's newest summary arrived.
+#[derive(Debug, Default)]
+pub(crate) struct RegionFeed {
+    seen: FastMap<Arc<str>, (u64, MonoMs)>,
+}
+
+impl RegionFeed {
+    fn received(&mut self, region: &Arc<str>, version: u64, now: MonoMs) -> MonoMs {
+        let seen = self.seen.entry(region.clone()).or_insert((version, now));
+        if seen.0 != version {
+            *seen = (version, now);
+        }
+        seen.1
+    }
+}
+
+impl Core {
+    /// Passes the summaries of other regions to the router.
+    pub(crate) fn feed_regions(&self, now: MonoMs) {
+        let known: Vec<_> = self.members.lock().region_summaries().cloned().collect();
+        let view = self.router.view();
+        let mut feed = self.regions.lock();
+        for summary in known {
+            let received = feed.received(&summary.region, summary.version, now);
+            let Some(region) = view.fleet().regions.key(&summary.region) else {
+                continue;
+            };
+            if view.local_region() == Some(region) {
+                continue;
+            }
+            let capacity_slots = f64::from(summary.capacity_slots);
+            let load_slots = capacity_slots * f64::from(summary.load_permille) / 1_000.0;
+            view.set_summary(
+                region,
+                RegionSummary {
+                    capacity_slots,
+                    load_slots,
+                    received,
+                },
+            );
+        }
+    }
+
+    /// Sets capacity and use of the own region for its summary.
+    pub(crate) fn measure_region(&self) {
+        let view = self.router.view();
+        let loads = view.fleet().services.keys();
+        let (slots, requests) = loads
+            .map(|service| view.service_load(service))
+            .fold((0.0, 0.0), |sum, load| {
+                (sum.0 + load.slots, sum.1 + load.requests.max(0.0))
+            });
+        let permille = if slots > 0.0 {
+            (requests / slots * 1_000.0).min(f64::from(u16::MAX))
+        } else {
+            0.0
+        };
+        let mut members = self.members.lock();
+        members.set_load(slots.round() as u32, permille.round() as u16);
+    }
+}
