daemon: start the node of a host and give its closures to the gate

Cause: the daemon served a document file only. Change: it starts the node with the platform clients, connects entry hosts, forward addresses, decisions on keys and customer use to the gate, follows the node's standing, hands over the shards in a planned stop and shows members, shards and control work in the status. Region summaries take the time at which their figures were read.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -7,7 +7,9 @@
 use lw_base::prelude::*;
 use lw_base::{stable_hash, violate};
 use lw_doc::{Fleet, compile, parse_document};
-use lw_gate::{AdminActions, Clock, Gate, GateParts, HostView, Identity, KeyedRuns};
+use lw_gate::{AdminActions, Clock, Gate, GateParts, Identity};
+use lw_node::Node;
+use lw_plat::Kv;
 use lw_route::Router;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -15,11 +17,16 @@
 
 use crate::exit::Exit;
 use crate::listeners::Listeners;
+use crate::node_link::NodeLink;
+use crate::node_start::{key_value, start_node};
 use crate::settings::Settings;
 use crate::start_error::StartError;
+use crate::status::node_status;
 
 /// How often admission queues are looked after.
 const TICK: Duration = Duration::from_millis(50);
+/// The longest time to hand over the shards; a new backup is filled within seconds.
+const HAND_OVER_MS: u64 = 30_000;
 
 /// The bound addresses of a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,6 +43,7 @@
 pub struct Daemon {
     settings: Settings,
     gate: Arc<Gate>,
+    node: Option<Arc<Node>>,
     listeners: Listeners,
     drain_requested: CancellationToken,
     tasks: Vec<AbortOnDropHandle<()>>,
@@ -48,34 +56,36 @@
     ///
     /// Returns an error when an address cannot be bound or the document file cannot be used.
     pub async fn start(settings: Settings) -> Result<Self, StartError> {
+        let kv = key_value(&settings);
+        Self::start_with(settings, kv).await
+    }
+
+    /// Starts a host with a key-value service of the caller, for example one in the same process.
+    ///
+    /// # Errors
+    ///
+    /// See [`Daemon::start`].
+    pub async fn start_with(settings: Settings, kv: Option<Kv>) -> Result<Self, StartError> {
         let clock = Clock::start();
-        let fleet = first_fleet(&settings)?;
-        let ready = fleet.revision > 0;
+        let fleet = Arc::new(first_fleet(&settings)?);
         let seed = stable_hash(settings.host.as_bytes()) ^ Clock::wall().0;
-        let router = Router::new(clock.mono(), &Arc::new(fleet), &settings.region, seed);
-        let router = Arc::new(router);
-        let gate = Gate::new(GateParts {
-            identity: Identity {
-                host: settings.host.as_str().into(),
-                region: settings.region.as_str().into(),
-                zone: settings.zone.as_str().into(),
-            },
-            clock,
-            router,
-            hosts: HostView::alone(),
-            keyed: KeyedRuns::refused(),
-            peer_key: settings.peer_key.clone().into_bytes(),
-            operators: settings.operators().map_err(StartError::Operator)?,
-        });
-        gate.state().set_ready(ready);
+        let router = Arc::new(Router::new(clock.mono(), &fleet, &settings.region, seed));
+        let link = NodeLink::default();
+        let gate = build_gate(&settings, clock, &router, &link)?;
         let drain_requested = CancellationToken::new();
-        let requested = drain_requested.clone();
-        let actions = AdminActions {
-            status: Arc::new(serde_json::Map::new),
-            drain: Arc::new(move |_| requested.cancel()),
-        };
+        let actions = admin_actions(&link, &drain_requested);
         let listeners = Listeners::start(&settings, &gate, actions)?;
-        let tasks = vec![spawn_tick(gate.clone())];
+        let node = match kv {
+            None => None,
+            Some(kv) => {
+                let addresses = addresses_of(&listeners);
+                let node = start_node(&settings, kv, &gate, &router, clock, addresses, seed)?;
+                link.connect(&node);
+                Some(node)
+            }
+        };
+        gate.state().set_ready(node.is_none() && fleet.revision > 0);
+        let tasks = vec![spawn_tick(gate.clone(), node.clone(), clock)];
         log::info!(
             "daemon: {} in {} serves callers on {}",
             settings.host,
@@ -85,6 +95,7 @@
         Ok(Self {
             settings,
             gate,
+            node,
             listeners,
             drain_requested,
             tasks,
@@ -94,11 +105,13 @@
     /// Returns the bound addresses.
     #[must_use]
     pub fn addresses(&self) -> Addresses {
-        Addresses {
-            callers: self.listeners.callers.address(),
-            peers: self.listeners.peers.address(),
-            admin: self.listeners.admin.address(),
-        }
+        addresses_of(&self.listeners)
+    }
+
+    /// Returns the node, or `None` for a host without a key-value service.
+    #[must_use]
+    pub fn node(&self) -> Option<&Arc<Node>> {
+        self.node.as_ref()
     }
 
     /// Returns the HTTP side.
@@ -120,7 +133,8 @@
             "daemon: leaving with {} requests in flight",
             state.in_flight()
         );
-        tokio::time::sleep(Duration::from_millis(self.settings.move_ms)).await;
+        let moved = tokio::time::sleep(Duration::from_millis(self.settings.move_ms));
+        tokio::join!(moved, self.hand_over());
         self.listeners.callers.close_listener();
         state.close();
         let until = Instant::now() + Duration::from_millis(self.settings.drain_limit_ms);
@@ -130,18 +144,35 @@
         exit
     }
 
+    /// Leaves the directory and hands over the shards.
+    async fn hand_over(&self) {
+        let Some(node) = &self.node else {
+            return;
+        };
+        let limit_ms = HAND_OVER_MS.min(self.settings.drain_limit_ms);
+        if !node.leave(limit_ms).await {
+            log::warn!("daemon: no other host took the shards; keys in them end as unknown");
+        }
+    }
+
     /// Ends at once, as a host that fails: requests in flight are cut off.
     pub async fn kill(self) {
         self.gate.state().halt();
+        self.stop().await;
+    }
+
+    async fn stop(self) {
         drop(self.tasks);
+        if let Some(node) = &self.node {
+            node.kill();
+        }
         self.listeners.stop().await;
     }
 
     async fn end(self, drained: bool) -> Exit {
         let in_flight = self.gate.state().in_flight();
         self.gate.state().halt();
-        drop(self.tasks);
-        self.listeners.stop().await;
+        self.stop().await;
         if drained {
             return Exit::Ok;
         }
@@ -153,12 +184,55 @@
     }
 }
 
-fn spawn_tick(gate: Arc<Gate>) -> AbortOnDropHandle<()> {
+fn addresses_of(listeners: &Listeners) -> Addresses {
+    Addresses {
+        callers: listeners.callers.address(),
+        peers: listeners.peers.address(),
+        admin: listeners.admin.address(),
+    }
+}
+
+fn build_gate(
+    settings: &Settings,
+    clock: Clock,
+    router: &Arc<Router>,
+    link: &NodeLink,
+) -> Result<Arc<Gate>, StartError> {
+    Ok(Gate::new(GateParts {
+        identity: Identity {
+            host: settings.host.as_str().into(),
+            region: settings.region.as_str().into(),
+            zone: settings.zone.as_str().into(),
+        },
+        clock,
+        router: router.clone(),
+        hosts: link.host_view(),
+        keyed: link.keyed_runs(),
+        peer_key: settings.peer_key.clone().into_bytes(),
+        operators: settings.operators().map_err(StartError::Operator)?,
+    }))
+}
+
+fn admin_actions(link: &NodeLink, drain_requested: &CancellationToken) -> AdminActions {
+    let (link, requested) = (link.clone(), drain_requested.clone());
+    AdminActions {
+        status: Arc::new(move || node_status(&link)),
+        drain: Arc::new(move |_| requested.cancel()),
+    }
+}
+
+fn spawn_tick(gate: Arc<Gate>, node: Option<Arc<Node>>, clock: Clock) -> AbortOnDropHandle<()> {
     AbortOnDropHandle::new(tokio::spawn(async move {
         let mut interval = tokio::time::interval(TICK);
         loop {
             interval.tick().await;
             gate.tick();
+            if let Some(node) = &node {
+                let standing = node.may_serve(clock.mono());
+                gate.state().set_ready(standing != Err(ErrorKind::NotReady));
+                gate.state()
+                    .set_isolated(standing == Err(ErrorKind::Isolated));
+            }
         }
     }))
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,10 +6,13 @@
 mod listeners;
 mod logs;
 mod main_exit;
+mod node_link;
+mod node_start;
 mod run;
 mod settings;
 mod settings_error;
 mod start_error;
+mod status;
 
 pub use arguments::Arguments;
 pub use daemon::{Addresses, Daemon};
--- /dev/null
+++ b/crates/daemon/src/node_start.rs
@@ -0,0 +1,97 @@
+//! Building the node of a host from its settings.
+
+use std::sync::Arc;
+
+use lw_gate::{Clock, Gate};
+use lw_node::{CustomerUsage, Node, NodeClock, NodeIdentity, NodeParts, Transport};
+use lw_peer::PeerKeys;
+use lw_plat::{Directory, EngineControl, HostList, HttpTimeouts, Kv, http_kv};
+use lw_route::Router;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+
+use crate::daemon::Addresses;
+use crate::settings::Settings;
+use crate::start_error::StartError;
+
+/// Limits of calls to the platform; the key-value service answers in milliseconds when it is well.
+const PLATFORM_TIMEOUTS: HttpTimeouts = HttpTimeouts {
+    connect_ms: 500,
+    call_ms: 3_000,
+};
+/// Limits of load polls; an engine that takes longer is polled again in the next period.
+const ENGINE_TIMEOUTS: HttpTimeouts = HttpTimeouts {
+    connect_ms: 500,
+    call_ms: 1_000,
+};
+/// The memory for the records of idempotency keys, a quarter of the 256 MB for control work.
+const TABLE_BYTES: usize = 64 * 1024 * 1024;
+
+/// Returns the key-value service of the settings.
+pub(crate) fn key_value(settings: &Settings) -> Option<Kv> {
+    let address = settings.platform.key_value.as_ref()?;
+    Some(http_kv(address, PLATFORM_TIMEOUTS))
+}
+
+/// Starts the node.
+pub(crate) fn start_node(
+    settings: &Settings,
+    kv: Kv,
+    gate: &Arc<Gate>,
+    router: &Arc<Router>,
+    clock: Clock,
+    addresses: Addresses,
+    seed: u64,
+) -> Result<Arc<Node>, StartError> {
+    let platform = &settings.platform;
+    let (applied, clock_of_config) = (router.clone(), clock);
+    let parts = NodeParts {
+        identity: NodeIdentity {
+            host: settings.host.as_str().into(),
+            region: settings.region.as_str().into(),
+            zone: settings.zone.as_str().into(),
+            incarnation: Clock::wall().0,
+        },
+        caller_address: addresses.callers.to_string(),
+        peer_http_address: addresses.peers.to_string(),
+        transport: Transport::Nng {
+            listen: settings.listen.nng.to_string(),
+        },
+        peer_keys: PeerKeys::new(settings.peer_key.as_bytes()),
+        seeds: settings.seeds.clone(),
+        region_seeds: settings.region_seeds.clone(),
+        kv,
+        host_list: platform
+            .host_list
+            .as_ref()
+            .map(|address| HostList::over_http(address, PLATFORM_TIMEOUTS)),
+        directory: platform
+            .directory
+            .as_ref()
+            .map(|address| Directory::over_http(address, PLATFORM_TIMEOUTS)),
+        engines: Some(EngineControl::over_http(ENGINE_TIMEOUTS)),
+        clock: NodeClock::new(move || clock.mono(), Clock::wall),
+        rng: ChaCha8Rng::seed_from_u64(seed),
+        router: router.clone(),
+        usage: customer_usage(gate),
+        on_config: Box::new(move |config| {
+            applied.apply(clock_of_config.mono(), &config.fleet);
+            log::info!("conf: revision {} is in force", config.mark.revision);
+        }),
+        table_bytes: TABLE_BYTES,
+    };
+    let node = Node::start(parts).map_err(|error| StartError::Node(error.to_string()))?;
+    Ok(Arc::new(node))
+}
+
+fn customer_usage(gate: &Arc<Gate>) -> CustomerUsage {
+    let (taken, given) = (gate.clone(), gate.clone());
+    CustomerUsage {
+        take: Arc::new(move |now| {
+            let mut rates = Vec::new();
+            taken.customers().lock().exchange(now, &mut rates);
+            rates
+        }),
+        give: Arc::new(move |now, host, rates| given.customers().lock().others(now, host, rates)),
+    }
+}
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -35,6 +35,9 @@
     /// Peer addresses of hosts of the same region, to join by.
     #[serde(default)]
     pub seeds: Vec<String>,
+    /// Peer addresses of hosts of other regions.
+    #[serde(default)]
+    pub region_seeds: Vec<String>,
     /// The lowest level that is logged: error, warn, info, debug or trace.
     #[serde(default = "default_log_level")]
     pub log_level: String,
@@ -159,6 +162,10 @@
                 "is missing; give platform.key_value, or document_file for a host of its own";
             return Err(fault("platform.key_value", message));
         }
+        if self.platform.key_value.is_some() && self.document_file.is_some() {
+            let message = "is given beside platform.key_value; leave out one of them";
+            return Err(fault("document_file", message));
+        }
         if level_of(&self.log_level).is_none() {
             return Err(fault(
                 "log_level",
--- a/crates/daemon/src/start_error.rs
+++ b/crates/daemon/src/start_error.rs
@@ -17,6 +17,9 @@
         /// The error of the operating system.
         error: std::io::Error,
     },
+    /// The address for peer messages cannot be used.
+    #[error("listen.nng: {0}; use a free address of this host")]
+    Node(String),
     /// The document file cannot be used.
     #[error("document_file: {0}")]
     Document(String),
--- /dev/null
+++ b/crates/daemon/src/status.rs
@@ -0,0 +1,67 @@
+//! The status of a host for operators.
+
+use std::sync::Arc;
+
+use lw_node::Node;
+use serde_json::{Map, Value, json};
+
+use crate::node_link::NodeLink;
+
+/// Returns the part of the status that the node knows.
+pub(crate) fn node_status(link: &NodeLink) -> Map<String, Value> {
+    let Some(node) = link.node() else {
+        return Map::new();
+    };
+    let mut status = Map::new();
+    let digest = node
+        .reader()
+        .load()
+        .map(|config| config.mark.digest.to_string());
+    status.insert("digest".to_owned(), json!(digest));
+    status.insert("members".to_owned(), members(&node));
+    status.insert("keys".to_owned(), keys(&node));
+    status.insert("control".to_owned(), control(&node));
+    status
+}
+
+fn members(node: &Arc<Node>) -> Value {
+    let status = node.status();
+    json!({
+        "alive": status.alive_members,
+        "leaving": status.leaving_members,
+        "suspect": status.suspect_members,
+        "dead": status.dead_members,
+        "sees_half": status.sees_half,
+        "clock_ok": status.clock_ok,
+        "known_regions": status.known_regions,
+        "peer_address": node.peer_address(),
+    })
+}
+
+fn keys(node: &Arc<Node>) -> Value {
+    let status = node.status();
+    json!({
+        "map_revision": status.map_revision,
+        "owned_shards": status.owned_shards,
+        "backup_shards": status.backup_shards,
+        "records": status.records,
+    })
+}
+
+/// Returns what control work has cost since the start, to compare with its budget per node.
+fn control(node: &Arc<Node>) -> Value {
+    let status = node.status();
+    json!({
+        "service_age_ms": status.service_age_ms,
+        "sent_frames": status.sent_frames,
+        "sent_bytes": status.sent_bytes,
+        "received_frames": status.received_frames,
+        "received_bytes": status.received_bytes,
+        "dropped_frames": status.dropped_frames,
+        "refused_frames": status.refused_frames.iter().copied().collect::<std::collections::BTreeMap<_, _>>(),
+        "map_reads": status.map_reads,
+        "map_writes": status.map_writes,
+        "load_polls": status.load_polls,
+        "busy_us": status.busy_us,
+    })
+}
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -17,7 +17,8 @@
 
 /// The bearer token of the operator in the settings, and its digest.
 pub(crate) const OPERATOR_TOKEN: &str = "operator-token";
-const OPERATOR_DIGEST: &str = "0850123315d21ab90f4f7236408a52ef6dbd6a02a6550e5c10dc73f4d993680e";
+pub(crate) const OPERATOR_DIGEST: &str =
+    "0850123315d21ab90f4f7236408a52ef6dbd6a02a6550e5c10dc73f4d993680e";
 
 static NEXT_FILE: AtomicU32 = AtomicU32::new(0);
 
@@ -118,7 +119,7 @@
     pub(crate) async fn start_with(settings: Settings) -> Self {
         Self {
             daemon: Daemon::start(settings).await.unwrap(),
-            client: Client::builder(TokioExecutor::new()).build_http(),
+            client: client(),
         }
     }
 
@@ -149,6 +150,10 @@
     }
 }
 
+pub(crate) fn client() -> TestClient {
+    Client::builder(TokioExecutor::new()).build_http()
+}
+
 pub(crate) async fn send(
     client: &TestClient,
     address: SocketAddr,
--- a/crates/node/src/region_feed.rs
+++ b/crates/node/src/region_feed.rs
@@ -37,16 +37,12 @@
             if view.local_region() == Some(region) {
                 continue;
             }
-            let capacity_slots = f64::from(summary.capacity_slots);
-            let load_slots = capacity_slots * f64::from(summary.load_permille) / 1_000.0;
-            view.set_summary(
-                region,
-                RegionSummary {
-                    capacity_slots,
-                    load_slots,
-                    received,
-                },
-            );
+            // The version is the wall clock of the relay that read the figures.
+            let age_ms = self.clock.wall().since_ms(WallMs(summary.version));
+            let read_at = received.min(MonoMs(now.0.saturating_sub(age_ms)));
+            let slots = summary.capacity_slots;
+            let figures = RegionSummary::from_permille(slots, summary.load_permille, read_at);
+            view.set_summary(region, figures);
         }
     }
 
