node: take the age of region summaries into account

Cause: the router now asks when a summary's figures were read, and node still passed the time of receipt under its former name, so the workspace did not compile. Change: the read time is the time of receipt less the age of the relay's wall clock; the figures go through RegionSummary::from_permille.

--- a/crates/node/src/region_feed.rs
+++ b/crates/node/src/region_feed.rs
@@ -7,17 +7,25 @@
 
 use crate::core::Core;
 
-/// When each region's newest summary arrived.
+/// When each region read the figures of its newest summary.
 #[derive(Debug, Default)]
 pub(crate) struct RegionFeed {
     seen: FastMap<Arc<str>, (u64, MonoMs)>,
 }
 
 impl RegionFeed {
-    fn received(&mut self, region: &Arc<str>, version: u64, now: MonoMs) -> MonoMs {
-        let seen = self.seen.entry(region.clone()).or_insert((version, now));
+    /// Returns when the figures of the summary were read, on the clock of this host.
+    ///
+    /// A version is the wall clock of its relay. The age is taken when the summary arrives, so that a later jump of the
+    /// own wall clock does not change it.
+    fn read_at(&mut self, region: &Arc<str>, version: u64, now: MonoMs, wall: WallMs) -> MonoMs {
+        let read_at = MonoMs(now.0.saturating_sub(wall.since_ms(WallMs(version))));
+        let seen = self
+            .seen
+            .entry(region.clone())
+            .or_insert((version, read_at));
         if seen.0 != version {
-            *seen = (version, now);
+            *seen = (version, read_at);
         }
         seen.1
     }
@@ -25,28 +33,24 @@
 
 impl Core {
     /// Passes the summaries of other regions to the router.
-    pub(crate) fn feed_regions(&self, now: MonoMs) {
+    pub(crate) fn feed_regions(&self, now: MonoMs, wall: WallMs) {
         let known: Vec<_> = self.members.lock().region_summaries().cloned().collect();
         let view = self.router.view();
         let mut feed = self.regions.lock();
         for summary in known {
-            let received = feed.received(&summary.region, summary.version, now);
+            let read_at = feed.read_at(&summary.region, summary.version, now, wall);
             let Some(region) = view.fleet().regions.key(&summary.region) else {
                 continue;
             };
             if view.local_region() == Some(region) {
                 continue;
             }
-            let capacity_slots = f64::from(summary.capacity_slots);
-            let load_slots = capacity_slots * f64::from(summary.load_permille) / 1_000.0;
-            view.set_summary(
-                region,
-                RegionSummary {
-                    capacity_slots,
-                    load_slots,
-                    received,
-                },
+            let figures = RegionSummary::from_permille(
+                summary.capacity_slots,
+                summary.load_permille,
+                read_at,
             );
+            view.set_summary(region, figures);
         }
     }
 
--- a/crates/node/src/tick_task.rs
+++ b/crates/node/src/tick_task.rs
@@ -20,7 +20,7 @@
         core.tick_config(&mut hosts);
         if number.is_multiple_of(SLOW_TICKS) {
             core.measure_region();
-            core.feed_regions(core.clock.mono());
+            core.feed_regions(core.clock.mono(), core.clock.wall());
             core.pull_config();
         }
         core.traffic.busy(began.elapsed());
