Test that a lost shard map is written back

Cause: no test covered a map that is absent while hosts still hold it.

Change: one test in rules.rs.

Conclusion: hosts write the held views back and start from no lower epoch.

--- a/crates/idem/tests/rules.rs
+++ b/crates/idem/tests/rules.rs
@@ -457,3 +457,21 @@
         }
     }
 }
+
+/// Guards against a region that starts from nothing when the service lost the map while hosts still hold it.
+#[test]
+fn a_lost_map_is_written_back() {
+    let held = map(5, 3, "a", "b");
+    let host = Host::with("a", &held);
+    let now = MonoMs(2_000);
+    host.0
+        .on_map(0, None, now, now, wall(2_000), &mut Vec::new());
+    let proposal = host.proposal(2_100).unwrap();
+    assert!(proposal.revision > held.revision);
+    assert!(
+        held.shards
+            .iter()
+            .zip(&proposal.shards)
+            .all(|(held, new)| new.epoch >= held.epoch && new.has(&instance("a")))
+    );
+}
