gate, daemon: cut off stalled readers, apply planned stops of hosts, show control work

Cause: a caller that never reads kept its connection, and with it a planned stop, beyond its deadline; a planned stop of a host or its availability zone was not told to callers; control bytes had no metric. Change: an aborted body cuts its connection off after 2 s, an answer counts as complete once its end was taken, hosts mark responses during planned stops of the configuration, a second hop of the same kind is refused and counted, gauges for control work, members and shards. Conclusion: a stop ends with the requests, not with the slowest reader.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -18,6 +18,7 @@
 use crate::exit::Exit;
 use crate::listeners::Listeners;
 use crate::node_link::NodeLink;
+use crate::node_metrics::NodeMetrics;
 use crate::node_start::{key_value, start_node};
 use crate::settings::Settings;
 use crate::start_error::StartError;
@@ -25,6 +26,8 @@
 
 /// How often admission queues are looked after.
 const TICK: Duration = Duration::from_millis(50);
+/// How many ticks pass between two readings of the node's figures.
+const TICKS_PER_METRICS: u64 = 20;
 /// The longest time to hand over the shards; a new backup is filled within seconds.
 const HAND_OVER_MS: u64 = 30_000;
 
@@ -223,8 +226,9 @@
 
 fn spawn_tick(gate: Arc<Gate>, node: Option<Arc<Node>>, clock: Clock) -> AbortOnDropHandle<()> {
     AbortOnDropHandle::new(tokio::spawn(async move {
+        let metrics = NodeMetrics::register(gate.registry());
         let mut interval = tokio::time::interval(TICK);
-        loop {
+        for tick in 0_u64.. {
             interval.tick().await;
             gate.tick();
             if let Some(node) = &node {
@@ -232,6 +236,9 @@
                 gate.state().set_ready(standing != Err(ErrorKind::NotReady));
                 gate.state()
                     .set_isolated(standing == Err(ErrorKind::Isolated));
+                if tick.is_multiple_of(TICKS_PER_METRICS) {
+                    metrics.set(&node.status());
+                }
             }
         }
     }))
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 mod logs;
 mod main_exit;
 mod node_link;
+mod node_metrics;
 mod node_start;
 mod run;
 mod settings;
--- /dev/null
+++ b/crates/daemon/src/node_metrics.rs
@@ -0,0 +1,86 @@
+//! Metrics of the control work of a host.
+
+use lw_node::NodeStatus;
+use prometheus::{IntGauge, IntGaugeVec, Opts, Registry};
+
+/// Gauges of the control work, which are set from the status of the node.
+pub(crate) struct NodeMetrics {
+    control: IntGaugeVec,
+    members: IntGaugeVec,
+    shards: IntGaugeVec,
+    revision: IntGauge,
+}
+
+impl NodeMetrics {
+    /// Registers the gauges.
+    pub(crate) fn register(registry: &Registry) -> Self {
+        let revision = IntGauge::new("lacewingstile_revision", "Configuration revision in force");
+        let revision = revision.expect("metric names are literals");
+        registry
+            .register(Box::new(revision.clone()))
+            .expect("each metric is registered once");
+        Self {
+            control: gauges(
+                registry,
+                "lacewingstile_control",
+                "Control traffic and work since the start: frames, bytes, microseconds",
+                "figure",
+            ),
+            members: gauges(
+                registry,
+                "lacewingstile_members",
+                "Other members of the region by state",
+                "state",
+            ),
+            shards: gauges(
+                registry,
+                "lacewingstile_shards",
+                "Shards of idempotency keys by role of this host",
+                "role",
+            ),
+            revision,
+        }
+    }
+
+    /// Takes the figures of a status.
+    pub(crate) fn set(&self, status: &NodeStatus) {
+        let control = [
+            ("sent_frames", status.sent_frames),
+            ("sent_bytes", status.sent_bytes),
+            ("received_frames", status.received_frames),
+            ("received_bytes", status.received_bytes),
+            ("dropped_frames", status.dropped_frames),
+            ("busy_us", status.busy_us),
+        ];
+        for (figure, value) in control {
+            set(&self.control, figure, value);
+        }
+        let members = [
+            ("alive", status.alive_members),
+            ("leaving", status.leaving_members),
+            ("suspect", status.suspect_members),
+            ("dead", status.dead_members),
+        ];
+        for (state, count) in members {
+            set(&self.members, state, count as u64);
+        }
+        set(&self.shards, "owner", status.owned_shards as u64);
+        set(&self.shards, "backup", status.backup_shards as u64);
+        self.revision
+            .set(i64::try_from(status.revision).unwrap_or(i64::MAX));
+    }
+}
+
+fn set(gauges: &IntGaugeVec, label: &str, value: u64) {
+    let value = i64::try_from(value).unwrap_or(i64::MAX);
+    gauges.with_label_values(&[label]).set(value);
+}
+
+fn gauges(registry: &Registry, name: &str, help: &str, label: &str) -> IntGaugeVec {
+    let gauges = IntGaugeVec::new(Opts::new(name, help), &[label]);
+    let gauges = gauges.expect("metric names are literals");
+    registry
+        .register(Box::new(gauges.clone()))
+        .expect("each metric is registered once");
+    gauges
+}
--- a/crates/daemon/tests/answers.rs
+++ b/crates/daemon/tests/answers.rs
@@ -263,6 +263,30 @@
     host.drain().await;
 }
 
+/// Guards against a caller that never reads and keeps its request and its connection beyond the deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stalled_reader_is_cut_off_after_its_deadline() {
+    use tokio::io::AsyncWriteExt;
+    let (listener, _) = support::endless_target(64 * 1024 * 1024).await;
+    let host = TestHost::start(&document(&[("portal", listener)], &[])).await;
+    let callers = host.daemon.addresses().callers;
+    let mut socket = tokio::net::TcpStream::connect(callers).await.unwrap();
+    let head = "GET /s/portal/big HTTP/1.1\r\nHost: a\r\nLacewingstile-Deadline-Ms: 300\r\n\r\n";
+    socket.write_all(head.as_bytes()).await.unwrap();
+    let state = host.daemon.gate().state().clone();
+    until("the request to start", || state.in_flight() == 1).await;
+    until("the request to end", || state.in_flight() == 0).await;
+    // The drain limit of the test hosts is 5 s; a connection that stays open would hold the stop up to it.
+    let started = std::time::Instant::now();
+    host.drain().await;
+    assert!(
+        started.elapsed() < Duration::from_secs(4),
+        "{:?}",
+        started.elapsed()
+    );
+    drop(socket);
+}
+
 /// Guards against a short body that is passed on as a whole one.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_short_body_is_an_error() {
--- a/crates/daemon/tests/stops.rs
+++ b/crates/daemon/tests/stops.rs
@@ -34,6 +34,24 @@
     assert!(tokio::net::TcpStream::connect(address).await.is_err());
 }
 
+/// Guards against a planned stop of the configuration that callers do not learn of.
+#[test_case("hosts", "host-1" ; "of the host")]
+#[test_case("zones", "east-1" ; "of its availability zone")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_is_told_to_callers(field: &str, name: &str) {
+    let stand = PlainStand::default();
+    let target = stand.start(local()).await.unwrap();
+    let mut document = document(&[("portal", target.address())], &[]);
+    document["planned_stops"]["now"] =
+        serde_json::json!({field: [name], "start": "2020-01-01T00:00:00Z"});
+    let host = TestHost::start(&document).await;
+    let state = host.daemon.gate().state().clone();
+    until("the leaving mark", || state.is_leaving()).await;
+    let reply = host.get("/s/portal/x").await;
+    assert_eq!(reply.header("lacewingstile-leaving"), "true");
+    host.drain().await;
+}
+
 /// Guards against a stop that never ends, or that hides requests it cut off.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stop_at_its_limit_says_so() {
--- a/crates/gate/src/body_relay.rs
+++ b/crates/gate/src/body_relay.rs
@@ -20,12 +20,17 @@
 }
 
 impl BodyRelay {
-    /// Passes the body on; a failure drops the sender, which aborts the body towards the caller.
-    pub(crate) async fn run(mut self, mut exchange: Exchange, parts: mpsc::Sender<BodyPart>) {
+    /// Passes the body on and returns whether it is whole; a failure drops the sender, which aborts the body towards
+    /// the caller.
+    pub(crate) async fn run(
+        mut self,
+        mut exchange: Exchange,
+        parts: mpsc::Sender<BodyPart>,
+    ) -> bool {
         let mut step = BodyStep::Data(std::mem::take(&mut self.held));
         let deadline = exchange.deadline();
         while let BodyStep::Data(data) = step {
-            step = match pass_on(&parts, data, deadline).await {
+            step = match pass_on(&parts, BodyPart::Data(data), deadline).await {
                 Ok(()) => next_step(&mut self.answer.body, &exchange.ask.gone, deadline).await,
                 Err(failed) => failed,
             };
@@ -35,10 +40,14 @@
         }
         let answer = self.answer;
         if step == BodyStep::End && self.length.is_whole() {
-            exchange.finish_source(answer.source, answer.head.status);
-            exchange.complete(answer.attempt, None);
-            let _ = parts.send(BodyPart::End).await;
-            return;
+            match pass_on(&parts, BodyPart::End, deadline).await {
+                Ok(()) => {
+                    exchange.finish_source(answer.source, answer.head.status);
+                    exchange.complete(answer.attempt, None);
+                    return true;
+                }
+                Err(failed) => step = failed,
+            }
         }
         let (kind, end) = match step {
             BodyStep::Gone => (ErrorKind::CallerGone, AttemptEnd::Neutral),
@@ -47,16 +56,17 @@
         };
         exchange.abandon(answer.attempt, answer.source, end);
         exchange.end(kind);
+        false
     }
 }
 
-/// Hands bytes to the caller's connection; waits while the caller reads slowly.
+/// Hands a part to the caller's connection; waits while the caller reads slowly.
 pub(crate) async fn pass_on(
     parts: &mpsc::Sender<BodyPart>,
-    data: Bytes,
+    part: BodyPart,
     deadline: tokio::time::Instant,
 ) -> Result<(), BodyStep> {
-    match tokio::time::timeout_at(deadline, parts.send(BodyPart::Data(data))).await {
+    match tokio::time::timeout_at(deadline, parts.send(part)).await {
         Ok(Ok(())) => Ok(()),
         Ok(Err(_)) => Err(BodyStep::Gone),
         Err(_) => Err(BodyStep::Deadline),
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -4,6 +4,7 @@
 
 use lw_admit::CustomerLimits;
 use lw_base::prelude::*;
+use lw_doc::Fleet;
 use lw_route::Router;
 use parking_lot::Mutex;
 
@@ -90,13 +91,24 @@
         self.metrics.registry()
     }
 
-    /// Ends waits whose deadline has come and adapts the queues to the current load. The daemon calls it every 50 ms.
+    /// Applies planned stops of this host, ends waits whose deadline has come and adapts the queues to the current load. The daemon calls it every 50 ms.
     pub fn tick(&self) {
         let view = self.router.view();
+        self.state
+            .set_planned_stop(self.is_stopped(view.fleet(), Clock::wall()));
         self.admission
             .tick(self.clock.mono(), &view, (self.hosts.live_hosts)());
     }
 
+    /// Returns true when a planned stop covers this host or its availability zone.
+    fn is_stopped(&self, fleet: &Fleet, now: WallMs) -> bool {
+        let host = fleet.host_stops.get(&self.identity.host);
+        let zone = fleet.zones.key(&self.identity.zone);
+        let zone = zone.map(|key| &fleet.zones[key].stops);
+        let mut stops = host.into_iter().chain(zone).flatten();
+        stops.any(|stop| stop.contains(now))
+    }
+
     /// Returns the revision that requests are decided on now.
     #[must_use]
     pub fn revision(&self) -> u64 {
--- a/crates/gate/src/gate_state.rs
+++ b/crates/gate/src/gate_state.rs
@@ -12,6 +12,7 @@
     ready: AtomicBool,
     isolated: AtomicBool,
     leaving: AtomicBool,
+    planned_stop: AtomicBool,
     closed: AtomicBool,
     in_flight: AtomicUsize,
     halted: CancellationToken,
@@ -39,6 +40,11 @@
         self.leaving.store(true, Ordering::Release);
     }
 
+    /// Marks whether a planned stop of the configuration covers the host now; it tells callers the same.
+    pub fn set_planned_stop(&self, planned: bool) {
+        self.planned_stop.store(planned, Ordering::Release);
+    }
+
     /// Rejects further requests.
     pub fn close(&self) {
         self.closed.store(true, Ordering::Release);
@@ -52,7 +58,7 @@
     /// Returns true when the host tells callers that it is leaving.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Acquire)
+        self.leaving.load(Ordering::Acquire) || self.planned_stop.load(Ordering::Acquire)
     }
 
     /// Returns true when the host serves requests.
--- a/crates/gate/src/region_forward.rs
+++ b/crates/gate/src/region_forward.rs
@@ -4,6 +4,7 @@
 use http::header::RETRY_AFTER;
 use http::{HeaderMap, HeaderValue};
 use lw_base::prelude::*;
+use lw_base::violate;
 use lw_flow::AttemptFailure;
 use rand::seq::IndexedRandom;
 
@@ -61,6 +62,16 @@
 
     /// Sends the request to another host with the next hop.
     pub(crate) async fn forward(&mut self, hop: Hop, address: &str) -> Result<Answer, Attempted> {
+        if !self.ask.hop.allows(hop) {
+            violate(
+                Invariant::NoLoop,
+                format_args!(
+                    "request {} was about to take a second {hop:?} hop",
+                    self.ask.id
+                ),
+            );
+            return Err(Attempted::Ended(self.end(ErrorKind::LoopDetected)));
+        }
         let attempt = match self.flow.start_attempt(self.gate.clock.mono()) {
             Ok(attempt) => attempt,
             Err(kind) => return Err(Attempted::Ended(self.end(kind))),
--- a/crates/gate/src/reply.rs
+++ b/crates/gate/src/reply.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
 
 /// A response.
 #[derive(Debug)]
@@ -26,6 +27,8 @@
         length_bytes: Option<u64>,
         /// The parts. The channel is small, so a slow reader holds up the sender.
         parts: mpsc::Receiver<BodyPart>,
+        /// Cancelled when the sender gives the body up. A caller that does not read is then cut off.
+        aborted: CancellationToken,
     },
 }
 
--- a/crates/gate/src/run.rs
+++ b/crates/gate/src/run.rs
@@ -7,6 +7,7 @@
 use lw_flow::{AttemptFailure, BodyLength, Ending, StreamTracker};
 use lw_route::AttemptEnd;
 use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
 
 use crate::answer::{Answer, Source};
 use crate::body_relay::BodyRelay;
@@ -173,13 +174,20 @@
         let headers = self.reply_headers(&relay.answer);
         let status = relay.answer.head.status;
         let length_bytes = relay.declared;
-        tokio::spawn(relay.run(self, sender));
+        let aborted = CancellationToken::new();
+        let guard = aborted.clone().drop_guard();
+        tokio::spawn(async move {
+            if relay.run(self, sender).await {
+                guard.disarm();
+            }
+        });
         Reply {
             status,
             headers,
             body: ReplyBody::Stream {
                 length_bytes,
                 parts,
+                aborted,
             },
         }
     }
@@ -187,13 +195,20 @@
     fn stream(self, relay: StreamRelay) -> Reply {
         let (sender, parts) = mpsc::channel(BODY_PARTS);
         let headers = self.reply_headers(&relay.answer);
-        tokio::spawn(relay.run(self, sender));
+        let aborted = CancellationToken::new();
+        let guard = aborted.clone().drop_guard();
+        tokio::spawn(async move {
+            if relay.run(self, sender).await {
+                guard.disarm();
+            }
+        });
         Reply {
             status: StatusCode::OK,
             headers,
             body: ReplyBody::Stream {
                 length_bytes: None,
                 parts,
+                aborted,
             },
         }
     }
--- a/crates/gate/src/server/connection.rs
+++ b/crates/gate/src/server/connection.rs
@@ -38,6 +38,11 @@
         }
     }
 
+    /// Cuts the connection off.
+    pub(crate) fn cut(&self) {
+        let _ = self.socket.shutdown(Shutdown::Both);
+    }
+
     /// Returns when the caller has closed the connection or its sending side.
     ///
     /// A pipelined request hides the end of the connection; then this never returns.
--- a/crates/gate/src/server/http_server.rs
+++ b/crates/gate/src/server/http_server.rs
@@ -37,6 +37,8 @@
 const HEAD_BYTES: usize = 128 * 1024;
 /// The bytes of a response that are held for a connection before the body is polled again.
 const WRITE_BYTES: usize = 64 * 1024;
+/// The time in which a caller must take what is left of an aborted body.
+const STALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// The time in which the head of a request must arrive.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -235,6 +237,7 @@
     )
     .await;
     let gone = CancellationToken::new();
+    let ended = gone.clone();
     let guard = gone.clone().drop_guard();
     let incoming = Incoming {
         method: request.method().clone(),
@@ -253,12 +256,30 @@
         log::error!("gate: a request failed inside the gateway: {error}");
         error_reply(ErrorKind::Internal)
     });
-    web_response(reply, connection, guard, busy)
+    web_response(reply, connection, ended, guard, busy)
+}
+
+/// Cuts a connection off when its body was aborted and the caller does not take the rest, so that a caller that never
+/// reads cannot keep the connection.
+async fn cut_stalled(
+    connection: Arc<Connection>,
+    aborted: CancellationToken,
+    ended: CancellationToken,
+) {
+    tokio::select! {
+        () = aborted.cancelled() => {}
+        () = ended.cancelled() => return,
+    }
+    tokio::select! {
+        () = tokio::time::sleep(STALL_TIMEOUT) => connection.cut(),
+        () = ended.cancelled() => {}
+    }
 }
 
 fn web_response(
     reply: Reply,
     connection: Arc<Connection>,
+    ended: CancellationToken,
     guard: DropGuard,
     busy: Busy,
 ) -> WebResponse {
@@ -267,14 +288,18 @@
         ReplyBody::Stream {
             length_bytes,
             parts,
-        } => ResponseBody::boxed(WebBody {
-            length_bytes,
-            parts,
-            gone: Box::pin(async move { connection.gone().await }),
-            ended: false,
-            _guard: guard,
-            _busy: busy,
-        }),
+            aborted,
+        } => {
+            tokio::task::spawn_local(cut_stalled(connection.clone(), aborted, ended));
+            ResponseBody::boxed(WebBody {
+                length_bytes,
+                parts,
+                gone: Box::pin(async move { connection.gone().await }),
+                ended: false,
+                _guard: guard,
+                _busy: busy,
+            })
+        }
     };
     let mut response = WebResponse::new(body);
     *response.status_mut() = reply.status;
--- a/crates/gate/src/stream_relay.rs
+++ b/crates/gate/src/stream_relay.rs
@@ -25,20 +25,25 @@
 }
 
 impl StreamRelay {
-    /// Passes the stream on until its end marker. A stream that cannot go on ends with an error event, and the body is
+    /// Passes the stream on until its end marker and returns whether it is whole. A stream that cannot go on ends with an error event, and the body is
     /// aborted by dropping the sender.
-    pub(crate) async fn run(mut self, mut exchange: Exchange, parts: mpsc::Sender<BodyPart>) {
+    pub(crate) async fn run(
+        mut self,
+        mut exchange: Exchange,
+        parts: mpsc::Sender<BodyPart>,
+    ) -> bool {
         let mut events = std::mem::take(&mut self.first);
         loop {
             let step = self.pass_events(&exchange, &parts, events).await;
             if step == BodyStep::End {
-                return self.complete(exchange, &parts).await;
+                self.complete(exchange).await;
+                return true;
             }
             match self.after_cut(&mut exchange, step).await {
                 Ok(answer) => self.answer = answer,
                 Err(ending) => {
                     let _ = send_error(&parts, &exchange, &self.tracker, ending).await;
-                    return;
+                    return false;
                 }
             }
             events = Bytes::new();
@@ -56,12 +61,13 @@
         let mut events = first;
         loop {
             if !events.is_empty()
-                && let Err(step) = pass_on(parts, events, deadline).await
+                && let Err(step) = pass_on(parts, BodyPart::Data(events), deadline).await
             {
                 return step;
             }
             if self.tracker.is_done() {
-                return BodyStep::End;
+                let end = pass_on(parts, BodyPart::End, deadline).await;
+                return end.map_or_else(|failed| failed, |()| BodyStep::End);
             }
             let step = next_step(&mut self.answer.body, &exchange.ask.gone, deadline).await;
             events = match step {
@@ -76,7 +82,7 @@
         }
     }
 
-    async fn complete(self, mut exchange: Exchange, parts: &mpsc::Sender<BodyPart>) {
+    async fn complete(self, mut exchange: Exchange) {
         let Answer {
             attempt,
             mut body,
@@ -85,7 +91,6 @@
         } = self.answer;
         exchange.finish_source(source, StatusCode::OK);
         exchange.complete(attempt, None);
-        let _ = parts.send(BodyPart::End).await;
         drop(exchange);
         // Reading up to the end lets the connection be used again.
         let rest = http_body_util::BodyExt::frame(&mut body);
@@ -155,5 +160,5 @@
     event.extend_from_slice(b"\n\n");
     // A caller that does not read must not hold the request up any longer.
     let deadline = tokio::time::Instant::now() + DRAIN_TIMEOUT;
-    pass_on(parts, event.into(), deadline).await
+    pass_on(parts, BodyPart::Data(event.into()), deadline).await
 }
