gate: read a bounded rest of an oversized body before the 413 answer

Cause: a body over the limit was refused without reading it, and the connection closed with unread bytes; the reset reached the caller before the answer. Ruled out: the client's own retry and the size check itself. Change: up to 16 MiB or 2 s of the rest are read and dropped first. Conclusion: callers learn why they were refused.

--- a/crates/gate/src/server/request_body.rs
+++ b/crates/gate/src/server/request_body.rs
@@ -10,6 +10,14 @@
 
 use crate::incoming::BodyFault;
 
+/// The most bytes of an oversized body that are read and dropped before the answer.
+///
+/// Closing a connection with unread bytes resets it, and the caller loses the answer that says why.
+const DISCARD_BYTES: usize = 16 * 1024 * 1024;
+
+/// The longest time that is spent on dropping an oversized body.
+const DISCARD: Duration = Duration::from_secs(2);
+
 /// Reads a body whole.
 ///
 /// A connection that ends early looks like the end of the body, so the length is compared with the declared one.
@@ -20,13 +28,17 @@
     timeout: Duration,
 ) -> Result<Bytes, BodyFault> {
     let declared = declared_bytes(headers);
-    if declared.is_some_and(|declared| declared > max_bytes as u64) {
-        return Err(BodyFault::TooLarge);
+    let read = if declared.is_some_and(|declared| declared > max_bytes as u64) {
+        Err(BodyFault::TooLarge)
+    } else {
+        let read = collect(Pin::new(&mut body), max_bytes);
+        let read = tokio::time::timeout(timeout, read).await;
+        read.unwrap_or(Err(BodyFault::TooSlow))
+    };
+    if read == Err(BodyFault::TooLarge) {
+        let _ = tokio::time::timeout(DISCARD, discard(Pin::new(&mut body))).await;
     }
-    let read = collect(Pin::new(&mut body), max_bytes);
-    let bytes = tokio::time::timeout(timeout, read)
-        .await
-        .unwrap_or(Err(BodyFault::TooSlow))?;
+    let bytes = read?;
     if declared.is_some_and(|declared| declared != bytes.len() as u64) {
         return Err(BodyFault::Malformed);
     }
@@ -51,3 +63,15 @@
     }
     Ok(collected.freeze())
 }
+
+async fn discard(mut body: Pin<&mut RequestBody>) {
+    let mut dropped_bytes = 0;
+    while let Some(Ok(frame)) = body.as_mut().frame().await {
+        if let Frame::Data(data) = frame {
+            dropped_bytes += data.len();
+        }
+        if dropped_bytes > DISCARD_BYTES {
+            return;
+        }
+    }
+}
