gate: refuse cut bodies and answer callers that close their sending side

Cause: a chunked body that ends with its connection looked whole and could reach a target, and a caller that had closed only its sending side received an empty 200. Change: after a chunked body the connection is looked at, a cut body is answered 400 (not run), and a caller that is gone 499.

--- a/crates/daemon/tests/errors.rs
+++ b/crates/daemon/tests/errors.rs
@@ -258,6 +258,36 @@
     host.drain().await;
 }
 
+/// Guards against a cut body that reaches a target as a whole one.
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_bodies_are_refused() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let portal = PlainStand::default();
+    let target = portal.start(local()).await.unwrap();
+    let host = TestHost::start(&document(&[("portal", target.address())], &[])).await;
+    let bodies = [
+        "Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n5\r\nab",
+        "Content-Length: 5\r\n\r\nab",
+    ];
+    for body in bodies {
+        let request = format!("PUT /s/portal/x HTTP/1.1\r\nHost: a\r\n{body}");
+        let address = host.daemon.addresses().callers;
+        let mut socket = tokio::net::TcpStream::connect(address).await.unwrap();
+        socket.write_all(request.as_bytes()).await.unwrap();
+        socket.shutdown().await.unwrap();
+        let mut answer = String::new();
+        let _ = socket.read_to_string(&mut answer).await;
+        assert!(answer.starts_with("HTTP/1.1 400"), "{body:?}: {answer}");
+        assert!(
+            answer.contains("lacewingstile-outcome: not-run"),
+            "{body:?}: {answer}"
+        );
+    }
+    assert_eq!(portal.lookups() + portal.orders(), 0);
+    host.drain().await;
+}
+
 /// Guards against a customer that takes more than its limit, and against a credential that is not accepted.
 #[tokio::test(flavor = "multi_thread")]
 async fn customers() {
--- a/crates/gate/src/server/connection.rs
+++ b/crates/gate/src/server/connection.rs
@@ -43,6 +43,12 @@
         let _ = self.socket.shutdown(Shutdown::Both);
     }
 
+    /// Returns true when the caller has closed the connection or its sending side and everything that it sent was read.
+    pub(crate) fn is_ended(&self) -> bool {
+        // The socket does not block, because the HTTP code polls it.
+        matches!(self.socket.peek(&mut [0]), Ok(0))
+    }
+
     /// Returns when the caller has closed the connection or its sending side.
     ///
     /// A pipelined request hides the end of the connection; then this never returns.
--- a/crates/gate/src/server/http_server.rs
+++ b/crates/gate/src/server/http_server.rs
@@ -9,6 +9,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use http::header::TRANSFER_ENCODING;
 use lw_base::ErrorKind;
 use tokio::runtime::Handle;
 use tokio_util::sync::{CancellationToken, DropGuard};
@@ -23,7 +24,7 @@
 use xitca_web::{App, WebContext};
 
 use crate::error_reply::error_reply;
-use crate::incoming::Incoming;
+use crate::incoming::{BodyFault, Incoming};
 use crate::reply::{Reply, ReplyBody};
 use crate::server::closing_listener::BoundSocket;
 use crate::server::connection::{Busy, Connection};
@@ -229,13 +230,14 @@
     let request = context.req();
     let body = std::mem::take(&mut *context.body_borrow_mut());
     let timeout = Duration::from_millis(state.options.body_timeout_ms);
-    let body = read_body(
-        body,
-        request.headers(),
-        state.options.max_body_bytes,
-        timeout,
-    )
-    .await;
+    let headers = request.headers();
+    let mut body = read_body(body, headers, state.options.max_body_bytes, timeout).await;
+    // The end of the connection looks like the last chunk of a body, so a cut body would be taken for a whole one.
+    if headers.contains_key(TRANSFER_ENCODING) && connection.is_ended() {
+        body = Err(BodyFault::Malformed);
+    }
+    // A body that is refused is answered at once, also to a caller that has closed its sending side.
+    let refused = body.is_err();
     let gone = CancellationToken::new();
     let ended = gone.clone();
     let guard = gone.clone().drop_guard();
@@ -250,7 +252,8 @@
     let reply = tokio::select! {
         reply = task => reply,
         // The task sees the cancelled token and ends by itself, with an outcome.
-        () = connection.gone() => return WebResponse::new(ResponseBody::empty()),
+        // A caller that closed only its sending side must not take the end of the connection for an answer.
+        () = connection.gone(), if !refused => Ok(error_reply(ErrorKind::CallerGone)),
     };
     let reply = reply.unwrap_or_else(|error| {
         log::error!("gate: a request failed inside the gateway: {error}");
