daemon: serve the console on the admin listener

Cause: the console was built and tested, but no daemon served it. Change: the paths under /console go to the console, all others to the gate's admin service. Its session key is derived from the key that all hosts share, so any host takes a session of another. Members and the revision that each last showed are its status rows.

--- /dev/null
+++ b/crates/daemon/src/console_start.rs
@@ -0,0 +1,95 @@
+//! Building the console of a host.
+
+use std::sync::{Arc, Weak};
+
+use lw_console::answers::Console;
+use lw_console::auth::{Operator, Operators, SessionKey};
+use lw_console::backend::{Backend, ConfParts, StatusRow};
+use lw_doc::Digest;
+use lw_member::MemberState;
+use lw_node::Node;
+use lw_plat::Kv;
+
+use crate::daemon::Addresses;
+use crate::settings::Settings;
+
+/// Builds the console over the replica of this host.
+pub(crate) fn build_console(
+    settings: &Settings,
+    node: &Arc<Node>,
+    kv: Kv,
+    addresses: Addresses,
+) -> Console {
+    let rows = own_row(settings);
+    let known = Arc::downgrade(node);
+    let backend = Backend::of_conf(ConfParts {
+        shell: node.conf().clone(),
+        kv,
+        status: Arc::new(move || status_rows(&rows, &known)),
+        gateway_addresses: Arc::new(move || vec![addresses.callers, addresses.peers]),
+    });
+    Console::new(operators(settings), session_key(settings), backend)
+}
+
+fn operators(settings: &Settings) -> Operators {
+    let known = settings.operators.iter().filter_map(|operator| {
+        Some(Operator {
+            name: operator.name.clone(),
+            secret_digest: Digest::from_hex(&operator.token_digest)?,
+        })
+    });
+    Operators(known.collect())
+}
+
+/// Derives the key of sessions from the key that all hosts share, so that any host takes a session of another.
+fn session_key(settings: &Settings) -> SessionKey {
+    let text = format!("lacewingstile console sessions\0{}", settings.peer_key);
+    SessionKey(Digest::of(text.as_bytes()).0.to_vec())
+}
+
+fn own_row(settings: &Settings) -> StatusRow {
+    StatusRow {
+        host: settings.host.clone(),
+        region: settings.region.clone(),
+        zone: settings.zone.clone(),
+        state: "alive".to_owned(),
+        revision: None,
+    }
+}
+
+fn status_rows(own: &StatusRow, node: &Weak<Node>) -> Vec<StatusRow> {
+    let Some(node) = node.upgrade() else {
+        return Vec::new();
+    };
+    let held = node.reader().load();
+    let first = StatusRow {
+        revision: held.map(|config| config.mark.revision),
+        state: if node.status().leaving {
+            "leaving"
+        } else {
+            "alive"
+        }
+        .to_owned(),
+        ..own.clone()
+    };
+    let others = node
+        .members()
+        .into_iter()
+        .map(|(member, revision)| StatusRow {
+            host: member.host.to_string(),
+            region: own.region.clone(),
+            zone: member.zone.to_string(),
+            state: state_name(member.state).to_owned(),
+            revision: (revision > 0).then_some(revision),
+        });
+    std::iter::once(first).chain(others).collect()
+}
+
+fn state_name(state: MemberState) -> &'static str {
+    match state {
+        MemberState::Alive => "alive",
+        MemberState::Leaving => "leaving",
+        MemberState::Suspect => "suspect",
+        MemberState::Dead => "dead",
+    }
+}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -15,6 +15,8 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::console_link::ConsoleLink;
+use crate::console_start::build_console;
 use crate::exit::Exit;
 use crate::listeners::Listeners;
 use crate::node_link::NodeLink;
@@ -77,13 +79,17 @@
         let gate = build_gate(&settings, clock, &router, &link)?;
         let drain_requested = CancellationToken::new();
         let actions = admin_actions(&link, &drain_requested);
-        let listeners = Listeners::start(&settings, &gate, actions)?;
+        let console = ConsoleLink::default();
+        let admin = console.handler(gate.admin_handler(actions));
+        let listeners = Listeners::start(&settings, &gate, admin)?;
         let node = match kv {
             None => None,
             Some(kv) => {
                 let addresses = addresses_of(&listeners);
+                let kv_of_console = kv.clone();
                 let node = start_node(&settings, kv, &gate, &router, clock, addresses, seed)?;
                 link.connect(&node);
+                console.connect(build_console(&settings, &node, kv_of_console, addresses));
                 Some(node)
             }
         };
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,6 +1,8 @@
 //! The daemon as a library, so that the demo embeds it.
 
 mod arguments;
+mod console_link;
+mod console_start;
 mod daemon;
 mod exit;
 mod listeners;
--- a/crates/daemon/src/listeners.rs
+++ b/crates/daemon/src/listeners.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lw_gate::{AdminActions, Gate, Handler, HttpServer, MAX_BODY_BYTES, ServerOptions};
+use lw_gate::{Gate, Handler, HttpServer, MAX_BODY_BYTES, ServerOptions};
 use tokio::time::Instant;
 
 use crate::settings::Settings;
@@ -25,14 +25,29 @@
     pub(crate) fn start(
         settings: &Settings,
         gate: &Arc<Gate>,
-        actions: AdminActions,
+        admin: Handler,
     ) -> Result<Self, StartError> {
         let listen = &settings.listen;
         let threads = settings.worker_threads;
         Ok(Self {
-            callers: bind("callers", listen.callers, threads, gate.caller_handler())?,
-            peers: bind("peers", listen.peers, threads, gate.peer_handler())?,
-            admin: bind("admin", listen.admin, 1, gate.admin_handler(actions))?,
+            callers: bind(
+                "callers",
+                listen.callers,
+                options(threads, MAX_BODY_BYTES),
+                gate.caller_handler(),
+            )?,
+            peers: bind(
+                "peers",
+                listen.peers,
+                options(threads, MAX_BODY_BYTES),
+                gate.peer_handler(),
+            )?,
+            admin: bind(
+                "admin",
+                listen.admin,
+                options(1, lw_console::web::MAX_BODY_BYTES),
+                admin,
+            )?,
         })
     }
 
@@ -64,18 +79,21 @@
 fn bind(
     listener: &'static str,
     address: SocketAddr,
-    worker_threads: usize,
+    options: ServerOptions,
     handler: Handler,
 ) -> Result<HttpServer, StartError> {
-    let options = ServerOptions {
-        worker_threads,
-        max_body_bytes: MAX_BODY_BYTES,
-        body_timeout_ms: 30_000,
-        keep_alive_ms: 15_000,
-    };
     HttpServer::start(address, options, handler).map_err(|error| StartError::Listen {
         listener,
         address,
         error,
     })
 }
+
+fn options(worker_threads: usize, max_body_bytes: usize) -> ServerOptions {
+    ServerOptions {
+        worker_threads,
+        max_body_bytes,
+        body_timeout_ms: 30_000,
+        keep_alive_ms: 15_000,
+    }
+}
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -143,6 +143,12 @@
         self.members.values().map(|member| &member.update)
     }
 
+    /// Returns the known members except this host, each with the configuration revision that it last showed.
+    pub fn revisions(&self) -> impl Iterator<Item = (&Update, u64)> {
+        let members = self.members.values();
+        members.map(|member| (&member.update, member.conf_revision))
+    }
+
     /// Returns when a probe to `host` that was acknowledged was last sent.
     #[must_use]
     pub fn acknowledged(&self, host: &str) -> Option<MonoMs> {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,9 +5,9 @@
 use std::sync::atomic::Ordering;
 
 use lw_base::prelude::*;
-use lw_conf::{ConfigReader, PublishError, PublishRequest, Published};
+use lw_conf::{ConfShell, ConfigReader, PublishError, PublishRequest, Published};
 use lw_idem::{RecordKey, ShardMap};
-use lw_member::MemberState;
+use lw_member::{MemberState, Update};
 use lw_peer::{NngNetwork, Refusal};
 use parking_lot::Mutex;
 use tokio_util::task::AbortOnDropHandle;
@@ -66,6 +66,22 @@
         self.core.conf.reader()
     }
 
+    /// Returns the replica of the configuration.
+    #[must_use]
+    pub fn conf(&self) -> &Arc<ConfShell> {
+        &self.core.conf
+    }
+
+    /// Returns the other members of the region with the configuration revision that each last showed.
+    #[must_use]
+    pub fn members(&self) -> Vec<(Update, u64)> {
+        let members = self.core.members.lock();
+        let known = members.revisions();
+        known
+            .map(|(member, revision)| (member.clone(), revision))
+            .collect()
+    }
+
     /// Publishes a document and pushes it to the region at once.
     ///
     /// # Errors
