--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -126,6 +126,9 @@
             .iter()
             .filter_map(|name| regions.key(name))
             .collect();
+        if self.door.is_none() {
+            door.count_request(self.gate.clock.mono());
+        }
         self.door = Some(door);
         let now = self.gate.clock.now();
         match self.ask.hop {
@@ -140,7 +143,6 @@
         let Some(door) = self.door.clone() else {
             return Err(self.end(ErrorKind::Internal));
         };
-        door.count_request(self.gate.clock.mono());
         let offer = Offer {
             class: self.ask.class,
             bytes: self.ask.body.len() as u64,
