--- a/crates/daemon/tests/answers.rs
+++ b/crates/daemon/tests/answers.rs
@@ -12,21 +12,6 @@
 
 const CHAT: &str = "/v1/chat/completions";
 
-/// Returns the text of the tokens of a stream of events.
-fn streamed_text(events: &str) -> String {
-    let data = events
-        .lines()
-        .filter_map(|line| line.strip_prefix("data: "));
-    let chunks = data.filter_map(|data| serde_json::from_str::<serde_json::Value>(data).ok());
-    chunks
-        .filter_map(|chunk| {
-            chunk["choices"][0]["delta"]["content"]
-                .as_str()
-                .map(str::to_owned)
-        })
-        .collect()
-}
-
 fn assert_no_violation() {
     for invariant in Invariant::ALL {
         assert_eq!(invariant_count(invariant), 0, "{invariant:?}");
@@ -47,7 +32,7 @@
     assert_eq!(reply.status, 200, "{}", reply.text());
     let text = reply.text();
     if stream {
-        assert_eq!(streamed_text(&text), whole_answer("grade 7", 20));
+        assert_eq!(support::streamed_text(&text), whole_answer("grade 7", 20));
         assert!(text.ends_with("data: [DONE]\n\n"));
     } else {
         assert!(text.contains(&whole_answer("grade 7", 20)), "{text}");
@@ -83,7 +68,10 @@
             .send(Method::POST, CHAT, &[], &chat_body(&prompt, 12, true))
             .await;
         if resume {
-            assert_eq!(streamed_text(&reply.text()), whole_answer(&prompt, 12));
+            assert_eq!(
+                support::streamed_text(&reply.text()),
+                whole_answer(&prompt, 12)
+            );
         } else if reply.body.is_none() {
             cut = true;
         } else {
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -270,3 +270,18 @@
         head.push(byte[0]);
     }
 }
+
+/// Returns the text of the tokens of a stream of events.
+pub(crate) fn streamed_text(events: &str) -> String {
+    let data = events
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "));
+    let chunks = data.filter_map(|data| serde_json::from_str::<serde_json::Value>(data).ok());
+    chunks
+        .filter_map(|chunk| {
+            chunk["choices"][0]["delta"]["content"]
+                .as_str()
+                .map(str::to_owned)
+        })
+        .collect()
+}
