--- a/crates/gate/src/attempts.rs
+++ b/crates/gate/src/attempts.rs
@@ -11,9 +11,10 @@
 use lw_route::{AttemptEnd, RouteView};
 
 use crate::answer::{Answer, Source};
-use crate::exchange::{Exchange, Place};
+use crate::exchange::Exchange;
 use crate::header_names::{ATTEMPT_ID, ENGINE_PRIORITY, NOT_STARTED, VIA};
 use crate::headers::{for_target, text, value_of};
+use crate::placement::Place;
 use crate::target_client::Opened;
 
 /// What an attempt came to when it brought no answer.
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -2,11 +2,10 @@
 
 use std::sync::Arc;
 
-use lw_admit::Offer;
 use lw_base::prelude::*;
 use lw_base::violate;
 use lw_flow::{AttemptFailure, Ending, RequestFlow, RetryDecision};
-use lw_route::{AttemptEnd, Decision, LocalDecision, Query, Refusal, RegionSet, RouteView};
+use lw_route::{AttemptEnd, RouteView};
 
 use crate::answer::Source;
 use crate::ask::Ask;
@@ -16,7 +15,7 @@
 use crate::header_names::REQUEST_ID;
 use crate::headers::value_of;
 use crate::reply::Reply;
-use crate::service_door::{Entry, ServiceDoor, Slot};
+use crate::service_door::{ServiceDoor, Slot};
 
 /// How a request of an idempotency key ended, for its record.
 #[derive(Clone, Debug)]
@@ -39,20 +38,12 @@
     pub(crate) last_failure: Option<AttemptFailure>,
     pub(crate) on_end: Option<OnEnd>,
     pub(crate) revision: u64,
-    slot: Option<Slot>,
-    tried: Vec<Arc<str>>,
-    tried_regions: Vec<Arc<str>>,
+    pub(crate) slot: Option<Slot>,
+    pub(crate) tried: Vec<Arc<str>>,
+    pub(crate) tried_regions: Vec<Arc<str>>,
     _in_flight: InFlightGuard,
 }
 
-/// Where the next attempt goes.
-pub(crate) enum Place {
-    /// A target of the own region.
-    Target(Arc<RouteView>, TargetKey),
-    /// Another region.
-    Region(Arc<str>),
-}
-
 impl Exchange {
     /// Starts the lifecycle of a request.
     pub(crate) fn new(gate: Arc<Gate>, ask: Ask) -> Self {
@@ -74,122 +65,6 @@
         }
     }
 
-    /// Decides where the next attempt goes; waits for a slot of the service when that is this region.
-    ///
-    /// The residency rule is applied again after the wait, with the newest revision.
-    pub(crate) async fn place(&mut self) -> Result<Place, Ending> {
-        loop {
-            let view = self.gate.router.view();
-            let target = match self.decide(&view) {
-                Decision::Target(target) => target,
-                Decision::Region(region) => {
-                    return Ok(Place::Region(view.fleet().regions.name(region).clone()));
-                }
-                Decision::Refuse(refusal) => return Err(self.refuse(refusal)),
-            };
-            if self.slot.is_some() {
-                return Ok(Place::Target(view, target));
-            }
-            self.enter(&view).await?;
-        }
-    }
-
-    fn decide(&mut self, view: &RouteView) -> Decision {
-        self.revision = view.fleet().revision;
-        let Some(service) = view.fleet().services.key(&self.ask.service) else {
-            return Decision::Refuse(Refusal {
-                kind: ErrorKind::UnknownService,
-                regions: RegionSet::EMPTY,
-            });
-        };
-        let door = self
-            .gate
-            .admission
-            .door(view, service, (self.gate.hosts.live_hosts)());
-        let targets = &view.fleet().targets;
-        let tried: Vec<TargetKey> = self
-            .tried
-            .iter()
-            .filter_map(|name| targets.key(name))
-            .collect();
-        let regions = &view.fleet().regions;
-        let mut query = Query::new(service, self.ask.allowed(view.fleet()));
-        query.prefix = self.ask.prefix.map(|(hash, _)| hash);
-        query.prefix_prefill_ms = self.ask.prefix.map_or(0.0, |(_, saved_ms)| saved_ms);
-        query.local_wait_ms = match self.slot {
-            Some(_) => 0.0,
-            None => door.expected_wait_ms(self.ask.class),
-        };
-        query.tried = &tried;
-        query.tried_regions = self
-            .tried_regions
-            .iter()
-            .filter_map(|name| regions.key(name))
-            .collect();
-        if self.door.is_none() {
-            door.count_request(self.gate.clock.mono());
-        }
-        self.door = Some(door);
-        let now = self.gate.clock.now();
-        match self.ask.hop {
-            Hop::Caller if self.ask.idempotent => view.decide(now, &query),
-            // A key belongs to its region, so the owner's requests stay in it.
-            Hop::Caller | Hop::Region | Hop::Owner => local(view.decide_forwarded(now, &query)),
-        }
-    }
-
-    /// Waits for a slot of the service.
-    async fn enter(&mut self, view: &RouteView) -> Result<(), Ending> {
-        let Some(door) = self.door.clone() else {
-            return Err(self.end(ErrorKind::Internal));
-        };
-        let offer = Offer {
-            class: self.ask.class,
-            bytes: self.ask.body.len() as u64,
-            deadline: self.ask.deadline,
-        };
-        let place = match door.enter(self.gate.clock, offer) {
-            Entry::Slot(slot) => {
-                self.slot = Some(slot);
-                return Ok(());
-            }
-            Entry::Place(place) => place,
-            Entry::Refused {
-                kind,
-                retry_after_ms,
-            } => {
-                self.detail.retry_after_ms = Some(retry_after_ms);
-                log::debug!(
-                    "gate: {} refused at revision {}",
-                    self.ask.service,
-                    view.fleet().revision
-                );
-                return Err(self.end(kind));
-            }
-        };
-        self.flow.queue();
-        let gone = self.ask.gone.clone();
-        tokio::select! {
-            () = gone.cancelled() => Err(self.end(ErrorKind::CallerGone)),
-            waited = place.wait() => match waited {
-                Ok(slot) => {
-                    self.slot = Some(slot);
-                    Ok(())
-                }
-                Err(_) => Err(self.end(ErrorKind::DeadlineBeforeSend)),
-            },
-        }
-    }
-
-    fn refuse(&mut self, refusal: Refusal) -> Ending {
-        self.detail.entry_hosts = self.gate.entry_addresses(refusal.regions.iter());
-        // The failure of the last attempt says more than that no further target is left.
-        match self.last_failure {
-            Some(failure) if refusal.kind == ErrorKind::NoTarget => self.end_failed(failure),
-            _ => self.end(refusal.kind),
-        }
-    }
-
     /// Handles the failure of an attempt: returns when another one may follow.
     pub(crate) fn failed(
         &mut self,
@@ -320,10 +195,6 @@
     }
 }
 
-fn local(decision: LocalDecision) -> Decision {
-    decision.into()
-}
-
 impl Drop for Exchange {
     fn drop(&mut self) {
         // A process that ends cuts its requests; the callers see broken connections.
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -27,6 +27,7 @@
 mod metrics;
 mod peer_auth;
 mod peer_service;
+mod placement;
 mod problem;
 mod query_string;
 mod region_forward;
--- a/crates/gate/src/server/mod.rs
+++ b/crates/gate/src/server/mod.rs
@@ -5,6 +5,7 @@
 mod connections;
 mod http_server;
 mod request_body;
+mod respond;
 mod web_body;
 
 pub use http_server::{Handler, HttpServer, ServerOptions};
