bench: measure the proxied path next to the bare stand-ins

Change: the subcommand proxy alternates rounds at the stand-ins and through a host, and takes the processor time of the whole process; the difference is the host's.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,6 +5,7 @@
 mod options;
 pub mod play;
 mod policies;
+mod proxy;
 mod run;
 
 pub use counting_alloc::allocations;
--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -16,6 +16,8 @@
     Policies(PoliciesOptions),
     #[options(help = "measure the cost of one decision")]
     Decide(DecideOptions),
+    #[options(help = "measure the cost of the proxied path")]
+    Proxy(ProxyOptions),
     #[options(help = "run every benchmark with its defaults")]
     All(AllOptions),
 }
@@ -40,6 +42,22 @@
     pub(crate) decisions: u32,
 }
 
+#[derive(Debug, Options)]
+pub(crate) struct ProxyOptions {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(help = "plain requests of a round", default = "20000")]
+    pub(crate) requests: u64,
+    #[options(help = "streams of a round", default = "1500")]
+    pub(crate) streams: u64,
+    #[options(help = "tokens of a stream", default = "256")]
+    pub(crate) tokens: u64,
+    #[options(help = "requests at the same time", default = "128")]
+    pub(crate) concurrency: u64,
+    #[options(help = "rounds of each kind", default = "5")]
+    pub(crate) rounds: u32,
+}
+
 #[derive(Debug, Options)]
 pub(crate) struct AllOptions {
     #[options(help = "print this help")]
--- /dev/null
+++ b/crates/bench/src/proxy/mod.rs
@@ -0,0 +1,124 @@
+//! The subcommand `proxy`: what the proxied path costs next to the bare stand-ins in the same run.
+
+mod load;
+mod round;
+mod world;
+
+use std::io;
+
+use comfy_table::{Table, presets};
+
+use crate::options::ProxyOptions;
+use crate::proxy::round::{Round, measure};
+use crate::proxy::world::World;
+
+/// Requests per second of the whole system at the target size.
+const TARGET_REQUESTS_PER_S: f64 = 41_000.0;
+/// Tokens per second of the whole system at the target size.
+const TARGET_TOKENS_PER_S: f64 = 9_600_000.0;
+/// Entry hosts at the target size.
+const TARGET_NODES: f64 = 380.0;
+
+/// Processor time of one request or token: the median of the rounds.
+struct Cost {
+    bare_us: f64,
+    proxied_us: f64,
+}
+
+impl Cost {
+    fn added_us(&self) -> f64 {
+        (self.proxied_us - self.bare_us).max(0.0)
+    }
+
+    fn ratio(&self) -> f64 {
+        self.proxied_us / self.bare_us
+    }
+}
+
+/// Measures the proxied path and prints it.
+///
+/// # Errors
+///
+/// Returns an error when the stand-ins or the host cannot be started, or a request did not get its whole answer.
+pub(crate) fn run(options: &ProxyOptions) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(4)
+        .enable_all()
+        .build()?;
+    let (plain, token) = runtime.block_on(costs(options))?;
+    print(options, &plain, &token);
+    Ok(())
+}
+
+async fn costs(options: &ProxyOptions) -> io::Result<(Cost, Cost)> {
+    let world = World::start().await?;
+    let plain = Round {
+        count: options.requests,
+        concurrency: options.concurrency,
+        tokens: None,
+    };
+    let streams = Round {
+        count: options.streams,
+        concurrency: options.concurrency,
+        tokens: Some(options.tokens),
+    };
+    let plain = cost(&world, plain, options.rounds).await?;
+    let token = cost(&world, streams, options.rounds).await?;
+    world.stop().await;
+    Ok((plain, token))
+}
+
+/// Alternates bare and proxied rounds, so that a change of the machine's load meets both.
+async fn cost(world: &World, round: Round, rounds: u32) -> io::Result<Cost> {
+    // The first rounds open connections and are left out.
+    measure(world.bare(round.tokens.is_some()), round).await?;
+    measure(world.proxied(), round).await?;
+    let (mut bare, mut proxied) = (Vec::new(), Vec::new());
+    for _ in 0..rounds.max(1) {
+        bare.push(measure(world.bare(round.tokens.is_some()), round).await?);
+        proxied.push(measure(world.proxied(), round).await?);
+    }
+    Ok(Cost {
+        bare_us: median(bare),
+        proxied_us: median(proxied),
+    })
+}
+
+fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values[values.len() / 2]
+}
+
+fn print(options: &ProxyOptions, plain: &Cost, token: &Cost) {
+    println!(
+        "{} plain requests and {} streams of {} tokens a round, {} at the same time, {} rounds",
+        options.requests, options.streams, options.tokens, options.concurrency, options.rounds
+    );
+    println!("processor time of caller, stand-in and, when proxied, the host, all in one process");
+    let mut table = Table::new();
+    table.load_preset(presets::ASCII_MARKDOWN);
+    table.set_header(vec![
+        "unit",
+        "proxied / bare",
+        "added by the host / bare",
+        "units per core of the host",
+        "at the target, per node",
+        "cores per node",
+    ]);
+    for (unit, cost, target) in [
+        ("request", plain, TARGET_REQUESTS_PER_S),
+        ("token", token, TARGET_TOKENS_PER_S),
+    ] {
+        let added_us = cost.added_us();
+        let per_node = target / TARGET_NODES;
+        table.add_row(vec![
+            unit.to_owned(),
+            format!("{:.2}", cost.ratio()),
+            format!("{:.2}", added_us / cost.bare_us),
+            format!("{:.0}", 1_000_000.0 / added_us),
+            format!("{per_node:.0}"),
+            format!("{:.2}", per_node * added_us / 1_000_000.0),
+        ]);
+    }
+    println!("{table}");
+}
--- /dev/null
+++ b/crates/bench/src/proxy/world.rs
@@ -0,0 +1,103 @@
+//! A host with one worker thread, an engine and a plain service.
+
+use std::io;
+use std::net::SocketAddr;
+
+use lw_daemon::{Daemon, Settings};
+use lw_stand::{EngineOptions, EngineStand, PlainStand, ServerHandle};
+use serde_json::json;
+
+use crate::proxy::round::Aim;
+
+/// More requests at the same time than any round sends.
+const SLOTS: u32 = 4_096;
+
+pub(crate) struct World {
+    daemon: Daemon,
+    plain: ServerHandle,
+    engine: ServerHandle,
+}
+
+impl World {
+    /// Starts stand-ins and a host whose document names them.
+    pub(crate) async fn start() -> io::Result<Self> {
+        let local = SocketAddr::from(([127, 0, 0, 1], 0));
+        let plain = PlainStand::default().start(local).await?;
+        let engine = EngineStand::new(engine_options()).start(local).await?;
+        let daemon = Daemon::start(settings(&plain, &engine)?).await;
+        Ok(Self {
+            daemon: daemon.map_err(io::Error::other)?,
+            plain,
+            engine,
+        })
+    }
+
+    /// Returns the stand-in itself.
+    pub(crate) fn bare(&self, streams: bool) -> Aim {
+        let server = if streams { &self.engine } else { &self.plain };
+        Aim {
+            address: server.address(),
+            path: "/status/drum",
+        }
+    }
+
+    /// Returns the host.
+    pub(crate) fn proxied(&self) -> Aim {
+        Aim {
+            address: self.daemon.addresses().callers,
+            path: "/s/portal/status/drum",
+        }
+    }
+
+    pub(crate) async fn stop(self) {
+        self.daemon.kill().await;
+    }
+}
+
+fn engine_options() -> EngineOptions {
+    EngineOptions {
+        model: "assistant".to_owned(),
+        slots: SLOTS as usize,
+        prefill_tokens_per_s: 1e9,
+        decode_ms: 2.0,
+        batch_slowdown: 0.0,
+        ..EngineOptions::default()
+    }
+}
+
+fn settings(plain: &ServerHandle, engine: &ServerHandle) -> io::Result<Settings> {
+    let service = |kind, priority| {
+        json!({
+            "kind": kind, "priority": priority, "regions": ["east"], "deadline_ms": 60_000,
+            "max_in_flight_per_target": SLOTS, "queue_entries": SLOTS, "non_idempotent_methods": [],
+        })
+    };
+    let target = |service: &str, server: &ServerHandle| {
+        json!({
+            "service": service, "zone": "east-1", "address": server.address().to_string(),
+            "slots": SLOTS,
+        })
+    };
+    let document = json!({
+        "format": 1,
+        "regions": {"east": {"zones": ["east-1"]}},
+        "services": {
+            "portal": service("plain", "lookup"),
+            "assistant": service("model", "interactive"),
+        },
+        "targets": {
+            "portal-1": target("portal", plain),
+            "assistant-1": target("assistant", engine),
+        },
+    });
+    let file = std::env::temp_dir().join(format!("lw-bench-proxy-{}.json", std::process::id()));
+    std::fs::write(&file, document.to_string())?;
+    let local = "127.0.0.1:0";
+    let text = json!({
+        "host": "bench", "region": "east", "zone": "east-1",
+        "listen": {"callers": local, "peers": local, "nng": local, "admin": local},
+        "document_file": file, "peer_key": "a key of the bench only",
+        "worker_threads": 1, "log_level": "error",
+    });
+    Settings::parse("bench settings", &text.to_string()).map_err(io::Error::other)
+}
