Measure what grows with the size of the fleet

The budgets of the target size were stated without a measurement of the state, messages and calls that grow with it.

The command lacewingstile-bench slopes measures them at three or more sizes with the codec of the wire, fits each and adds them up to an account of the key-value service, the control bytes and the memory of a node. The allocator of the bench counts live bytes as well.

--- a/crates/bench/src/counting_alloc.rs
+++ b/crates/bench/src/counting_alloc.rs
@@ -1,4 +1,4 @@
-//! An allocator that counts allocations.
+//! An allocator that counts allocations and the bytes in use.
 #![allow(
     unsafe_code,
     reason = "a global allocator can only be an unsafe trait implementation"
@@ -9,9 +9,10 @@
 
 thread_local! {
     static ALLOCATIONS: Cell<u64> = const { Cell::new(0) };
+    static LIVE_BYTES: Cell<i64> = const { Cell::new(0) };
 }
 
-/// Passes every call on to the system allocator and counts allocations by thread.
+/// Passes every call on to the system allocator and counts allocations and bytes by thread.
 struct CountingAllocator;
 
 #[global_allocator]
@@ -22,22 +23,29 @@
     let _ = ALLOCATIONS.try_with(|count| count.set(count.get() + 1));
 }
 
+fn add_bytes(bytes: i64) {
+    let _ = LIVE_BYTES.try_with(|live| live.set(live.get() + bytes));
+}
+
 // SAFETY: every method passes its arguments unchanged to the system allocator, which upholds the contract. Counting
 // neither allocates nor unwinds, because the counter is a plain thread-local cell with a constant initial value.
 unsafe impl GlobalAlloc for CountingAllocator {
     unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
         count();
+        add_bytes(layout.size() as i64);
         // SAFETY: the caller upholds the contract of `alloc`.
         unsafe { System.alloc(layout) }
     }
 
     unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
+        add_bytes(-(layout.size() as i64));
         // SAFETY: the caller passes a block of this allocator, which is one of the system allocator.
         unsafe { System.dealloc(ptr, layout) }
     }
 
     unsafe fn realloc(&self, ptr: *mut u8, layout: Layout, new_size: usize) -> *mut u8 {
         count();
+        add_bytes(new_size as i64 - layout.size() as i64);
         // SAFETY: as for `dealloc`.
         unsafe { System.realloc(ptr, layout, new_size) }
     }
@@ -48,3 +56,11 @@
 pub fn allocations() -> u64 {
     ALLOCATIONS.with(Cell::get)
 }
+
+/// Returns the bytes that this thread has allocated and not freed, by requested size.
+///
+/// A block that another thread frees stays counted here, so the figure is exact for work on one thread only.
+#[must_use]
+pub fn live_bytes() -> i64 {
+    LIVE_BYTES.with(Cell::get)
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,8 +6,10 @@
 pub mod play;
 mod policies;
 mod run;
+mod slopes;
 
-pub use counting_alloc::allocations;
+pub use counting_alloc::{allocations, live_bytes};
 pub use decide::{DecideRow, decide_cost};
 pub use policies::{Goal, Run, check_goals};
 pub use run::run;
+pub use slopes::{Account, Caller, Calls, Fit, Memory, Point, Share, Slope, Slopes, slopes};
--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -16,6 +16,8 @@
     Policies(PoliciesOptions),
     #[options(help = "measure the cost of one decision")]
     Decide(DecideOptions),
+    #[options(help = "measure what grows with the size of the fleet")]
+    Slopes(SlopesOptions),
     #[options(help = "run every benchmark with its defaults")]
     All(AllOptions),
 }
@@ -40,6 +42,16 @@
     pub(crate) decisions: u32,
 }
 
+#[derive(Debug, Options)]
+pub(crate) struct SlopesOptions {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(help = "seed of the random choices", default = "20261203")]
+    pub(crate) seed: u64,
+    #[options(help = "write the figures as JSON to this file", meta = "FILE")]
+    pub(crate) json: Option<String>,
+}
+
 #[derive(Debug, Options)]
 pub(crate) struct AllOptions {
     #[options(help = "print this help")]
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -4,8 +4,8 @@
 
 use gumdrop::Options;
 
-use crate::options::{BenchOptions, Command, DecideOptions, PoliciesOptions};
-use crate::{decide, policies};
+use crate::options::{BenchOptions, Command, DecideOptions, PoliciesOptions, SlopesOptions};
+use crate::{decide, policies, slopes};
 
 /// Runs the binary with the arguments of the process.
 ///
@@ -16,6 +16,7 @@
     let result = match options.command {
         Some(Command::Policies(options)) => policies::run(&options),
         Some(Command::Decide(options)) => decide::run(&options),
+        Some(Command::Slopes(options)) => slopes::run(&options),
         Some(Command::All(_)) => run_all(),
         None => {
             println!("{}", BenchOptions::usage());
@@ -38,7 +39,8 @@
     policies::run(
         &PoliciesOptions::parse_args_default::<&str>(&[]).map_err(|error| usage(&error))?,
     )?;
-    decide::run(&DecideOptions::parse_args_default::<&str>(&[]).map_err(|error| usage(&error))?)
+    decide::run(&DecideOptions::parse_args_default::<&str>(&[]).map_err(|error| usage(&error))?)?;
+    slopes::run(&SlopesOptions::parse_args_default::<&str>(&[]).map_err(|error| usage(&error))?)
 }
 
 fn usage(error: &gumdrop::Error) -> std::io::Error {
--- /dev/null
+++ b/crates/bench/src/slopes/conf_fleet.rs
@@ -0,0 +1,437 @@
+//! Replicas of a fleet connected in memory, in virtual time.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use lw_base::prelude::*;
+use lw_conf::{
+    ConfAction, ConfMessage, PublishRequest, Replica, ServiceCall, ServiceEvent, execute, publish,
+};
+use lw_doc::{CustomerEntry, Document};
+use lw_peer::Message;
+use lw_plat::CallCounts;
+use lw_stand::KvLimits;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use uuid::Uuid;
+
+use crate::slopes::service::{Service, at_once};
+use crate::slopes::target::{host_name, region_name, region_sizes};
+use crate::slopes::wire::Wire;
+
+/// One-way delay inside a region; availability zones are 0.5 to 1.5 ms apart.
+const PEER_DELAY_MS: u64 = 2;
+/// The service takes milliseconds per call.
+const SERVICE_DELAY_MS: u64 = 10;
+/// The replica wants a tick at least every 200 ms.
+const TICK_MS: u64 = 200;
+/// Each host probes one random member a second, and the answer carries the revision back.
+const PROBE_MS: u64 = 1_000;
+const WALL_START_MS: u64 = 1_800_000_000_000;
+
+enum Event {
+    Tick,
+    Probe,
+    Message { from: usize, bytes: Bytes },
+    Service(ServiceEvent),
+    WatchEnd(u64),
+}
+
+struct Timed {
+    at: u64,
+    order: u64,
+    node: usize,
+    event: Event,
+}
+
+impl PartialEq for Timed {
+    fn eq(&self, other: &Self) -> bool {
+        self.order == other.order
+    }
+}
+impl Eq for Timed {}
+impl PartialOrd for Timed {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Timed {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+struct Node {
+    replica: Replica,
+    region: usize,
+    sent_bytes: u64,
+    received_bytes: u64,
+    /// The version that a waiting watch knows, and the order of the watch.
+    watching: Option<(u64, u64)>,
+}
+
+/// What the fleet sent so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Traffic {
+    pub(crate) messages: u64,
+    pub(crate) bytes: u64,
+}
+
+/// The fleet and its service.
+pub(crate) struct ConfFleet {
+    pub(crate) now: u64,
+    pub(crate) relays: Arc<CallCounts>,
+    pub(crate) publishing: Arc<CallCounts>,
+    pub(crate) traffic: Traffic,
+    service: Service,
+    nodes: Vec<Node>,
+    by_name: FastMap<String, usize>,
+    regions: Vec<Vec<usize>>,
+    events: BinaryHeap<Reverse<Timed>>,
+    order: u64,
+    rng: ChaCha8Rng,
+    wire: Wire,
+    document: Document,
+    revision: u64,
+    /// When each revision was published, until it is in force everywhere.
+    open: Vec<(u64, u64)>,
+    /// How long each revision took to be in force everywhere.
+    pub(crate) in_force_ms: Vec<u64>,
+}
+
+impl ConfFleet {
+    /// Starts a fleet with a first revision in the service, and nothing in memory.
+    pub(crate) fn new(nodes: usize, regions: usize, seed: u64, document: Document) -> Self {
+        let mut fleet = Self {
+            now: 0,
+            relays: Arc::default(),
+            publishing: Arc::default(),
+            traffic: Traffic::default(),
+            service: Service::new(),
+            nodes: Vec::new(),
+            by_name: FastMap::default(),
+            regions: Vec::new(),
+            events: BinaryHeap::new(),
+            order: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            wire: Wire::new(),
+            document,
+            revision: 0,
+            open: Vec::new(),
+            in_force_ms: Vec::new(),
+        };
+        for (region, size) in region_sizes(nodes, regions).into_iter().enumerate() {
+            fleet.add_region(region, size);
+        }
+        fleet
+    }
+
+    fn add_region(&mut self, region: usize, size: usize) {
+        let names: Vec<String> = (0..size).map(|number| host_name(region, number)).collect();
+        let first = self.nodes.len();
+        for name in &names {
+            let mut replica = Replica::new(name);
+            replica.set_hosts(&region_name(region), &names);
+            self.by_name.insert(name.clone(), self.nodes.len());
+            self.nodes.push(Node {
+                replica,
+                region,
+                sent_bytes: 0,
+                received_bytes: 0,
+                watching: None,
+            });
+        }
+        self.regions.push((first..first + size).collect());
+    }
+
+    /// Starts every host within `spread_ms`.
+    pub(crate) fn start(&mut self, spread_ms: u64) {
+        for node in 0..self.nodes.len() {
+            let delay = self.rng.random_range(0..spread_ms.max(1));
+            self.push(node, delay, Event::Tick);
+            self.push(node, delay, Event::Probe);
+        }
+    }
+
+    /// Forgets what every host holds, and starts all hosts again; the service keeps its state.
+    pub(crate) fn restart_all(&mut self, spread_ms: u64) {
+        self.events.clear();
+        for region in 0..self.regions.len() {
+            let members = self.regions[region].clone();
+            let names: Vec<String> = (0..members.len()).map(|n| host_name(region, n)).collect();
+            for (node, name) in members.into_iter().zip(&names) {
+                self.nodes[node].replica = Replica::new(name);
+                self.nodes[node].watching = None;
+                let region = region_name(region);
+                self.nodes[node].replica.set_hosts(&region, &names);
+            }
+        }
+        self.start(spread_ms);
+    }
+
+    /// Takes the replica of a host out of the fleet.
+    pub(crate) fn take_replica(&mut self, node: usize) -> Replica {
+        std::mem::replace(&mut self.nodes[node].replica, Replica::new("gone"))
+    }
+
+    /// Sets the rate limits of the platform, without which the service takes every call.
+    pub(crate) fn limit_service(&self) {
+        self.service.stand.set_limits(KvLimits::default());
+    }
+
+    pub(crate) fn set_outage(&self, outage: bool) {
+        self.service.stand.set_outage(outage);
+    }
+
+    pub(crate) fn all_ready(&self) -> bool {
+        self.nodes.iter().all(|node| node.replica.ready())
+    }
+
+    /// Returns the most bytes that one node sent and received.
+    pub(crate) fn busiest_node_bytes(&self) -> u64 {
+        let bytes = self.nodes.iter().map(|n| n.sent_bytes + n.received_bytes);
+        bytes.max().unwrap_or(0)
+    }
+
+    pub(crate) fn run_for(&mut self, span_ms: u64) {
+        let end = self.now + span_ms;
+        while self.events.peek().is_some_and(|timed| timed.0.at <= end) {
+            let Some(Reverse(timed)) = self.events.pop() else {
+                break;
+            };
+            self.now = timed.at;
+            self.service.set_now(self.now);
+            self.handle(timed.node, timed.event);
+        }
+        self.now = end;
+    }
+
+    /// Publishes a change of one customer at a random host.
+    pub(crate) fn publish_change(&mut self) {
+        let number = self.rng.random_range(0..38_000);
+        let customer = CustomerEntry {
+            home_region: Some(region_name(number % self.regions.len())),
+            requests_per_s: Some(f64::from(self.rng.random_range(1..1_000u32)) / 10.0),
+            key_digest: String::new(),
+        };
+        let name = format!("customer-{number:05}");
+        self.document.customers.insert(name, customer);
+        let revision = self.revision;
+        let holds = |node: &usize| {
+            let mark = self.nodes[*node].replica.mark();
+            mark.is_some_and(|mark| mark.revision == revision)
+        };
+        // A publisher behind the head is refused and tries again from the head, so one that holds it counts.
+        let holders: Vec<usize> = (0..self.nodes.len()).filter(holds).collect();
+        let node = holders[self.rng.random_range(0..holders.len())];
+        self.publish(node);
+    }
+
+    /// Starts the count of messages and bytes over.
+    pub(crate) fn reset_traffic(&mut self) {
+        self.traffic = Traffic::default();
+        for node in &mut self.nodes {
+            node.sent_bytes = 0;
+            node.received_bytes = 0;
+        }
+    }
+
+    /// Publishes the document at `node`.
+    pub(crate) fn publish(&mut self, node: usize) {
+        let known = self.nodes[node].replica.reader().load();
+        let known = known.filter(|config| config.mark.revision == self.revision);
+        let request = PublishRequest {
+            base_revision: self.revision,
+            base_digest: known.as_ref().map(|config| config.mark.digest),
+            next: self.document.clone(),
+            operator: "operator-12".into(),
+            operation: Uuid::from_u128(self.rng.random()),
+            wall: WallMs(WALL_START_MS + self.now),
+            gateway_addresses: Vec::new(),
+            confirmed: true,
+            known,
+        };
+        let kv = self.service.counted(&self.publishing);
+        let published = match at_once(publish(&kv, &request)) {
+            Ok(published) => published,
+            // A change may draw the value that is already there.
+            Err(lw_conf::PublishError::Unchanged { .. }) => return,
+            Err(error) => panic!("the measurement cannot publish: {error}"),
+        };
+        self.revision += 1;
+        self.open.push((self.revision, self.now));
+        let mut out = Vec::new();
+        self.nodes[node].replica.on_published(published, &mut out);
+        self.act(node, out);
+        self.wake_watches();
+    }
+
+    /// Ends the watches that wait for an older head; the service counted them when they began.
+    fn wake_watches(&mut self) {
+        let free = self.service.stand.kv();
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].watching.take().is_none() {
+                continue;
+            }
+            let event = at_once(execute(&free, ServiceCall::ReadHead));
+            self.push(node, SERVICE_DELAY_MS, Event::Service(event));
+        }
+    }
+
+    fn handle(&mut self, node: usize, event: Event) {
+        let now = MonoMs(self.now);
+        let random = self.rng.random();
+        let mut out = Vec::new();
+        let replica = &mut self.nodes[node].replica;
+        match event {
+            Event::Tick => {
+                replica.tick(now, random, &mut out);
+                self.push(node, TICK_MS, Event::Tick);
+            }
+            Event::Probe => {
+                self.probe(node);
+                self.push(node, PROBE_MS, Event::Probe);
+            }
+            Event::Message { from, bytes } => {
+                let Some(message) = ConfMessage::decode(&bytes) else {
+                    return;
+                };
+                let name = self.name(from);
+                let replica = &mut self.nodes[node].replica;
+                replica.on_message(now, &name, message, &mut out);
+            }
+            Event::Service(event) => replica.on_service(now, random, event, &mut out),
+            Event::WatchEnd(order) => {
+                let waits = self.nodes[node].watching;
+                if waits.is_some_and(|(_, own)| own == order) {
+                    self.nodes[node].watching = None;
+                    let replica = &mut self.nodes[node].replica;
+                    replica.on_service(now, random, ServiceEvent::Unchanged, &mut out);
+                }
+            }
+        }
+        self.act(node, out);
+        if !self.open.is_empty() && self.holds(node) >= self.open[0].0 {
+            self.note_in_force();
+        }
+    }
+
+    fn holds(&self, node: usize) -> u64 {
+        let mark = self.nodes[node].replica.mark();
+        mark.map_or(0, |mark| mark.revision)
+    }
+
+    /// Lets a host and a random member compare their revisions.
+    fn probe(&mut self, node: usize) {
+        let members = &self.regions[self.nodes[node].region];
+        let peer = members[self.rng.random_range(0..members.len())];
+        if peer == node {
+            return;
+        }
+        for (from, to) in [(node, peer), (peer, node)] {
+            let Some(mark) = self.nodes[from].replica.mark() else {
+                continue;
+            };
+            let mut out = Vec::new();
+            let name = self.name(from);
+            let now = MonoMs(self.now);
+            let replica = &mut self.nodes[to].replica;
+            replica.on_peer_mark(now, &name, mark, &mut out);
+            self.act(to, out);
+        }
+    }
+
+    fn act(&mut self, node: usize, actions: Vec<ConfAction>) {
+        for action in actions {
+            match action {
+                ConfAction::Send { to, message } => self.send(node, &to, &message),
+                ConfAction::Call(call) => self.call(node, call),
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: &str, message: &ConfMessage) {
+        let Some(to) = self.by_name.get(to).copied() else {
+            return;
+        };
+        let bytes = message.encode();
+        let frame = match message {
+            ConfMessage::Push { .. } => Message::ConfigPush(bytes.clone()),
+            ConfMessage::Pull { .. } => Message::ConfigPull(bytes.clone()),
+            ConfMessage::Entries { .. } | ConfMessage::Part(_) => {
+                Message::ConfigReply(bytes.clone())
+            }
+        };
+        let size = self.wire.bytes(&frame) as u64;
+        self.traffic.messages += 1;
+        self.traffic.bytes += size;
+        self.nodes[from].sent_bytes += size;
+        self.nodes[to].received_bytes += size;
+        self.push(to, PEER_DELAY_MS, Event::Message { from, bytes });
+    }
+
+    fn call(&mut self, node: usize, call: ServiceCall) {
+        let before = self.calls_so_far();
+        let kv = self.service.counted(&self.relays);
+        let ServiceCall::Watch {
+            after_version,
+            wait_ms,
+        } = call
+        else {
+            let event = at_once(execute(&kv, call));
+            // The calls of one action follow each other.
+            let calls = (self.calls_so_far() - before).max(1);
+            self.push(node, calls * SERVICE_DELAY_MS, Event::Service(event));
+            return;
+        };
+        let look = ServiceCall::Watch {
+            after_version,
+            wait_ms: 0,
+        };
+        match at_once(execute(&kv, look)) {
+            ServiceEvent::Unchanged => {
+                self.nodes[node].watching = Some((after_version, self.order));
+                let end = Event::WatchEnd(self.order);
+                self.push(node, wait_ms, end);
+            }
+            event => self.push(node, SERVICE_DELAY_MS, Event::Service(event)),
+        }
+    }
+
+    fn calls_so_far(&self) -> u64 {
+        let traffic = self.service.stand.traffic();
+        traffic.reads + traffic.writes + traffic.refused
+    }
+
+    fn note_in_force(&mut self) {
+        let Some((revision, published)) = self.open.first().copied() else {
+            return;
+        };
+        let lowest = self.nodes.iter().map(|node| node.replica.mark());
+        let lowest = lowest
+            .map(|mark| mark.map_or(0, |mark| mark.revision))
+            .min();
+        if lowest.is_some_and(|lowest| lowest >= revision) {
+            self.open.remove(0);
+            self.in_force_ms.push(self.now - published);
+            self.note_in_force();
+        }
+    }
+
+    fn name(&self, node: usize) -> String {
+        let region = self.nodes[node].region;
+        host_name(region, node - self.regions[region][0])
+    }
+
+    fn push(&mut self, node: usize, delay: u64, event: Event) {
+        self.order += 1;
+        self.events.push(Reverse(Timed {
+            at: self.now + delay,
+            order: self.order,
+            node,
+            event,
+        }));
+    }
+}
--- /dev/null
+++ b/crates/bench/src/slopes/mod.rs
@@ -0,0 +1,112 @@
+//! The subcommand `slopes`: what grows with the size of the fleet, and whether it fits the budgets of the target size.
+
+mod account;
+mod conf_difference;
+mod conf_fleet;
+mod distribution;
+mod documents;
+mod fit;
+mod leases;
+mod load_message;
+mod membership;
+mod requests;
+mod service;
+mod shard_region;
+mod shards;
+mod slope;
+mod start_up;
+mod summaries;
+mod table;
+mod target;
+mod totals;
+mod wire;
+
+use std::io;
+
+use serde::Serialize;
+
+use crate::options::SlopesOptions;
+
+pub use account::{Account, Caller, Memory, Share};
+pub use fit::{Fit, Point};
+pub use service::Calls;
+pub use slope::Slope;
+
+/// All slopes and the account that follows from them.
+#[derive(Clone, Debug, Serialize)]
+pub struct Slopes {
+    /// The seed of the random choices.
+    pub seed: u64,
+    /// The slopes.
+    pub slopes: Vec<Slope>,
+    /// The account at the target size.
+    pub account: Account,
+}
+
+impl Slopes {
+    /// Returns the slope with this id.
+    ///
+    /// # Panics
+    ///
+    /// Panics when there is none.
+    #[must_use]
+    pub fn get(&self, id: &str) -> &Slope {
+        let found = self.slopes.iter().find(|slope| slope.id == id);
+        found.unwrap_or_else(|| panic!("there is no slope {id}"))
+    }
+}
+
+/// Measures everything.
+#[must_use]
+pub fn slopes(seed: u64) -> Slopes {
+    let distribution = distribution::measure(seed);
+    let start_up = start_up::measure(seed);
+    let mut all = conf_difference::measure();
+    all.extend(distribution.slopes.iter().cloned());
+    all.extend(start_up.slopes.iter().cloned());
+    all.extend(membership::measure());
+    all.extend(summaries::measure(seed));
+    all.extend(load_message::measure());
+    all.extend(shards::measure(seed));
+    all.extend(leases::measure(seed));
+    all.extend(requests::measure());
+    let account = totals::account(&all, &distribution, &start_up);
+    Slopes {
+        seed,
+        slopes: all,
+        account,
+    }
+}
+
+/// Measures, prints the tables and writes the JSON file.
+///
+/// # Errors
+///
+/// Returns an error when the JSON file cannot be written.
+pub(crate) fn run(options: &SlopesOptions) -> io::Result<()> {
+    println!("seed {}", options.seed);
+    let slopes = slopes(options.seed);
+    println!("{}", table::slopes(&slopes.slopes));
+    println!("{}", table::callers(&slopes.account));
+    println!("{}", table::shares(&slopes.account));
+    println!("{}", table::memory(&slopes.account));
+    println!(
+        "longest time until a change is in force: {:.0} ms at the mean rate, {:.0} ms at ten times the mean",
+        slopes.account.in_force_ms[0], slopes.account.in_force_ms[1]
+    );
+    println!(
+        "start of the whole fleet: {:.0} reads of configuration; ready after {:.0} s without and {:.0} s with the rate \
+         limits of the service (documents with a snapshot of one part)",
+        slopes.account.fleet_start_reads,
+        slopes.account.fleet_ready_s,
+        slopes.account.limited_fleet_ready_s
+    );
+    println!(
+        "frames of non-idempotent requests: {:.0} bytes/s per node, besides the control bytes",
+        slopes.account.request_bytes_per_s
+    );
+    let Some(path) = &options.json else {
+        return Ok(());
+    };
+    std::fs::write(path, serde_json::to_vec_pretty(&slopes)?)
+}
--- /dev/null
+++ b/crates/bench/src/slopes/service.rs
@@ -0,0 +1,94 @@
+//! The key-value stand-in on a clock that the measurement moves.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use futures_util::FutureExt;
+use lw_base::MonoMs;
+use lw_plat::{CallCounts, Kv, KvCallKind};
+use lw_stand::{KvLimits, KvStand};
+use serde::Serialize;
+
+/// Calls by kind of load; a waiting watch is one call.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Calls {
+    /// Reads and lists.
+    pub reads: f64,
+    /// Watches.
+    pub watches: f64,
+    /// Writes, deletes, and calls on leases.
+    pub writes: f64,
+}
+
+impl Calls {
+    pub(crate) fn of(counts: &CallCounts) -> Self {
+        let mut calls = Self::default();
+        for kind in KvCallKind::ALL {
+            let count = counts.calls(kind) as f64;
+            match kind {
+                KvCallKind::Watch => calls.watches += count,
+                kind if kind.is_write() => calls.writes += count,
+                _ => calls.reads += count,
+            }
+        }
+        calls
+    }
+
+    pub(crate) fn since(self, earlier: Self) -> Self {
+        Self {
+            reads: self.reads - earlier.reads,
+            watches: self.watches - earlier.watches,
+            writes: self.writes - earlier.writes,
+        }
+    }
+
+    pub(crate) fn times(self, factor: f64) -> Self {
+        Self {
+            reads: self.reads * factor,
+            watches: self.watches * factor,
+            writes: self.writes * factor,
+        }
+    }
+
+    /// Returns the calls that count against the read limit.
+    #[must_use]
+    pub fn all_reads(self) -> f64 {
+        self.reads + self.watches
+    }
+}
+
+/// The service without rate limits, so that the measurement sees the whole demand.
+pub(crate) struct Service {
+    pub(crate) stand: KvStand,
+    clock: Arc<AtomicU64>,
+}
+
+impl Service {
+    pub(crate) fn new() -> Self {
+        let clock = Arc::new(AtomicU64::new(0));
+        let time = clock.clone();
+        let stand = KvStand::with_clock(move || MonoMs(time.load(Ordering::Relaxed)));
+        stand.set_limits(KvLimits {
+            reads_per_s: 1e12,
+            writes_per_s: 1e12,
+        });
+        Self { stand, clock }
+    }
+
+    pub(crate) fn set_now(&self, now: u64) {
+        self.clock.store(now, Ordering::Relaxed);
+    }
+
+    /// Returns a client whose calls are counted.
+    pub(crate) fn counted(&self, counts: &Arc<CallCounts>) -> Kv {
+        counts.count_calls_of(self.stand.kv())
+    }
+}
+
+/// Returns the result of a future that never waits, as calls of the stand-in without delay.
+pub(crate) fn at_once<T>(future: impl Future<Output = T>) -> T {
+    future
+        .now_or_never()
+        .expect("calls of the stand-in without delay do not wait")
+}
--- /dev/null
+++ b/crates/bench/src/slopes/slope.rs
@@ -0,0 +1,70 @@
+//! One measured growth.
+
+use serde::Serialize;
+
+use crate::slopes::fit::{Fit, Point};
+
+/// A value measured at several sizes, its fit, and its value at the target size.
+#[derive(Clone, Debug, Serialize)]
+pub struct Slope {
+    /// A name that stays the same between runs.
+    pub id: &'static str,
+    /// What was measured.
+    pub what: &'static str,
+    /// The unit of the value.
+    pub unit: &'static str,
+    /// What the size counts.
+    pub size: &'static str,
+    /// True for counts and bytes, which are the same in every run with one seed; false for ratios of times.
+    pub exact: bool,
+    /// The measurements.
+    pub points: Vec<Point>,
+    /// The fit.
+    pub fit: Fit,
+    /// The largest relative error of the fit at a measured size.
+    pub fit_error: f64,
+    /// The size to which the value is extrapolated.
+    pub target: f64,
+    /// The fitted value at the target, or the measured one when the target was measured and is larger.
+    pub at_target: f64,
+}
+
+impl Slope {
+    /// Fits the measurements and extrapolates them to `target`.
+    pub(crate) fn new(
+        id: &'static str,
+        what: &'static str,
+        unit: &'static str,
+        size: &'static str,
+        points: impl IntoIterator<Item = (f64, f64)>,
+        target: f64,
+    ) -> Self {
+        let points: Vec<Point> = points
+            .into_iter()
+            .map(|(size, value)| Point { size, value })
+            .collect();
+        let fit = Fit::best(&points);
+        let measured = points.iter().find(|point| point.size == target);
+        let measured = measured.map_or(f64::MIN, |point| point.value);
+        Self {
+            id,
+            what,
+            unit,
+            size,
+            exact: true,
+            fit_error: fit.error(&points),
+            at_target: fit.at(target).max(measured),
+            points,
+            fit,
+            target,
+        }
+    }
+
+    /// Marks the value as a ratio of times.
+    pub(crate) fn timed(self) -> Self {
+        Self {
+            exact: false,
+            ..self
+        }
+    }
+}
