--- a/crates/admit/tests/limits.rs
+++ b/crates/admit/tests/limits.rs
@@ -83,11 +83,29 @@
     assert_eq!(out.len(), EXCHANGED_CUSTOMERS);
 }
 
+/// Guards against a customer that gets a fresh bucket, and with it more than its limit, because 38,000 others pass by.
+#[test]
+fn a_busy_customer_keeps_its_bucket() {
+    let busy = CustomerId::of_name("busy");
+    let mut limits = CustomerLimits::default();
+    let mut admitted = 0;
+    for index in 0..100_000u64 {
+        let now = MonoMs(index / 10);
+        let other = CustomerId::of_name(&format!("customer-{}", index % 38_000));
+        let _ = limits.admit(now, other, 1.0, 1);
+        if index % 10 == 0 {
+            admitted += u32::from(limits.admit(now, busy, 10.0, 1).is_ok());
+        }
+    }
+    // Ten seconds at half of the limit, which is the least share of a host whose use was not exchanged yet.
+    assert!(admitted <= 51, "{admitted}");
+}
+
 /// Guards against a retry storm: with every request failing, retries stay within 10% of the requests.
 #[test_case(1_000 ; "100 requests per second")]
 #[test_case(10_000 ; "1,000 requests per second")]
 fn retries_stay_within_a_tenth_in_an_outage(requests_per_10_s: u64) {
-    let mut budget = RetryBudget::default();
+    let mut budget = RetryBudget::new(1);
     let mut retries = 0u64;
     let step_us = 10_000_000 / requests_per_10_s;
     for index in 0..requests_per_10_s * 6 {
@@ -101,10 +119,27 @@
     assert!(retries * 10 >= requests_per_10_s * 5, "{retries}");
 }
 
+/// Guards against a floor that each of many hosts gives out, which together exceed a tenth of the requests.
+#[test]
+fn hosts_share_the_floor() {
+    let mut retries = 0u64;
+    for _ in 0..5 {
+        let mut budget = RetryBudget::new(5);
+        for index in 0..400u64 {
+            let now = MonoMs(index * 250);
+            budget.request(now);
+            for _ in 0..3 {
+                retries += u64::from(budget.try_retry(now));
+            }
+        }
+    }
+    assert!(retries * 10 <= 5 * 400, "{retries}");
+}
+
 /// Guards against a quiet service that may never retry: one retry a second is always allowed, and not more.
 #[test]
 fn quiet_services_get_one_retry_a_second() {
-    let mut budget = RetryBudget::default();
+    let mut budget = RetryBudget::new(1);
     let mut retries = 0;
     for second in 0..30 {
         budget.request(MonoMs(second * 1_000));
--- a/crates/route/src/region_summary.rs
+++ b/crates/route/src/region_summary.rs
@@ -14,11 +14,23 @@
     pub capacity_slots: f64,
     /// Requests in the region, running and waiting.
     pub load_slots: f64,
-    /// When this host learned of it.
-    pub received: MonoMs,
+    /// When the region read its figures, on the clock of this host: the time of receipt less the age that the summary
+    /// carries. Spilling needs it to know which of its own requests the figures contain.
+    pub read_at: MonoMs,
 }
 
 impl RegionSummary {
+    /// Builds the summary from the figures that regions exchange: slots, and the load in thousandths of them.
+    #[must_use]
+    pub fn from_permille(capacity_slots: u32, load_permille: u16, read_at: MonoMs) -> Self {
+        let capacity_slots = f64::from(capacity_slots);
+        Self {
+            capacity_slots,
+            load_slots: capacity_slots * f64::from(load_permille) / 1_000.0,
+            read_at,
+        }
+    }
+
     /// Returns the load relative to the capacity.
     #[must_use]
     pub fn use_ratio(&self) -> f64 {
@@ -37,6 +49,6 @@
     /// Returns true when the summary is recent enough to decide on.
     #[must_use]
     pub fn is_fresh(&self, now: MonoMs) -> bool {
-        now.since_ms(self.received) <= SUMMARY_AGE_MS
+        now.since_ms(self.read_at) <= SUMMARY_AGE_MS
     }
 }
