Measure the periodic messages with the memberships and the node's messages

The first figures of membership, summaries and load messages rested on message sizes and a schedule on paper.

Memberships now run in memory, the load message is the one of the node crate, which exports it for this, and the shard map has the schedule of the node's reads.

--- a/crates/bench/src/slopes/conf_difference.rs
+++ b/crates/bench/src/slopes/conf_difference.rs
@@ -3,7 +3,7 @@
 use std::hint::black_box;
 use std::time::Instant;
 
-use lw_doc::{Document, apply, compile, diff};
+use lw_doc::{Applied, Difference, Fleet, apply, compile, diff, recompile};
 
 use crate::counting_alloc::live_bytes;
 use crate::slopes::documents::{customer, document};
@@ -52,7 +52,7 @@
         ),
         slope(
             "conf.memory_bytes",
-            "memory of the document and its compiled form",
+            "memory of the document, its digest tree and its compiled form",
             "bytes",
             &|row| row.memory_bytes,
         ),
@@ -76,34 +76,32 @@
 fn row(divisor: usize) -> Row {
     let (customers, targets) = (CUSTOMERS / divisor, TARGETS / divisor);
     let before = live_bytes();
-    let base = document(customers, targets);
-    let fleet = compile(&base, 1);
+    let base = Applied::new(document(customers, targets));
+    let fleet = compile(&base.document, 1);
     let memory_bytes = (live_bytes() - before) as f64;
-    drop(fleet);
-    let mut next = base.clone();
+    let mut next = base.document.clone();
     let changed = customer(customers / 2 + 1);
     next.customers.insert("customer-new".to_owned(), changed);
-    let difference = diff(&base, &next);
+    let difference = diff(&base.document, &next);
     let encoded = serde_json::to_vec(&difference).map_or(0, |bytes| bytes.len());
     let apply_s = (0..3)
-        .map(|_| time_to_apply(&base, &difference))
+        .map(|_| time_to_apply(&base, &fleet, &difference))
         .fold(f64::INFINITY, f64::min);
     Row {
         entities: (customers + targets) as f64,
-        document_bytes: base.canonical_bytes().len() as f64,
+        document_bytes: base.document.canonical_bytes().len() as f64,
         difference_bytes: encoded as f64,
         memory_bytes,
         apply_s,
     }
 }
 
-/// Does what a host does with each revision: apply, check the digest, compile.
-fn time_to_apply(base: &Document, difference: &lw_doc::Difference) -> f64 {
-    let digest = base.digest();
+/// Does what a host does with each revision: copy, apply, check the digest, compile what changed.
+fn time_to_apply(base: &Applied, fleet: &Fleet, difference: &Difference) -> f64 {
     let start = Instant::now();
-    let next = apply(base, digest, difference);
+    let next = apply(base.clone(), difference);
     if let Ok(next) = &next {
-        black_box(compile(next, 2));
+        black_box(recompile(fleet, &next.document, &difference.changes, 2));
     }
     start.elapsed().as_secs_f64().max(f64::MIN_POSITIVE)
 }
--- a/crates/bench/src/slopes/fit.rs
+++ b/crates/bench/src/slopes/fit.rs
@@ -69,12 +69,12 @@
         }
     }
 
-    /// Returns the largest error relative to the measured value.
+    /// Returns the largest error relative to the measured value; values of zero are left out.
     #[must_use]
     pub fn error(&self, points: &[Point]) -> f64 {
-        points
-            .iter()
-            .map(|p| (self.at(p.size) - p.value).abs() / p.value.abs().max(f64::MIN_POSITIVE))
+        let measured = points.iter().filter(|p| p.value != 0.0);
+        measured
+            .map(|p| ((self.at(p.size) - p.value) / p.value).abs())
             .fold(0.0, f64::max)
     }
 }
--- a/crates/bench/src/slopes/load_message.rs
+++ b/crates/bench/src/slopes/load_message.rs
@@ -1,13 +1,11 @@
-//! Bytes of load reports and of the exchange of active customers, by targets and nodes of a region.
+//! Bytes of load reports with the exchange of active customers, by nodes of a region.
 //!
-//! A target takes the two bytes of [`encode_load`]. The message around them is not written yet; the measurement
-//! assumes a list of two-byte loads behind the revision, in the order of the targets of the sender, and per customer
-//! the 8-byte hash with a 4-byte rate. Each host sends to every other host of the region every 2 s its own targets,
-//! and every second its 64 most active customers (design 5.9 and 5.10).
+//! Each host sends to every other host of the region every 2 s the loads of the targets that it polls and its 64 most
+//! active customers, in one message.
 
-use bytes::Bytes;
 use lw_admit::{CustomerId, CustomerLimits, EXCHANGED_CUSTOMERS};
 use lw_base::MonoMs;
+use lw_node::LoadMessage;
 use lw_peer::Message;
 use lw_route::{LoadReport, encode_load};
 
@@ -15,31 +13,26 @@
 use crate::slopes::target::{NODES, TARGETS, largest_region, largest_region_targets};
 use crate::slopes::wire::Wire;
 
-/// Nodes of the region.
 const NODES_OF_REGION: [usize; 4] = [2, 8, 22, 40];
-/// Targets of the region, with the nodes that poll them.
-const TARGETS_OF_REGION: [usize; 4] = [80, 250, 637, 1_200];
-const REPORTS_PER_S: f64 = 0.5;
-/// The revision in front of the loads.
-const REVISION_BYTES: usize = 8;
+const MESSAGES_PER_S: f64 = 0.5;
 
 pub(crate) fn measure() -> Vec<Slope> {
     let wire = Wire::new();
-    let board =
-        TARGETS_OF_REGION.map(|targets| (targets as f64, board_bytes_per_s(&wire, targets)));
-    let customers = NODES_OF_REGION.map(|nodes| (nodes as f64, customer_bytes_per_s(&wire, nodes)));
+    let rows = |customers| NODES_OF_REGION.map(|nodes| bytes_per_s(&wire, nodes, customers));
+    let targets = rows(false).map(|(targets, _, bytes)| (targets, bytes));
+    let customers = rows(true).map(|(_, nodes, bytes)| (nodes, bytes));
     vec![
         Slope::new(
             "load.board_bytes_per_s",
-            "load reports that a host sends and receives",
+            "load messages that a host sends and receives, without customers",
             "bytes/s",
             "targets of the region",
-            board,
+            targets,
             largest_region_targets() as f64,
         ),
         Slope::new(
-            "load.customers_bytes_per_s",
-            "active customers that a host sends and receives",
+            "load.full_bytes_per_s",
+            "load messages that a host sends and receives, with 64 active customers each",
             "bytes/s",
             "nodes of the region",
             customers,
@@ -48,27 +41,28 @@
     ]
 }
 
-fn board_bytes_per_s(wire: &Wire, targets: usize) -> f64 {
-    let nodes = (targets * NODES).div_ceil(TARGETS).max(2);
-    let report = LoadReport {
-        requests: 12,
-        speed_tokens_per_s: Some(40.0),
-    };
-    let mut body = vec![0; REVISION_BYTES];
-    for _ in 0..targets.div_ceil(nodes) {
-        body.extend_from_slice(&encode_load(&report));
+/// Returns the targets and nodes of the region, and the bytes that a host sends and receives.
+fn bytes_per_s(wire: &Wire, nodes: usize, with_customers: bool) -> (f64, f64, f64) {
+    let targets = TARGETS * nodes / NODES;
+    let mut message = LoadMessage::new(u64::MAX / 3);
+    let mut next = 0;
+    for number in (0..targets as u32).step_by(nodes) {
+        let report = LoadReport {
+            requests: 12,
+            speed_tokens_per_s: Some(40.0),
+        };
+        message.push_load(&mut next, number, encode_load(&report));
     }
-    let frame = wire.bytes(&Message::LoadBoard(Bytes::from(body)));
-    2.0 * REPORTS_PER_S * (nodes - 1) as f64 * frame as f64
-}
-
-fn customer_bytes_per_s(wire: &Wire, nodes: usize) -> f64 {
-    let frame = wire.bytes(&Message::LoadBoard(Bytes::from(active_customers())));
-    2.0 * (nodes - 1) as f64 * frame as f64
+    if with_customers {
+        message.set_customers(&active_customers());
+    }
+    let frame = wire.bytes(&Message::LoadBoard(message.encode()));
+    let bytes = 2.0 * MESSAGES_PER_S * (nodes - 1) as f64 * frame as f64;
+    (targets as f64, nodes as f64, bytes)
 }
 
 /// Returns what a busy host sends: it sees more customers a second than it may report.
-fn active_customers() -> Vec<u8> {
+fn active_customers() -> Vec<(CustomerId, f64)> {
     let mut limits = CustomerLimits::default();
     for number in 0..EXCHANGED_CUSTOMERS as u64 * 4 {
         let customer = CustomerId::of_name(&format!("customer-{number:05}"));
@@ -76,10 +70,5 @@
     }
     let mut active = Vec::new();
     limits.exchange(MonoMs(1_000), &mut active);
-    let mut body = Vec::new();
-    for (customer, rate_per_s) in active {
-        body.extend_from_slice(&customer.0.to_le_bytes());
-        body.extend_from_slice(&(rate_per_s as f32).to_le_bytes());
-    }
-    body
+    active
 }
--- /dev/null
+++ b/crates/bench/src/slopes/member_fleet.rs
@@ -0,0 +1,174 @@
+//! Memberships of a fleet connected in memory, in virtual time.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use lw_base::{FastMap, MonoMs, WallMs};
+use lw_member::{MemberAction, MemberMessage, MemberState, Membership, Update};
+use lw_peer::Message;
+
+use crate::slopes::target::{host_name, region_name};
+use crate::slopes::wire::Wire;
+
+const TICK_MS: u64 = 100;
+const WALL_START_MS: u64 = 1_800_000_000_000;
+
+struct Node {
+    membership: Membership,
+    host: Arc<str>,
+    incarnation: u64,
+    probe_bytes: u64,
+    summary_bytes: u64,
+}
+
+/// The fleet.
+pub(crate) struct MemberFleet {
+    now: u64,
+    nodes: Vec<Node>,
+    by_address: FastMap<Arc<str>, usize>,
+    inbox: VecDeque<(usize, usize, MemberMessage)>,
+    wire: Wire,
+}
+
+impl MemberFleet {
+    /// Starts regions of the given sizes; each host knows one host of its region and one of another.
+    pub(crate) fn new(sizes: &[usize], seed: u64) -> Self {
+        let mut fleet = Self {
+            now: 1_000,
+            nodes: Vec::new(),
+            by_address: FastMap::default(),
+            inbox: VecDeque::new(),
+            wire: Wire::new(),
+        };
+        for (region, size) in sizes.iter().enumerate() {
+            for number in 0..*size {
+                fleet.add(region, number, sizes.len(), seed);
+            }
+        }
+        fleet
+    }
+
+    fn add(&mut self, region: usize, number: usize, regions: usize, seed: u64) {
+        let host: Arc<str> = host_name(region, number).into();
+        let me = Update {
+            host: host.clone(),
+            zone: format!("zone-{:03}", (region + 45 * (number % 3)) % 113).into(),
+            address: address(region, number),
+            incarnation: WALL_START_MS + self.now,
+            refutation: 0,
+            state: MemberState::Alive,
+        };
+        let index = self.nodes.len();
+        let incarnation = me.incarnation;
+        self.by_address.insert(me.address.clone(), index);
+        let seed = seed.wrapping_add(index as u64);
+        let mut membership = Membership::new(&region_name(region), me, seed, MonoMs(self.now));
+        membership.set_seeds(vec![address(region, 0)]);
+        membership.set_region_seeds(vec![address((region + 1) % regions, 0)]);
+        membership.set_revisions(26_000_000, 100_000);
+        membership.set_load(12_000, 700);
+        self.nodes.push(Node {
+            membership,
+            host,
+            incarnation,
+            probe_bytes: 0,
+            summary_bytes: 0,
+        });
+    }
+
+    pub(crate) fn run_for(&mut self, span_ms: u64) {
+        let end = self.now + span_ms;
+        while self.now < end {
+            self.now += TICK_MS;
+            for node in 0..self.nodes.len() {
+                let (now, wall) = self.times();
+                let mut out = Vec::new();
+                self.nodes[node].membership.tick(now, wall, &mut out);
+                self.act(node, out);
+            }
+            self.deliver();
+        }
+    }
+
+    pub(crate) fn reset(&mut self) {
+        for node in &mut self.nodes {
+            node.probe_bytes = 0;
+            node.summary_bytes = 0;
+        }
+    }
+
+    /// Returns the most bytes for probes that one node sent and received, and the same for summaries.
+    pub(crate) fn busiest_bytes(&self) -> (u64, u64) {
+        let probes = self.nodes.iter().map(|node| node.probe_bytes).max();
+        let summaries = self.nodes.iter().map(|node| node.summary_bytes).max();
+        (probes.unwrap_or(0), summaries.unwrap_or(0))
+    }
+
+    /// Returns the mean bytes for summaries that a node sent and received.
+    pub(crate) fn mean_summary_bytes(&self) -> f64 {
+        let sum: u64 = self.nodes.iter().map(|node| node.summary_bytes).sum();
+        sum as f64 / self.nodes.len() as f64
+    }
+
+    /// Returns the age of the oldest summary that any node knows, or `None` when a node lacks one.
+    pub(crate) fn oldest_summary_ms(&self, regions: usize) -> Option<u64> {
+        let (_, wall) = self.times();
+        let mut oldest = 0;
+        for node in &self.nodes {
+            if node.membership.region_summaries().count() < regions {
+                return None;
+            }
+            let ages = node.membership.region_summaries();
+            let ages = ages.map(|summary| wall.since_ms(WallMs(summary.version)));
+            oldest = oldest.max(ages.max().unwrap_or(0));
+        }
+        Some(oldest)
+    }
+
+    fn times(&self) -> (MonoMs, WallMs) {
+        (MonoMs(self.now), WallMs(WALL_START_MS + self.now))
+    }
+
+    fn act(&mut self, from: usize, actions: Vec<MemberAction>) {
+        for action in actions {
+            let MemberAction::Send {
+                address, message, ..
+            } = action
+            else {
+                continue;
+            };
+            let Some(to) = self.by_address.get(&address).copied() else {
+                continue;
+            };
+            let bytes = self.wire.bytes(&Message::Member(message.clone())) as u64;
+            let summaries = matches!(
+                message,
+                MemberMessage::RegionDigest { .. } | MemberMessage::RegionEntries(_)
+            );
+            for node in [from, to] {
+                let node = &mut self.nodes[node];
+                match summaries {
+                    true => node.summary_bytes += bytes,
+                    false => node.probe_bytes += bytes,
+                }
+            }
+            self.inbox.push_back((from, to, message));
+        }
+    }
+
+    fn deliver(&mut self) {
+        while let Some((from, to, message)) = self.inbox.pop_front() {
+            let (now, wall) = self.times();
+            let sender = (self.nodes[from].host.clone(), self.nodes[from].incarnation);
+            let mut out = Vec::new();
+            let membership = &mut self.nodes[to].membership;
+            let from = (&sender.0, sender.1);
+            membership.on_message(from, message, |_| true, now, wall, &mut out);
+            self.act(to, out);
+        }
+    }
+}
+
+fn address(region: usize, number: usize) -> Arc<str> {
+    format!("10.244.{}.{}:7443", 100 + region, 100 + number).into()
+}
--- a/crates/bench/src/slopes/membership.rs
+++ b/crates/bench/src/slopes/membership.rs
@@ -1,68 +1,93 @@
-//! Bytes of the membership protocol per node, by region size.
-//!
-//! Frames are measured. Their number follows the schedule of design 5.8: each node sends one probe a second and is
-//! probed once a second on average, and each probe is acknowledged.
-
-use lw_base::WallMs;
-use lw_member::{Beat, MemberMessage, MemberState, UPDATES_PER_MESSAGE, Update};
-use lw_peer::Message;
+//! Bytes of membership by region size, and of region summaries by number of regions.
 
+use crate::slopes::member_fleet::MemberFleet;
 use crate::slopes::slope::Slope;
-use crate::slopes::target::{host_name, largest_region};
-use crate::slopes::wire::Wire;
+use crate::slopes::target::{NODES, REGIONS, largest_region, region_sizes};
+
+const REGION_SIZES: [usize; 4] = [2, 8, 22, 40];
+const REGION_COUNTS: [usize; 4] = [5, 15, 30, REGIONS];
+/// Until every node knows every member and every region.
+const WARM_UP_MS: u64 = 60_000;
+const SPAN_MS: u64 = 30_000;
+const AGE_STEP_MS: u64 = 500;
 
-/// Region sizes of the measurement.
-const SIZES: [usize; 4] = [2, 8, 22, 40];
-/// Frames per node and second: a probe and an acknowledgement sent, and both received.
-const FRAMES_PER_S: f64 = 4.0;
+struct Summaries {
+    busiest_bytes_per_s: f64,
+    mean_bytes_per_s: f64,
+    oldest_ms: f64,
+}
 
-pub(crate) fn measure() -> Vec<Slope> {
-    let wire = Wire::new();
-    let quiet = SIZES.map(|size| (size as f64, FRAMES_PER_S * probe(&wire, 0)));
-    let full = SIZES.map(|size| {
-        let updates = size.min(UPDATES_PER_MESSAGE);
-        (size as f64, FRAMES_PER_S * probe(&wire, updates))
+pub(crate) fn measure(seed: u64) -> Vec<Slope> {
+    let per_s = 1_000.0 / SPAN_MS as f64;
+    let quiet = REGION_SIZES.map(|size| {
+        let mut fleet = MemberFleet::new(&[size], seed);
+        fleet.run_for(WARM_UP_MS);
+        fleet.reset();
+        fleet.run_for(SPAN_MS);
+        (size as f64, fleet.busiest_bytes().0 as f64 * per_s)
+    });
+    let start = REGION_SIZES.map(|size| {
+        let mut fleet = MemberFleet::new(&[size], seed);
+        fleet.run_for(SPAN_MS);
+        (size as f64, fleet.busiest_bytes().0 as f64 * per_s)
     });
     let largest = largest_region() as f64;
-    let slope = |id, what, points: [(f64, f64); 4]| {
+    let probes = |id, what, points: [(f64, f64); 4]| {
         Slope::new(id, what, "bytes/s", "nodes of the region", points, largest)
     };
+    let rows = REGION_COUNTS.map(|regions| (regions as f64, summaries(regions, seed)));
+    let summary = |id, what, unit, value: &dyn Fn(&Summaries) -> f64| {
+        let points = rows.iter().map(|(regions, row)| (*regions, value(row)));
+        Slope::new(id, what, unit, "regions", points, REGIONS as f64)
+    };
     vec![
-        slope(
+        probes(
             "member.quiet_bytes_per_s",
-            "probes and acknowledgements sent and received, without news",
+            "probes and acknowledgements that the busiest node sends and receives",
             quiet,
         ),
-        slope(
-            "member.full_bytes_per_s",
-            "the same with as many member updates as a message carries",
-            full,
+        probes(
+            "member.start_bytes_per_s",
+            "the same in the first 30 s after all nodes started",
+            start,
+        ),
+        summary(
+            "summaries.relay_bytes_per_s",
+            "digests and entries that the busiest relay sends and receives",
+            "bytes/s",
+            &|row| row.busiest_bytes_per_s,
+        ),
+        summary(
+            "summaries.mean_bytes_per_s",
+            "digests and entries that a node sends and receives on average",
+            "bytes/s",
+            &|row| row.mean_bytes_per_s,
+        ),
+        summary(
+            "summaries.oldest_ms",
+            "age of the oldest summary at any node",
+            "ms",
+            &|row| row.oldest_ms,
         ),
     ]
 }
 
-fn probe(wire: &Wire, updates: usize) -> f64 {
-    let beat = Beat {
-        nonce: u64::MAX / 3,
-        wall: WallMs(1_800_000_000_000),
-        conf_revision: 26_000_000,
-        map_revision: 100_000,
-        updates: (0..updates).map(update).collect(),
-    };
-    let frame = Message::Member(MemberMessage::ProbeAck {
-        beat,
-        evidence: true,
-    });
-    wire.bytes(&frame) as f64
-}
-
-fn update(number: usize) -> Update {
-    Update {
-        host: host_name(44, number).into(),
-        zone: "zone-112".into(),
-        address: "10.244.112.207:7443".into(),
-        incarnation: 1_800_000_000_000,
-        refutation: 300,
-        state: MemberState::Alive,
+/// Runs as many of the largest regions of the target as wanted.
+fn summaries(regions: usize, seed: u64) -> Summaries {
+    let sizes = region_sizes(NODES, REGIONS);
+    let mut fleet = MemberFleet::new(&sizes[REGIONS - regions..], seed);
+    fleet.run_for(WARM_UP_MS);
+    fleet.reset();
+    let mut oldest_ms = 0;
+    for _ in 0..SPAN_MS / AGE_STEP_MS {
+        fleet.run_for(AGE_STEP_MS);
+        let oldest = fleet.oldest_summary_ms(regions);
+        oldest_ms = oldest_ms.max(oldest.expect("every node knows every region"));
+    }
+    let per_s = 1_000.0 / SPAN_MS as f64;
+    Summaries {
+        busiest_bytes_per_s: fleet.busiest_bytes().1 as f64 * per_s,
+        mean_bytes_per_s: fleet.mean_summary_bytes() * per_s,
+        oldest_ms: oldest_ms as f64,
     }
 }
--- a/crates/bench/src/slopes/shard_region.rs
+++ b/crates/bench/src/slopes/shard_region.rs
@@ -1,7 +1,7 @@
 //! The at-most-once protocol of one region in memory, in virtual time.
 //!
-//! The schedule of reads is the one of the protocol's own failure harness: each host reads the map every 2 s, and
-//! within 200 ms when the protocol asks for it.
+//! The schedule of reads is that of the crate `node`: each host reads the map every 3 s, and at once, but not within
+//! 500 ms of the last read, when the protocol asks for it or another host shows a newer map.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -21,8 +21,8 @@
 use crate::slopes::wire::Wire;
 
 const STEP_MS: u64 = 100;
-const READ_MS: u64 = 2_000;
-const READ_SOON_MS: u64 = 200;
+const READ_MS: u64 = 3_000;
+const READ_GAP_MS: u64 = 500;
 const PROBE_MS: u64 = 1_000;
 /// From the loss of a host until its members take it as dead: suspicion 3 s and 5 s.
 const LOST_MS: u64 = 8_000;
@@ -34,6 +34,7 @@
     instance: Instance,
     up: bool,
     next_read: u64,
+    last_read: u64,
     next_probe: u64,
 }
 
@@ -100,6 +101,7 @@
             idem: Idem::new(me, TABLE_BYTES, MonoMs(self.now)),
             instance,
             up: true,
+            last_read: 0,
             next_read: self.now + self.rng.random_range(0..1_000),
             next_probe: self.now + self.rng.random_range(0..PROBE_MS),
         }
@@ -249,6 +251,7 @@
         if self.now < self.hosts[host].next_read {
             return;
         }
+        self.hosts[host].last_read = self.now;
         self.hosts[host].next_read = self.now + READ_MS;
         self.calls.reads += 1.0;
         let (now, wall) = self.times();
@@ -259,6 +262,12 @@
         self.act(host, out);
     }
 
+    fn read_soon(&mut self, host: usize) {
+        let host = &mut self.hosts[host];
+        let soon = self.now.max(host.last_read + READ_GAP_MS);
+        host.next_read = host.next_read.min(soon);
+    }
+
     fn act(&mut self, host: usize, actions: Vec<IdemAction>) {
         for action in actions {
             match action {
@@ -274,10 +283,7 @@
                     self.act(host, out);
                 }
                 IdemAction::Propose { map, if_version } => self.write(host, map, if_version),
-                IdemAction::ReadMap => {
-                    let next = self.hosts[host].next_read;
-                    self.hosts[host].next_read = next.min(self.now + READ_SOON_MS);
-                }
+                IdemAction::ReadMap => self.read_soon(host),
                 IdemAction::Replay { .. } | IdemAction::Refuse { .. } => {}
             }
         }
@@ -321,6 +327,9 @@
         let result = if if_version == self.version {
             self.version += 1;
             self.stored = Some(map);
+            for other in (0..self.hosts.len()).filter(|other| *other != host) {
+                self.read_soon(other);
+            }
             ProposalResult::Written {
                 version: self.version,
             }
--- a/crates/bench/src/slopes/shards.rs
+++ b/crates/bench/src/slopes/shards.rs
@@ -83,7 +83,7 @@
         ),
         slope(
             "idem.map_bytes",
-            "the shard map as a JSON value",
+            "the shard map as stored",
             "bytes",
             &|run| run.map_bytes,
         ),
@@ -97,7 +97,7 @@
     let before = region.calls;
     region.run_for(STEADY_MS);
     let steady = region.calls.since(before);
-    let map = region.map().map(serde_json::to_vec);
+    let map = region.map().map(postcard::to_stdvec);
     let map_bytes = map.and_then(Result::ok).map_or(0, |bytes| bytes.len());
     let writes_per_loss = counted_writes(&mut region, |region| region.kill(hosts - 1));
     let writes_per_return = counted_writes(&mut region, |region| region.restart(hosts - 1));
--- a/crates/bench/src/slopes/totals.rs
+++ b/crates/bench/src/slopes/totals.rs
@@ -23,8 +23,8 @@
 const QUEUED: f64 = 3.0 * 1_024.0;
 /// The document allows this many bytes of waiting requests per model by default.
 const QUEUED_BODY_BYTES: f64 = 3.0 * 16.0 * 1024.0 * 1024.0;
-/// A host reads the map every 2 s.
-const MAP_READS_PER_S: f64 = 0.5;
+/// A host reads the map every 3 s.
+const MAP_READS_PER_S: f64 = 1.0 / 3.0;
 
 /// Adds everything up.
 pub(crate) fn account(slopes: &[Slope], distribution: &Distribution, start: &StartUp) -> Account {
@@ -155,6 +155,7 @@
     }
 
     fn shares(&self, distribution: &Distribution) -> Vec<Share> {
+        let board = self.at("load.board_bytes_per_s");
         let both = |name, bytes| Share {
             name,
             member: bytes,
@@ -162,16 +163,19 @@
         };
         vec![
             both(
-                "probes and acknowledgements, full of updates",
-                self.at("member.full_bytes_per_s"),
+                "probes and acknowledgements",
+                self.at("member.quiet_bytes_per_s"),
             ),
             Share {
                 name: "region summaries",
-                member: self.at("summaries.member_bytes_per_s"),
-                relay: self.at("summaries.relay_with_members_bytes_per_s"),
+                member: self.at("summaries.mean_bytes_per_s"),
+                relay: self.at("summaries.relay_bytes_per_s"),
             },
-            both("load reports", self.at("load.board_bytes_per_s")),
-            both("active customers", self.at("load.customers_bytes_per_s")),
+            both("load messages, without active customers", board),
+            both(
+                "64 active customers in each load message",
+                self.at("load.full_bytes_per_s") - board,
+            ),
             both(
                 "configuration changes, busiest node",
                 distribution.busiest_bytes_per_s,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -43,6 +43,7 @@
 pub use idem_answer::IdemAnswer;
 pub use idem_ask::IdemAsk;
 pub use identity::NodeIdentity;
+pub use load_message::LoadMessage;
 pub use node::Node;
 pub use node_error::NodeError;
 pub use node_parts::{NodeParts, OnConfig};
--- a/crates/node/src/load_message.rs
+++ b/crates/node/src/load_message.rs
@@ -1,5 +1,6 @@
 //! The load board message.
 
+use bytes::Bytes;
 use lw_admit::CustomerId;
 use serde::{Deserialize, Serialize};
 
@@ -11,7 +12,7 @@
 
 /// Loads of targets and use of customers, as one host sends them to the others of its region.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub(crate) struct LoadMessage {
+pub struct LoadMessage {
     /// The digest of the sender's target list.
     pub(crate) targets_digest: u64,
     /// The number of targets between the entry and the one before it, and the load in two bytes.
@@ -21,7 +22,9 @@
 }
 
 impl LoadMessage {
-    pub(crate) fn new(targets_digest: u64) -> Self {
+    /// Builds a message without loads and customers.
+    #[must_use]
+    pub fn new(targets_digest: u64) -> Self {
         Self {
             targets_digest,
             ..Self::default()
@@ -29,11 +32,22 @@
     }
 
     /// Appends the load of the target with the given number, in rising order.
-    pub(crate) fn push_load(&mut self, next: &mut u32, number: u32, load: [u8; 2]) {
+    pub fn push_load(&mut self, next: &mut u32, number: u32, load: [u8; 2]) {
         self.loads.push((number - *next, load));
         *next = number + 1;
     }
 
+    /// Encodes the message.
+    ///
+    /// # Panics
+    ///
+    /// Never: every field has a postcard form.
+    #[must_use]
+    pub fn encode(&self) -> Bytes {
+        let bytes = postcard::to_stdvec(self).expect("a load message has a postcard form");
+        Bytes::from(bytes)
+    }
+
     /// Returns the numbers of the targets with their loads.
     pub(crate) fn numbered_loads(&self) -> impl Iterator<Item = (usize, [u8; 2])> {
         let mut next = 0_usize;
@@ -44,7 +58,8 @@
         })
     }
 
-    pub(crate) fn set_customers(&mut self, rates: &[(CustomerId, f64)]) {
+    /// Sets the use of customers in requests per second.
+    pub fn set_customers(&mut self, rates: &[(CustomerId, f64)]) {
         let coded = rates
             .iter()
             .map(|(customer, rate)| (customer.0.to_be_bytes(), rate_code(*rate)));
--- a/crates/node/src/load_task.rs
+++ b/crates/node/src/load_task.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use bytes::Bytes;
 use futures_util::{StreamExt, stream};
 use lw_base::prelude::*;
 use lw_base::{stable_hash, top_ranked};
@@ -104,8 +103,7 @@
         }
         let mut message = self.board(loads);
         message.set_customers(&customers);
-        let bytes = postcard::to_stdvec(&message).expect("a load message has a postcard form");
-        let message = Message::LoadBoard(Bytes::from(bytes));
+        let message = Message::LoadBoard(message.encode());
         for (host, address) in members {
             self.send(&host, &address, &message);
         }
