Run independent measurements of slopes in parallel

One run took 13 s in a release build and 117 s in the tests. The parts are independent and count allocations by thread, so they run on five threads; times are still measured alone.

--- a/crates/bench/src/slopes/mod.rs
+++ b/crates/bench/src/slopes/mod.rs
@@ -56,17 +56,26 @@
     }
 }
 
-/// Measures everything.
+/// Measures everything: counts and bytes in parallel, times afterwards on their own.
 #[must_use]
 pub fn slopes(seed: u64) -> Slopes {
-    let distribution = distribution::measure(seed);
-    let start_up = start_up::measure(seed);
+    let (distribution, start_up, membership, shards) = std::thread::scope(|scope| {
+        let distribution = scope.spawn(|| distribution::measure(seed));
+        let start_up = scope.spawn(|| start_up::measure(seed));
+        let membership = scope.spawn(|| membership::measure(seed));
+        let shards = shards::measure(seed);
+        let failed = "a measurement panicked";
+        let (distribution, start_up) = (distribution.join(), start_up.join());
+        let membership = membership.join().expect(failed);
+        let (distribution, start_up) = (distribution.expect(failed), start_up.expect(failed));
+        (distribution, start_up, membership, shards)
+    });
     let mut all = conf_difference::measure();
     all.extend(distribution.slopes.iter().cloned());
     all.extend(start_up.slopes.iter().cloned());
-    all.extend(membership::measure(seed));
+    all.extend(membership);
     all.extend(load_message::measure());
-    all.extend(shards::measure(seed));
+    all.extend(shards);
     all.extend(leases::measure(seed));
     all.extend(requests::measure());
     let account = totals::account(&all, &distribution, &start_up);
--- a/crates/bench/src/slopes/start_up.rs
+++ b/crates/bench/src/slopes/start_up.rs
@@ -47,7 +47,14 @@
     });
     let target = (CUSTOMERS + TARGETS) as f64;
     let size = "customers and targets";
-    let starts = FLEETS.map(|nodes| (nodes as f64, fleet_start(nodes, false, seed)));
+    let (starts, limited, after_outage) = std::thread::scope(|scope| {
+        let limited = scope.spawn(|| fleet_start(NODES, true, seed));
+        let after_outage = scope.spawn(|| after_outage(seed));
+        let starts = FLEETS.map(|nodes| (nodes as f64, fleet_start(nodes, false, seed)));
+        let failed = "a measurement panicked";
+        let (limited, after_outage) = (limited.join(), after_outage.join());
+        (starts, limited.expect(failed), after_outage.expect(failed))
+    });
     let by_nodes = |id, what, unit, value: &dyn Fn(&FleetStart) -> f64| {
         let points = starts.iter().map(|(nodes, start)| (*nodes, value(start)));
         Slope::new(id, what, unit, "nodes", points, NODES as f64)
@@ -86,8 +93,8 @@
         slopes,
         fleet: starts[FLEETS.len() - 1].1,
         entries_read: ENTRIES as f64,
-        limited: fleet_start(NODES, true, seed),
-        after_outage: after_outage(seed),
+        limited,
+        after_outage,
     }
 }
 
