demo: run a whole system in one process, and the stand-ins on their own

Cause: there was no way to see all parts work together, and hosts could not be started by hand.

The binary lacewingstile-stand serves the stand-ins on fixed ports. samples/settings and samples/local.json fit it.

--- /dev/null
+++ b/crates/demo/src/bin/stand.rs
@@ -0,0 +1,23 @@
+//! The binary `lacewingstile-stand`.
+
+use std::process::ExitCode;
+
+use gumdrop::Options as _;
+use lw_demo::{StandOptions, run_stand};
+
+fn main() -> ExitCode {
+    let options = StandOptions::parse_args_default_or_exit();
+    let ran = tokio::runtime::Runtime::new()
+        .map(|runtime| runtime.block_on(run_stand(&options.settings)));
+    match ran {
+        Ok(Ok(())) => ExitCode::SUCCESS,
+        Ok(Err(error)) => {
+            eprintln!("lacewingstile-stand: {error}");
+            ExitCode::FAILURE
+        }
+        Err(error) => {
+            eprintln!("lacewingstile-stand: cannot start the runtime: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -1,3 +1,26 @@
 //! The binary `lacewingstile-demo`.
 
-fn main() {}
+use std::process::ExitCode;
+
+use gumdrop::Options as _;
+use lw_demo::{Options, run_demo};
+
+fn main() -> ExitCode {
+    let options = Options::parse_args_default_or_exit();
+    lw_daemon::start_logs(log::LevelFilter::Error);
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("lacewingstile-demo: cannot start the runtime: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(run_demo(&options)) {
+        Ok(verdict) if verdict.passed() => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("lacewingstile-demo: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/demo/src/options.rs
@@ -0,0 +1,34 @@
+//! Arguments of the demonstration.
+
+use crate::deployment::Deployment;
+
+/// Runs a whole system in one process and plays traffic.
+#[derive(Clone, Debug, gumdrop::Options)]
+pub struct Options {
+    /// Print the arguments.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Whose document is used.
+    #[options(no_short, meta = "NAME", help = "riad or sahyog", default = "riad")]
+    pub deployment: Deployment,
+    /// How long traffic runs, in seconds; 0 means until Ctrl-C. With faults it runs until each was produced once.
+    #[options(
+        no_short,
+        meta = "N",
+        help = "seconds of traffic; 0 runs until Ctrl-C",
+        default = "0"
+    )]
+    pub seconds: u64,
+    /// The rate of requests.
+    #[options(no_short, meta = "N", help = "requests per second", default = "30")]
+    pub requests_per_s: f64,
+    /// Whether faults are produced.
+    #[options(
+        no_short,
+        help = "produce faults in turn: key-value outage, killed host, failing engine, planned stop"
+    )]
+    pub faults: bool,
+    /// The seed of the traffic.
+    #[options(no_short, meta = "N", help = "seed of the traffic", default = "7")]
+    pub seed: u64,
+}
--- /dev/null
+++ b/crates/demo/src/stand_options.rs
@@ -0,0 +1,19 @@
+//! Arguments of the stand-in process.
+
+use std::path::PathBuf;
+
+/// Runs the stand-ins of platform and targets, for hosts that are started by hand.
+#[derive(Clone, Debug, gumdrop::Options)]
+pub struct StandOptions {
+    /// Print the arguments.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// The settings file.
+    #[options(
+        no_short,
+        required,
+        meta = "FILE",
+        help = "the settings file (JSON with comments)"
+    )]
+    pub settings: PathBuf,
+}
--- /dev/null
+++ b/crates/demo/tests/samples.rs
@@ -0,0 +1,91 @@
+//! Every file in `samples/`, read by the code that reads it in use.
+
+use std::path::{Path, PathBuf};
+
+use lw_daemon::Settings;
+use lw_demo::StandSettings;
+use test_case::test_case;
+
+fn samples() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../samples")
+}
+
+fn files_in(directory: &Path) -> Vec<PathBuf> {
+    let entries = std::fs::read_dir(directory).unwrap();
+    let mut files: Vec<PathBuf> = entries
+        .map(|entry| entry.unwrap().path())
+        .filter(|path| path.is_file())
+        .collect();
+    files.sort();
+    files
+}
+
+fn tool(arguments: &[&str]) -> lw_cli::Finished {
+    let arguments: Vec<String> = arguments.iter().map(|word| (*word).to_owned()).collect();
+    lw_cli::run(&arguments)
+}
+
+/// Guards against sample documents that the tool refuses.
+#[test]
+fn documents_are_valid() {
+    let files = files_in(&samples());
+    assert!(files.len() >= 3, "{files:?}");
+    for file in files {
+        let finished = tool(&["validate", file.to_str().unwrap()]);
+        assert_eq!(finished.code, 0, "{}: {}", file.display(), finished.stderr);
+    }
+}
+
+/// Guards against sample settings that their program refuses, and against a new file that no test reads.
+#[test]
+fn settings_are_read() {
+    let directory = samples().join("settings");
+    for file in files_in(&directory) {
+        let name = file.file_name().unwrap().to_str().unwrap();
+        if name == "stand.json" {
+            StandSettings::read(&file).unwrap();
+        } else if name == "cli.json" {
+            let document = samples().join("local.json");
+            let words = ["--settings", file.to_str().unwrap(), "validate"];
+            let finished = tool(&[&words[..], &[document.to_str().unwrap()]].concat());
+            assert_eq!(finished.code, 0, "{}", finished.stderr);
+        } else if name.starts_with("host-") {
+            Settings::read(&file).unwrap();
+        } else {
+            panic!("{name}: no program reads this file");
+        }
+    }
+}
+
+/// Guards against settings of hosts and stand-ins that do not fit together.
+#[test_case("host-1"; "first")]
+#[test_case("host-2"; "second")]
+#[test_case("host-3"; "third")]
+fn hosts_fit_the_stand(host: &str) {
+    let directory = samples().join("settings");
+    let stand = StandSettings::read(&directory.join("stand.json")).unwrap();
+    let settings = Settings::read(&directory.join(format!("{host}.json"))).unwrap();
+    let platform = &settings.platform;
+    let key_value = stand.key_value.to_string();
+    let host_list = stand.host_list.to_string();
+    assert_eq!(platform.key_value.as_ref(), Some(&key_value));
+    assert_eq!(platform.host_list.as_ref(), Some(&host_list));
+    assert_eq!(platform.directory.as_ref(), Some(&host_list));
+    let entry = stand.hosts.iter().find(|entry| entry.host == host).unwrap();
+    assert_eq!(
+        (&entry.region, &entry.zone),
+        (&settings.region, &settings.zone)
+    );
+    assert_eq!(entry.caller_address, settings.listen.callers.to_string());
+    assert_eq!(entry.peer_address, settings.listen.nng.to_string());
+    let mut known = stand.hosts.iter().map(|entry| &entry.peer_address);
+    let seeds = settings.seeds.iter().chain(&settings.region_seeds);
+    assert!(
+        seeds.count() == 2
+            && known.all(|peer| {
+                *peer == entry.peer_address
+                    || settings.seeds.contains(peer)
+                    || settings.region_seeds.contains(peer)
+            })
+    );
+}
