Pack old audit entries and remove what is older than the retention time

A block is stored under the name of its newest entry, so a reader that finds an entry absent continues in the block. Blocks and refused attempts older than `audit_keep_days` of the document (default 30, 1 to 400, a smaller value warns) are removed after a floor was raised, so that the audit does not call them lost. The digest of documents without the new field stays the same.

--- a/crates/conf/src/audit.rs
+++ b/crates/conf/src/audit.rs
@@ -6,6 +6,7 @@
 use crate::chain::walk;
 use crate::entry::Entry;
 use crate::refused::{Refused, read_refused};
+use crate::retention::read_floor;
 use crate::service::read_head;
 use crate::service_error::ServiceError;
 
@@ -35,11 +36,14 @@
     }
 }
 
-fn gap_after(oldest: &Entry) -> Option<AuditRecord> {
-    Some(AuditRecord::Gap {
-        key: oldest.base_entry_key.clone()?,
-        wall_ms: oldest.wall_ms,
-    })
+/// Returns a record of the missing base of an entry, unless it is older than the retention time.
+async fn gap_after(kv: &Kv, oldest: &Entry) -> Result<Option<AuditRecord>, ServiceError> {
+    let Some(key) = oldest.base_entry_key.clone() else {
+        return Ok(None);
+    };
+    let removed = oldest.base.revision <= read_floor(kv).await?.revision;
+    let wall_ms = oldest.wall_ms;
+    Ok((!removed).then_some(AuditRecord::Gap { key, wall_ms }))
 }
 
 /// How many hours with refused attempts an audit covers.
@@ -55,10 +59,10 @@
         Some(head) => walk(kv, &head, limit, |_| true).await?,
         None => Vec::new(),
     };
-    let gap = chain
-        .last()
-        .filter(|_| chain.len() < limit)
-        .and_then(gap_after);
+    let gap = match chain.last().filter(|_| chain.len() < limit) {
+        Some(oldest) => gap_after(kv, oldest).await?,
+        None => None,
+    };
     let published = chain
         .into_iter()
         .map(|entry| AuditRecord::Published(Box::new(entry)));
--- a/crates/conf/src/chain.rs
+++ b/crates/conf/src/chain.rs
@@ -1,13 +1,14 @@
 //! Walking the audit chain backwards from the head.
 
+use lw_base::FastMap;
 use lw_doc::{Applied, Change, Document};
 use lw_plat::Kv;
 use uuid::Uuid;
 
 use crate::action::Loaded;
+use crate::chain_reader::ChainReader;
 use crate::entry::Entry;
 use crate::head::{Head, Mark};
-use crate::service::read_entry;
 use crate::service_error::ServiceError;
 use crate::snapshot::read_snapshot;
 
@@ -33,19 +34,13 @@
     max_entries: usize,
     mut more: impl FnMut(&Entry) -> bool,
 ) -> Result<Vec<Entry>, ServiceError> {
+    let mut reader = ChainReader::new(kv, head);
     let mut entries = Vec::new();
-    let mut key = Some(head.entry_key.clone());
-    while let Some(next) = key {
-        if entries.len() == max_entries {
+    while entries.len() < max_entries {
+        let Some(entry) = reader.next().await? else {
             break;
-        }
-        let entry = match read_entry(kv, &next).await {
-            Ok(entry) => entry,
-            Err(ServiceError::Missing { .. }) if !entries.is_empty() => break,
-            Err(error) => return Err(error),
         };
         let go_on = more(&entry);
-        key = entry.base_entry_key.clone();
         entries.push(entry);
         if !go_on {
             break;
@@ -120,18 +115,38 @@
 ///
 /// # Errors
 ///
-/// Fails when the revision is not in the chain, the service fails, or a part is missing or damaged.
+/// Fails when the revision is not in the chain or no snapshot leads to it any more, the service fails, or a part is missing or damaged.
 pub async fn document_at(kv: &Kv, head: &Head, revision: u64) -> Result<Document, ServiceError> {
     if revision == 0 {
         return Ok(Document::default());
     }
-    let above = |entry: &Entry| entry.mark.revision > revision;
-    let entries = walk(kv, head, usize::MAX, above).await?;
-    let wanted = entries
-        .last()
-        .filter(|entry| entry.mark.revision == revision);
-    let entry = wanted.ok_or(ServiceError::NoRevision { revision })?;
-    load_document(kv, &entry.head()).await
+    let mut reader = ChainReader::new(kv, head);
+    let mut snapshots = FastMap::default();
+    let mut newest_first: Vec<Entry> = Vec::new();
+    while let Some(entry) = reader.next().await? {
+        snapshots.insert(entry.snapshot.mark, entry.snapshot);
+        let mark = entry.mark;
+        if mark.revision > revision {
+            continue;
+        }
+        if newest_first.is_empty() && mark.revision < revision {
+            break;
+        }
+        newest_first.push(entry);
+        let Some(snapshot) = snapshots.get(&mark) else {
+            continue;
+        };
+        match read_snapshot(kv, snapshot).await {
+            Ok(applied) => {
+                newest_first.pop();
+                return apply_all(applied, newest_first.iter().rev());
+            }
+            // Old snapshots are thinned out; an older one leads here too.
+            Err(ServiceError::Missing { .. }) => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Err(ServiceError::NoRevision { revision })
 }
 
 /// Returns the entry of an operation when it is in the chain above the revision `after`.
--- a/crates/conf/src/keys.rs
+++ b/crates/conf/src/keys.rs
@@ -7,6 +7,18 @@
 /// The key of the head.
 pub const HEAD_KEY: &str = "lw/head";
 
+/// The prefix of the entries.
+pub(crate) const ENTRY_PREFIX: &str = "lw/entry/";
+
+/// The prefix of the snapshots.
+pub(crate) const SNAPSHOT_PREFIX: &str = "lw/snap/";
+
+/// The prefix of the blocks of packed entries.
+pub(crate) const BLOCK_PREFIX: &str = "lw/audit/";
+
+/// The key of the revision up to which the audit was removed.
+pub(crate) const FLOOR_KEY: &str = "lw/audit-floor";
+
 /// The prefix of the records of refused attempts.
 pub(crate) const REFUSED_PREFIX: &str = "lw/refused/";
 
@@ -16,17 +28,35 @@
 ///
 /// The operation is a part of it: two operators who publish the same content at once must not share an audit record.
 pub(crate) fn entry_key(revision: u64, digest: Digest, operation: Uuid) -> String {
-    format!("lw/entry/{revision:012}-{digest}-{operation}")
+    format!("{ENTRY_PREFIX}{revision:012}-{digest}-{operation}")
 }
 
 /// Returns the key of a part of a snapshot.
 ///
 /// The digest is a part of it: after lost writes two documents may carry the same revision.
 pub(crate) fn snapshot_key(revision: u64, digest: Digest, part: u32) -> String {
-    format!("lw/snap/{revision:012}-{digest}/{part:04}")
+    format!("{SNAPSHOT_PREFIX}{revision:012}-{digest}/{part:04}")
 }
 
 /// Returns the key that holds the refused attempts of the hour of `wall`.
 pub(crate) fn refused_key(wall: WallMs) -> String {
     format!("{REFUSED_PREFIX}{:010}", wall.0 / HOUR_MS)
 }
+
+/// Returns the key of the block whose newest entry has the given key.
+pub(crate) fn block_key(newest_entry_key: &str) -> String {
+    let name = newest_entry_key.strip_prefix(ENTRY_PREFIX);
+    format!("{BLOCK_PREFIX}{}", name.unwrap_or(newest_entry_key))
+}
+
+/// Returns the key of the newest entry of a block.
+pub(crate) fn entry_key_of_block(block_key: &str) -> String {
+    let name = block_key.strip_prefix(BLOCK_PREFIX);
+    format!("{ENTRY_PREFIX}{}", name.unwrap_or(block_key))
+}
+
+/// Returns the revision in the key of an entry, a snapshot or a block.
+pub(crate) fn revision_of(prefix: &str, key: &str) -> Option<u64> {
+    let name = key.strip_prefix(prefix)?;
+    name.split('-').next()?.parse().ok()
+}
--- a/crates/conf/src/replica.rs
+++ b/crates/conf/src/replica.rs
@@ -84,6 +84,12 @@
         self.tree.is_relay(&self.host)
     }
 
+    /// Returns true when the host is the first relay of its region.
+    #[must_use]
+    pub fn is_first_relay(&self) -> bool {
+        self.tree.is_first(&self.host)
+    }
+
     /// Returns true when the host holds the highest revision that the service showed at its start, or any revision when
     /// the service failed.
     #[must_use]
--- a/crates/conf/src/shell.rs
+++ b/crates/conf/src/shell.rs
@@ -79,6 +79,12 @@
         self.replica.lock().ready()
     }
 
+    /// Returns true when the host is the first relay of its region.
+    #[must_use]
+    pub fn is_first_relay(&self) -> bool {
+        self.replica.lock().is_first_relay()
+    }
+
     /// Sets the live hosts of the own region.
     pub fn set_hosts(&self, region: &str, hosts: &[String]) {
         self.replica.lock().set_hosts(region, hosts);
--- a/crates/conf/src/tree.rs
+++ b/crates/conf/src/tree.rs
@@ -31,6 +31,10 @@
         self.ranked.iter().take(RELAYS).any(|relay| relay == host)
     }
 
+    pub(crate) fn is_first(&self, host: &str) -> bool {
+        self.ranked.first().is_some_and(|first| first == host)
+    }
+
     /// Returns the children of `host` in the tree whose root is `root`.
     pub(crate) fn children<'a>(&'a self, root: &'a str, host: &str) -> Vec<&'a str> {
         let others = self.ranked.iter().map(String::as_str);
--- /dev/null
+++ b/crates/conf/tests/retention.rs
@@ -0,0 +1,339 @@
+//! Retention: packed audit entries, thinned snapshots and expired records, under failures of the service.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use lw_base::WallMs;
+use lw_conf::{
+    AuditRecord, Config, Entry, KeepReport, Keeper, MAX_BLOCK_BYTES, PublishError, Replica,
+    SNAPSHOT_INTERVAL, document_at, load_document, paced, prepare_rollback, publish, read_audit,
+    read_head,
+};
+use lw_doc::{AuditKeepDays, Document};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use support::{FakeKv, request, sample, with_customer};
+use test_case::test_case;
+
+const START_MS: u64 = 1_764_800_000_000;
+const HOUR_MS: u64 = 60 * 60 * 1_000;
+const KEEP: AuditKeepDays = AuditKeepDays(30);
+
+/// A chain of revisions that grows by small changes.
+struct Chain {
+    fake: FakeKv,
+    replica: Replica,
+    document: Document,
+    /// The time of the last revision, in milliseconds.
+    wall_ms: u64,
+}
+
+impl Chain {
+    /// Publishes `revisions` revisions, `interval_ms` apart.
+    async fn grown(revisions: u64, interval_ms: u64) -> Self {
+        let mut chain = Self {
+            fake: FakeKv::default(),
+            replica: Replica::new("host-0"),
+            document: sample(),
+            wall_ms: START_MS,
+        };
+        chain.grow(revisions, interval_ms).await;
+        chain
+    }
+
+    async fn grow(&mut self, revisions: u64, interval_ms: u64) {
+        for _ in 0..revisions {
+            let known = self.known();
+            let revision = known.as_ref().map_or(0, |config| config.mark.revision);
+            if revision > 0 {
+                // The document stays small, so that the test takes little time.
+                self.document
+                    .customers
+                    .remove(&format!("c-{}", revision.saturating_sub(4)));
+                self.document = with_customer(&self.document, &format!("c-{revision}"));
+            }
+            self.wall_ms += interval_ms;
+            let mut attempt = request(u128::from(revision) + 1, revision, self.document.clone());
+            attempt.wall = WallMs(self.wall_ms);
+            attempt.known = known;
+            let published = publish(&self.fake.client(), &attempt).await;
+            let published = published.expect("a revision");
+            self.replica.on_published(published, &mut Vec::new());
+        }
+    }
+
+    fn known(&self) -> Option<Arc<Config>> {
+        self.replica.reader().load()
+    }
+
+    fn revision(&self) -> u64 {
+        self.known().map_or(0, |config| config.mark.revision)
+    }
+
+    /// Passes with the clock `after_ms` behind the last revision.
+    async fn pass(&self, keeper: &mut Keeper, after_ms: u64) -> Option<KeepReport> {
+        let now = WallMs(self.wall_ms + after_ms);
+        keeper.pass(&self.fake.client(), now, KEEP).await.ok()
+    }
+
+    /// Passes until a pass leaves nothing to do.
+    async fn settle(&self, keeper: &mut Keeper, after_ms: u64) {
+        for _ in 0..20 {
+            let report = self
+                .pass(keeper, after_ms)
+                .await
+                .expect("the service is up");
+            if report == KeepReport::default() {
+                return;
+            }
+        }
+        panic!("the keeper still finds work after 20 passes");
+    }
+
+    /// Asserts that the audit shows every revision above `removed`, each linked to the one before it.
+    async fn check(&self, removed: u64) {
+        let entries = published(&self.fake).await;
+        let revisions = usize::try_from(self.revision() - removed).expect("small");
+        assert_eq!(entries.len(), revisions);
+        assert!(entries.windows(2).all(|pair| pair[0].base == pair[1].mark));
+        let head = read_head(&self.fake.client()).await.expect("up").head;
+        let head = head.expect("a head");
+        assert_eq!(entries[0].mark, head.mark);
+        let loaded = load_document(&self.fake.client(), &head).await;
+        assert_eq!(loaded.expect("whole"), self.document);
+    }
+}
+
+async fn published(fake: &FakeKv) -> Vec<Entry> {
+    let records = read_audit(&fake.client(), usize::MAX).await.expect("up");
+    let entries = records.into_iter().filter_map(|record| match record {
+        AuditRecord::Published(entry) => Some(*entry),
+        AuditRecord::Refused(_) => None,
+        AuditRecord::Gap { key, .. } => panic!("{key} is missing"),
+    });
+    entries.collect()
+}
+
+/// Guards against a store that grows with each change, and against an audit or a rollback that loses packed revisions.
+#[tokio::test(start_paused = true)]
+async fn old_entries_are_packed_and_stay_readable() {
+    let chain = Chain::grown(1_400, 2_400).await;
+    let before = published(&chain.fake).await;
+    let old = document_at(&chain.fake.client(), &before[0].head(), 700).await;
+    chain.settle(&mut Keeper::default(), 2 * HOUR_MS).await;
+    chain.check(0).await;
+    assert_eq!(published(&chain.fake).await, before);
+    let kept = chain.fake.keys("lw/entry/") as u64;
+    assert!(kept < 3 * SNAPSHOT_INTERVAL + 2, "{kept} entries");
+    assert!(chain.fake.keys("lw/snap/") <= 5);
+    assert!(chain.fake.0.lock().largest_value <= MAX_BLOCK_BYTES);
+    let rollback = prepare_rollback(&chain.fake.client(), 700).await;
+    assert_eq!(rollback.expect("built").document, old.expect("kept"));
+}
+
+/// Guards against hosts and publishers that read a chain which blocks interrupt: a host that is behind, and a repeated
+/// operation after a lost reply.
+#[tokio::test(start_paused = true)]
+async fn publishers_find_packed_operations_and_bases() {
+    let chain = Chain::grown(900, 4_000).await;
+    chain.settle(&mut Keeper::default(), 2 * HOUR_MS).await;
+    let kv = chain.fake.client();
+    let entries = published(&chain.fake).await;
+    let base = entries.iter().find(|entry| entry.mark.revision == 500);
+    let base_document = document_at(&kv, &entries[0].head(), 500).await;
+    let next = with_customer(&base_document.expect("kept"), "late");
+    let late = publish(&kv, &request(9_999, 500, next)).await;
+    let Err(PublishError::Conflict { changes, .. }) = late else {
+        panic!("{late:?}");
+    };
+    assert!(changes.is_some_and(|changes| !changes.is_empty()));
+    // Operation 501 published revision 501 and asks again.
+    let own = document_at(&kv, &entries[0].head(), 501).await;
+    let again = publish(&kv, &request(501, 500, own.expect("kept"))).await;
+    let again = again.expect("recognised").entry;
+    assert_eq!(Some(again.base), base.map(|entry| entry.mark));
+}
+
+/// Guards against a lost record or a broken chain after a crash at any call, with a new keeper each time.
+#[test_case(1, 0; "a crash")]
+#[test_case(2, 3; "a crash and lost replies")]
+#[tokio::test(start_paused = true)]
+async fn a_crash_at_any_point_loses_no_record(seed: u64, replies_to_drop: usize) {
+    println!("seed {seed}");
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let chain = Chain::grown(1_300, 3_600).await;
+    let mut keeper = Keeper::default();
+    let mut crashes_in_removal = 0;
+    for _ in 0..60 {
+        {
+            let mut store = chain.fake.0.lock();
+            store.calls_left = Some(rng.random_range(1..2_500));
+            store.replies_to_drop = replies_to_drop;
+        }
+        let before = chain.fake.keys("lw/entry/");
+        let crashed = chain.pass(&mut keeper, 2 * HOUR_MS).await.is_none();
+        let removed = chain.fake.keys("lw/entry/") < before;
+        crashes_in_removal += usize::from(crashed && removed);
+        {
+            let mut store = chain.fake.0.lock();
+            (store.calls_left, store.outage, store.replies_to_drop) = (None, false, 0);
+        }
+        if rng.random_bool(0.5) {
+            keeper = Keeper::default();
+        }
+        chain.check(0).await;
+    }
+    assert!(crashes_in_removal > 0, "no pass failed while it removed");
+    chain.settle(&mut Keeper::default(), 2 * HOUR_MS).await;
+    assert!(chain.fake.keys("lw/entry/") < 770);
+    chain.check(0).await;
+}
+
+/// Guards against two keepers that work at once, one of them with an old view of the chain.
+#[tokio::test(start_paused = true)]
+async fn two_keepers_at_once_agree() {
+    let mut chain = Chain::grown(900, 4_000).await;
+    let (mut a, mut b) = (Keeper::default(), Keeper::default());
+    chain.pass(&mut a, 2 * HOUR_MS).await.expect("up");
+    chain.fake.0.lock().latency_ms = 1;
+    chain.grow(300, 4_000).await;
+    for _ in 0..6 {
+        let (one, two) = tokio::join!(
+            chain.pass(&mut a, 2 * HOUR_MS),
+            chain.pass(&mut b, 2 * HOUR_MS)
+        );
+        assert!(one.is_some() && two.is_some());
+        chain.check(0).await;
+    }
+    chain.settle(&mut b, 2 * HOUR_MS).await;
+    chain.settle(&mut a, 2 * HOUR_MS).await;
+    assert!(chain.fake.keys("lw/entry/") < 770);
+}
+
+/// Guards against records that vanish when the service loses the last writes of a keeper.
+#[tokio::test(start_paused = true)]
+async fn lost_writes_of_a_keeper_lose_no_record() {
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    println!("seed 5");
+    let chain = Chain::grown(1_100, 3_300).await;
+    let mut keeper = Keeper::default();
+    let floor = chain.fake.undoable();
+    for _ in 0..40 {
+        chain.pass(&mut keeper, 2 * HOUR_MS).await.expect("up");
+        let done = chain.fake.undoable() - floor;
+        // Only writes of the keeper are taken back, so the head stays.
+        let lost = rng.random_range(0..600).min(done);
+        chain.fake.lose_last_writes(lost);
+        chain.check(0).await;
+    }
+    chain.settle(&mut Keeper::default(), 2 * HOUR_MS).await;
+    chain.check(0).await;
+}
+
+/// Guards against entries of lost races that stay for good, and against one that a slow publisher still needs.
+#[tokio::test(start_paused = true)]
+async fn entries_of_lost_races_go_once_they_are_old() {
+    let mut chain = Chain::grown(10, 4_000).await;
+    let (kv, base) = (chain.fake.client(), chain.revision());
+    for operation in 0..5 {
+        let next = with_customer(&chain.document, &format!("lost-{operation}"));
+        let mut own = request(90_000 + operation, base, next);
+        own.known = chain.known();
+        chain.fake.0.lock().calls_left = Some(2);
+        // The entry is written, and the service fails before the head is.
+        assert!(publish(&kv, &own).await.is_err());
+        let mut store = chain.fake.0.lock();
+        (store.calls_left, store.outage) = (None, false);
+    }
+    let entries = chain.fake.keys("lw/entry/");
+    assert!(entries > 10, "{entries} entries: no attempt left an entry");
+    chain.settle(&mut Keeper::default(), 2 * HOUR_MS).await;
+    assert_eq!(chain.fake.keys("lw/entry/"), entries);
+    chain.grow(900, 4_000).await;
+    chain.settle(&mut Keeper::default(), 2 * HOUR_MS).await;
+    let mut keeper = Keeper::default();
+    chain.settle(&mut keeper, 3 * HOUR_MS).await;
+    chain.check(0).await;
+    let kept = published(&chain.fake).await.len();
+    let blocks = chain.fake.keys("lw/audit/");
+    assert!(chain.fake.keys("lw/entry/") <= kept - (blocks - 1) * 200);
+    let orphans = chain.fake.keys("lw/entry/000000000011");
+    assert_eq!(orphans, 0);
+}
+
+/// Guards against records that outlive the retention time, against younger ones that go with them, and against an
+/// audit that calls removed records lost.
+#[tokio::test(start_paused = true)]
+async fn records_older_than_the_retention_time_go() {
+    let mut chain = Chain::grown(1_000, 3_600).await;
+    let kv = chain.fake.client();
+    let refused = request(70_000, 3, sample());
+    assert!(publish(&kv, &refused).await.is_err());
+    chain.settle(&mut Keeper::default(), 2 * HOUR_MS).await;
+    chain.grow(1_000, 3_600).await;
+    for _ in 0..2 {
+        // A keeper looks for expired blocks in its first pass.
+        let after_ms = 30 * 24 * HOUR_MS - HOUR_MS;
+        chain.settle(&mut Keeper::default(), after_ms).await;
+    }
+    let entries = published(&chain.fake).await;
+    let cutoff = chain.wall_ms - HOUR_MS;
+    let young = entries.iter().filter(|entry| entry.wall_ms.0 >= cutoff);
+    assert!(young.count() >= 999 && entries.len() < 1_300);
+    let removed = chain.revision() - entries.len() as u64;
+    assert!(removed > 500, "only {removed} records were removed");
+    chain.check(removed).await;
+    assert_eq!(chain.fake.keys("lw/refused/"), 0);
+    let floor = removed + 1;
+    let none = document_at(&kv, &entries[0].head(), floor - 1).await;
+    assert!(none.is_err(), "the document of a removed revision");
+}
+
+/// Measures calls and stored bytes at the target size, on a tenth of a day; guards against a day that takes more than
+/// 64 MB or a keeper that needs more than 5 calls a second.
+#[tokio::test(start_paused = true)]
+async fn cost_of_a_day() {
+    let mut chain = Chain::grown(1, 2_400).await;
+    let mut keeper = Keeper::default();
+    let slow = Duration::from_millis(200);
+    let kv = paced(chain.fake.client(), move || tokio::time::sleep(slow));
+    let (mut calls, mut longest) = (0, Duration::ZERO);
+    // A tenth of a day at 36,000 changes, with a pass every 5 minutes, and the hour before that packs nothing.
+    for _ in 0..48 {
+        chain.grow(125, 2_400).await;
+        let before = count_calls(&chain.fake);
+        let began = tokio::time::Instant::now();
+        let now = WallMs(chain.wall_ms);
+        keeper.pass(&kv, now, KEEP).await.expect("up");
+        longest = longest.max(began.elapsed());
+        calls += count_calls(&chain.fake) - before;
+    }
+    let (blocks, block_bytes) = (chain.fake.keys("lw/audit/"), chain.fake.bytes("lw/audit/"));
+    let entry_bytes = chain.fake.bytes("lw/entry/") / chain.fake.keys("lw/entry/");
+    let packed = published(&chain.fake).await.len() - chain.fake.keys("lw/entry/");
+    let (per_entry, per_change) = (block_bytes / packed, calls as f64 / 6_000.0);
+    let day_bytes = per_entry * 36_000;
+    println!(
+        "{blocks} blocks for {packed} entries, {per_entry} bytes each ({entry_bytes} unpacked), {per_change:.2} calls \
+         per change; extrapolated to a day of 36,000 changes: {:.1} MB in blocks, {:.0} calls, {:.2} a second; longest \
+         pass {:.0} s; {} entries, {} snapshots",
+        day_bytes as f64 / 1e6,
+        per_change * 36_000.0,
+        per_change * 36_000.0 / 86_400.0,
+        longest.as_secs_f64(),
+        chain.fake.keys("lw/entry/"),
+        chain.fake.keys("lw/snap/"),
+    );
+    assert!(day_bytes < 64_000_000);
+    assert!(
+        longest < Duration::from_secs(300),
+        "a pass takes longer than the interval"
+    );
+}
+
+fn count_calls(fake: &FakeKv) -> usize {
+    let store = fake.0.lock();
+    store.reads + store.writes
+}
--- a/crates/conf/tests/support/mod.rs
+++ b/crates/conf/tests/support/mod.rs
@@ -32,6 +32,10 @@
     undo: Vec<(String, Stored)>,
     pub(crate) head_faults: VecDeque<Fault>,
     pub(crate) outage: bool,
+    /// The service is down after this many calls.
+    pub(crate) calls_left: Option<usize>,
+    /// The replies of this many writes are lost.
+    pub(crate) replies_to_drop: usize,
     pub(crate) latency_ms: u64,
     pub(crate) reads: usize,
     pub(crate) writes: usize,
@@ -103,6 +107,34 @@
         Some(head.mark)
     }
 
+    /// Returns how many writes can be taken back.
+    pub(crate) fn undoable(&self) -> usize {
+        self.0.lock().undo.len()
+    }
+
+    /// Takes back the last writes of any key.
+    pub(crate) fn lose_last_writes(&self, writes: usize) {
+        let mut store = self.0.lock();
+        for _ in 0..writes {
+            let Some((key, before)) = store.undo.pop() else {
+                return;
+            };
+            match before {
+                Some(value) => store.values.insert(key, value),
+                None => store.values.remove(&key),
+            };
+        }
+    }
+
+    pub(crate) fn bytes(&self, prefix: &str) -> usize {
+        let store = self.0.lock();
+        let found = store
+            .values
+            .iter()
+            .filter(|(key, _)| key.starts_with(prefix));
+        found.map(|(key, (_, value))| key.len() + value.len()).sum()
+    }
+
     pub(crate) fn keys(&self, prefix: &str) -> usize {
         let store = self.0.lock();
         store
@@ -115,9 +147,23 @@
 
 impl Store {
     fn perform(&mut self, call: KvCall) -> Result<KvReply, KvError> {
+        if self.calls_left == Some(0) {
+            self.outage = true;
+        }
         if self.outage {
             return Err(KvError::Unavailable);
         }
+        self.calls_left = self.calls_left.map(|left| left - 1);
+        let is_write = matches!(call, KvCall::Put { .. } | KvCall::Delete { .. });
+        let reply = self.answer(call);
+        if is_write && reply.is_ok() && self.replies_to_drop > 0 {
+            self.replies_to_drop -= 1;
+            return Err(KvError::ReplyLost);
+        }
+        reply
+    }
+
+    fn answer(&mut self, call: KvCall) -> Result<KvReply, KvError> {
         match call {
             KvCall::Get { key } => {
                 self.reads += 1;
@@ -134,10 +180,23 @@
                 let keys = self.values.keys().filter(|key| key.starts_with(&prefix));
                 Ok(KvReply::Keys(keys.cloned().collect()))
             }
+            KvCall::Delete { key, if_version } => self.delete(key, if_version),
             _ => Err(KvError::Malformed),
         }
     }
 
+    fn delete(&mut self, key: String, if_version: u64) -> Result<KvReply, KvError> {
+        self.writes += 1;
+        let before = self.values.get(&key).cloned();
+        let current = before.as_ref().map_or(0, |(version, _)| *version);
+        if current != if_version {
+            return Err(KvError::Conflict { current });
+        }
+        self.values.remove(&key);
+        self.undo.push((key, before));
+        Ok(KvReply::Done)
+    }
+
     fn get(&self, key: &str) -> Result<KvReply, KvError> {
         if self.outage {
             return Err(KvError::Unavailable);
--- a/crates/doc/src/apply.rs
+++ b/crates/doc/src/apply.rs
@@ -60,6 +60,10 @@
             document.weights = read(path, value)?;
             return Ok(());
         }
+        ("audit_keep_days", Some(value)) => {
+            document.audit_keep_days = read(path, value)?;
+            return Ok(());
+        }
         _ => {}
     }
     let (section, name) = Section::split(path).ok_or_else(unknown)?;
--- /dev/null
+++ b/crates/doc/src/audit_keep_days.rs
@@ -0,0 +1,32 @@
+//! How long the audit is kept.
+
+use serde::{Deserialize, Serialize};
+
+/// How long published revisions and refused attempts stay in the audit, in days.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct AuditKeepDays(pub u32);
+
+impl AuditKeepDays {
+    /// The smallest allowed number.
+    pub const MIN: Self = Self(1);
+    /// The largest allowed number; a day at the target size takes about 20 MB of the key-value service.
+    pub const MAX: Self = Self(400);
+    const DAY_MS: u64 = 24 * 60 * 60 * 1_000;
+
+    /// Returns the time in milliseconds.
+    #[must_use]
+    pub fn as_ms(self) -> u64 {
+        u64::from(self.0) * Self::DAY_MS
+    }
+
+    pub(crate) fn is_default(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+impl Default for AuditKeepDays {
+    fn default() -> Self {
+        Self(30)
+    }
+}
--- a/crates/doc/src/check_regions.rs
+++ b/crates/doc/src/check_regions.rs
@@ -1,5 +1,6 @@
-//! Checks of weights and regions.
+//! Checks of weights, retention and regions.
 
+use crate::audit_keep_days::AuditKeepDays;
 use crate::checker::Checker;
 use crate::document::RegionEntry;
 use crate::fault_kind::FaultKind;
@@ -17,6 +18,12 @@
     }
 }
 
+pub(crate) fn check_audit(checker: &mut Checker<'_>) {
+    let AuditKeepDays(days) = checker.document.audit_keep_days;
+    let (AuditKeepDays(min), AuditKeepDays(max)) = (AuditKeepDays::MIN, AuditKeepDays::MAX);
+    checker.check_range("audit_keep_days", days.into(), min.into(), max.into());
+}
+
 pub(crate) fn check_regions(checker: &mut Checker<'_>) {
     let document = checker.document;
     checker.check_names("regions", &document.regions, false);
--- a/crates/doc/src/difference.rs
+++ b/crates/doc/src/difference.rs
@@ -40,6 +40,9 @@
     if base.weights != next.weights {
         changes.push(changed("weights".into(), &next.weights));
     }
+    if base.audit_keep_days != next.audit_keep_days {
+        changes.push(changed("audit_keep_days".into(), &next.audit_keep_days));
+    }
     add_section(&mut changes, Section::Regions, &base.regions, &next.regions);
     add_section(
         &mut changes,
--- a/crates/doc/src/digest_tree.rs
+++ b/crates/doc/src/digest_tree.rs
@@ -73,7 +73,12 @@
 }
 
 fn head_leaf(document: &Document) -> Digest {
-    digest_of(&(document.format, &document.weights))
+    let keep_days = document.audit_keep_days;
+    match keep_days.is_default() {
+        // The digest of documents from before this field must not change.
+        true => digest_of(&(document.format, &document.weights)),
+        false => digest_of(&(document.format, &document.weights, keep_days)),
+    }
 }
 
 fn section_leaves(section: Section, document: &Document) -> Vec<Digest> {
--- a/crates/doc/src/document.rs
+++ b/crates/doc/src/document.rs
@@ -7,6 +7,7 @@
 use lw_base::PriorityClass;
 use serde::{Deserialize, Serialize};
 
+use crate::audit_keep_days::AuditKeepDays;
 use crate::digest::Digest;
 use crate::digest_tree::DigestTree;
 use crate::service_kind::ServiceKind;
@@ -38,6 +39,9 @@
     /// What the engines should hold.
     #[serde(default)]
     pub engine: EngineEntry,
+    /// How long the audit is kept, in days. The default is left out, so that older documents keep their digest.
+    #[serde(default, skip_serializing_if = "AuditKeepDays::is_default")]
+    pub audit_keep_days: AuditKeepDays,
 }
 
 impl Document {
--- a/crates/doc/src/lib.rs
+++ b/crates/doc/src/lib.rs
@@ -3,6 +3,7 @@
 mod applied;
 mod apply;
 mod apply_error;
+mod audit_keep_days;
 mod change;
 mod check_customers;
 mod check_regions;
@@ -34,6 +35,7 @@
 pub use applied::Applied;
 pub use apply::{apply, apply_changes};
 pub use apply_error::ApplyError;
+pub use audit_keep_days::AuditKeepDays;
 pub use change::Change;
 pub use compile::{DEFAULT_REGION_DELAY_MS, compile};
 pub use difference::{Difference, changes_between, diff};
--- a/crates/doc/src/validate.rs
+++ b/crates/doc/src/validate.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::check_customers::check_customers;
-use crate::check_regions::{check_regions, check_weights};
+use crate::check_regions::{check_audit, check_regions, check_weights};
 use crate::check_services::{check_models, check_services};
 use crate::check_stops::check_stops;
 use crate::check_targets::check_targets;
@@ -33,6 +33,7 @@
         checker.fault("format", FaultKind::UnsupportedFormat { found });
     }
     check_weights(&mut checker);
+    check_audit(&mut checker);
     check_regions(&mut checker);
     check_services(&mut checker);
     check_targets(&mut checker, gateway_addresses);
--- a/crates/doc/src/warning.rs
+++ b/crates/doc/src/warning.rs
@@ -45,6 +45,16 @@
     /// A customer is bound to another region than before, or to none.
     #[error("the customer's home region changes")]
     HomeRegionChanged,
+    /// The audit is kept for a shorter time than before.
+    #[error(
+        "audit records older than {after} days are removed for good; they were kept for {before}"
+    )]
+    AuditShortened {
+        /// The days before.
+        before: u32,
+        /// The days from now on.
+        after: u32,
+    },
     /// A customer needs no credential any more.
     #[error("the customer needs no key any more")]
     CredentialRemoved,
--- a/crates/doc/src/warnings.rs
+++ b/crates/doc/src/warnings.rs
@@ -21,9 +21,18 @@
     add_removed_targets(&mut found, base, next);
     add_relaxed_services(&mut found, base, next);
     add_changed_customers(&mut found, base, next);
+    add_shortened_audit(&mut found, base, next);
     found
 }
 
+fn add_shortened_audit(found: &mut Vec<Warning>, base: &Document, next: &Document) {
+    let (before, after) = (base.audit_keep_days.0, next.audit_keep_days.0);
+    if after < before {
+        let kind = WarningKind::AuditShortened { before, after };
+        push(found, "audit_keep_days".into(), kind);
+    }
+}
+
 fn push(found: &mut Vec<Warning>, path: String, kind: WarningKind) {
     found.push(Warning { path, kind });
 }
--- a/crates/doc/tests/difference.rs
+++ b/crates/doc/tests/difference.rs
@@ -15,7 +15,8 @@
 /// Guards against a host that ends with another document than the one that was published.
 #[test]
 fn a_difference_leads_to_the_same_bytes() {
-    let (a, b) = (sample("sahyog.json"), sample("riad.json"));
+    let (a, mut b) = (sample("sahyog.json"), sample("riad.json"));
+    b.audit_keep_days.0 = 90;
     let there = diff(&a, &b);
     let text = serde_json::to_string(&there).expect("a difference has a JSON form");
     let read = serde_json::from_str(&text).expect("the text is sound");
@@ -59,6 +60,7 @@
 #[test_case(|d| { d.customers.get_mut("clerks-rajkot").unwrap().home_region = Some("saurashtra".into()); }, "services/grade-assistant", |k| matches!(k, WarningKind::ResidencyUnsatisfied { .. }); "residency")]
 #[test_case(|d| { d.customers.remove("foundry-12"); }, "customers/foundry-12/home_region", |k| matches!(k, WarningKind::HomeRegionChanged); "unbound customer")]
 #[test_case(|d| { d.services.get_mut("grade-assistant").unwrap().allowed_regions.clear(); }, "services/grade-assistant/allowed_regions", |k| matches!(k, WarningKind::ResidencyRelaxed); "relaxed")]
+#[test_case(|d| d.audit_keep_days.0 = 7, "audit_keep_days", |k| matches!(k, WarningKind::AuditShortened { before: 30, after: 7 }); "shorter audit")]
 #[test_case(stop_everything, "planned_stops/c", |k| matches!(k, WarningKind::StopOfLastTargets { .. }); "three stops together")]
 fn dangerous_changes_warn(edit: fn(&mut Document), path: &str, matches: fn(&WarningKind) -> bool) {
     let base = sample("sahyog.json");
--- a/crates/doc/tests/validate.rs
+++ b/crates/doc/tests/validate.rs
@@ -54,6 +54,11 @@
             edit: |d| d.format = 2,
             matches: |k| matches!(k, K::UnsupportedFormat { found: 2 }),
         },
+        Case {
+            path: "audit_keep_days",
+            edit: |d| d.audit_keep_days.0 = 0,
+            matches: |k| matches!(k, K::OutOfRange { .. }),
+        },
         Case {
             path: "weights/cost",
             edit: |d| d.weights.cost = f64::NAN,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -28,6 +28,7 @@
 mod node_status;
 mod parts_actions;
 mod region_feed;
+mod retention_task;
 mod run_permit;
 mod standing;
 mod start;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -197,6 +197,7 @@
         busy_us: traffic.busy_us(),
         ..NodeStatus::default()
     };
+    status.keeps_audit = core.keeps_audit();
     let members = core.members.lock();
     status.sees_half = members.sees_half(now);
     status.clock_ok = members.clock_ok(now);
--- a/crates/node/src/node_status.rs
+++ b/crates/node/src/node_status.rs
@@ -23,6 +23,8 @@
     pub sees_half: bool,
     /// Whether the wall clock agrees with the region.
     pub clock_ok: bool,
+    /// Whether this host packs and removes old parts of the audit for the fleet.
+    pub keeps_audit: bool,
     /// Milliseconds since the key-value service answered; `None` for never.
     pub service_age_ms: Option<u64>,
     /// Shards that this host owns.
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -24,6 +24,7 @@
 use crate::node::Node;
 use crate::node_error::NodeError;
 use crate::node_parts::NodeParts;
+use crate::retention_task::keep_audit;
 use crate::target_list::TargetLists;
 use crate::tick_task::tick;
 use crate::traffic::Traffic;
@@ -196,6 +197,7 @@
         spawn(read_maps(core.clone())),
         spawn(write_maps(core.clone(), proposals)),
         spawn(send_boards(core.clone(), collected.clone())),
+        spawn(keep_audit(core.clone())),
     ];
     if let Some(list) = core.host_list.clone() {
         tasks.push(spawn(read_host_list(core.clone(), list)));
