--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,15 +1,21 @@
 //! The daemon as a library, so that the demo embeds it.
 
 mod arguments;
+mod console_link;
+mod console_start;
 mod daemon;
 mod exit;
 mod listeners;
 mod logs;
 mod main_exit;
+mod node_link;
+mod node_metrics;
+mod node_start;
 mod run;
 mod settings;
 mod settings_error;
 mod start_error;
+mod status;
 
 pub use arguments::Arguments;
 pub use daemon::{Addresses, Daemon};
--- a/crates/gate/src/server/http_server.rs
+++ b/crates/gate/src/server/http_server.rs
@@ -9,6 +9,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use http::header::TRANSFER_ENCODING;
 use lw_base::ErrorKind;
 use tokio::runtime::Handle;
 use tokio_util::sync::{CancellationToken, DropGuard};
@@ -23,7 +24,7 @@
 use xitca_web::{App, WebContext};
 
 use crate::error_reply::error_reply;
-use crate::incoming::Incoming;
+use crate::incoming::{BodyFault, Incoming};
 use crate::reply::{Reply, ReplyBody};
 use crate::server::closing_listener::BoundSocket;
 use crate::server::connection::{Busy, Connection};
@@ -37,6 +38,8 @@
 const HEAD_BYTES: usize = 128 * 1024;
 /// The bytes of a response that are held for a connection before the body is polled again.
 const WRITE_BYTES: usize = 64 * 1024;
+/// The time in which a caller must take what is left of an aborted body.
+const STALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// The time in which the head of a request must arrive.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -227,14 +230,16 @@
     let request = context.req();
     let body = std::mem::take(&mut *context.body_borrow_mut());
     let timeout = Duration::from_millis(state.options.body_timeout_ms);
-    let body = read_body(
-        body,
-        request.headers(),
-        state.options.max_body_bytes,
-        timeout,
-    )
-    .await;
+    let headers = request.headers();
+    let mut body = read_body(body, headers, state.options.max_body_bytes, timeout).await;
+    // The end of the connection looks like the last chunk of a body, so a cut body would be taken for a whole one.
+    if headers.contains_key(TRANSFER_ENCODING) && connection.is_ended() {
+        body = Err(BodyFault::Malformed);
+    }
+    // A body that is refused is answered at once, also to a caller that has closed its sending side.
+    let refused = body.is_err();
     let gone = CancellationToken::new();
+    let ended = gone.clone();
     let guard = gone.clone().drop_guard();
     let incoming = Incoming {
         method: request.method().clone(),
@@ -247,18 +252,37 @@
     let reply = tokio::select! {
         reply = task => reply,
         // The task sees the cancelled token and ends by itself, with an outcome.
-        () = connection.gone() => return WebResponse::new(ResponseBody::empty()),
+        // A caller that closed only its sending side must not take the end of the connection for an answer.
+        () = connection.gone(), if !refused => Ok(error_reply(ErrorKind::CallerGone)),
     };
     let reply = reply.unwrap_or_else(|error| {
         log::error!("gate: a request failed inside the gateway: {error}");
         error_reply(ErrorKind::Internal)
     });
-    web_response(reply, connection, guard, busy)
+    web_response(reply, connection, ended, guard, busy)
+}
+
+/// Cuts a connection off when its body was aborted and the caller does not take the rest, so that a caller that never
+/// reads cannot keep the connection.
+async fn cut_stalled(
+    connection: Arc<Connection>,
+    aborted: CancellationToken,
+    ended: CancellationToken,
+) {
+    tokio::select! {
+        () = aborted.cancelled() => {}
+        () = ended.cancelled() => return,
+    }
+    tokio::select! {
+        () = tokio::time::sleep(STALL_TIMEOUT) => connection.cut(),
+        () = ended.cancelled() => {}
+    }
 }
 
 fn web_response(
     reply: Reply,
     connection: Arc<Connection>,
+    ended: CancellationToken,
     guard: DropGuard,
     busy: Busy,
 ) -> WebResponse {
@@ -267,14 +291,18 @@
         ReplyBody::Stream {
             length_bytes,
             parts,
-        } => ResponseBody::boxed(WebBody {
-            length_bytes,
-            parts,
-            gone: Box::pin(async move { connection.gone().await }),
-            ended: false,
-            _guard: guard,
-            _busy: busy,
-        }),
+            aborted,
+        } => {
+            tokio::task::spawn_local(cut_stalled(connection.clone(), aborted, ended));
+            ResponseBody::boxed(WebBody {
+                length_bytes,
+                parts,
+                gone: Box::pin(async move { connection.gone().await }),
+                ended: false,
+                _guard: guard,
+                _busy: busy,
+            })
+        }
     };
     let mut response = WebResponse::new(body);
     *response.status_mut() = reply.status;
