bench: give region summaries of the slopes their services

Cause: the slope of membership sets the load of a region in its former form, and the workspace does not build since both were merged.

Change: the slope sets the load of a region with three models and two plain services.

--- a/crates/bench/src/slopes/member_fleet.rs
+++ b/crates/bench/src/slopes/member_fleet.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 
 use lw_base::{FastMap, MonoMs, WallMs};
-use lw_member::{MemberAction, MemberMessage, MemberState, Membership, Update};
+use lw_member::{
+    MemberAction, MemberMessage, MemberState, Membership, RegionLoad, ServiceUse, Update,
+};
 use lw_peer::Message;
 
 use crate::slopes::target::{host_name, region_name};
@@ -66,7 +68,7 @@
         membership.set_seeds(vec![address(region, 0)]);
         membership.set_region_seeds(vec![address((region + 1) % regions, 0)]);
         membership.set_revisions(26_000_000, 100_000);
-        membership.set_load(12_000, 700);
+        membership.set_load(region_load());
         self.nodes.push(Node {
             membership,
             host,
@@ -172,3 +174,17 @@
 fn address(region: usize, number: usize) -> Arc<str> {
     format!("10.244.{}.{}:7443", 100 + region, 100 + number).into()
 }
+
+/// The load of a region with three models and two plain services.
+fn region_load() -> RegionLoad {
+    let service = |number: u8| ServiceUse {
+        service: [number.wrapping_mul(47); 8],
+        slots: 2_400 + u32::from(number),
+        load_permille: 700 + u16::from(number),
+    };
+    RegionLoad {
+        capacity_slots: 12_000,
+        load_permille: 700,
+        services: (1..=5).map(service).collect(),
+    }
+}
