node: run placement under the lease of the region, and use only serving engines

Cause: nothing ran the decider, and routers sent requests to engines that drain, stand by or hold another model.

Change: `Node::start_placement` asks for the lease of `place/<region>` on the relays, reads the engines every 5 s, feeds the demand of the router and the wanted versions of the document to the decider, sends its commands with a time limit, checks that no two holders act under one number, and raises the floor when engines follow a higher one. The host that polls an engine for its load reads its state too; the load board tells the others which engines do not serve, and the router rules them out.

Without the time limit the test of the paused decider fails.

The daemon does not start it yet.

--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -55,6 +55,8 @@
     pub(crate) read_map: Notify,
     pub(crate) traffic: Traffic,
     pub(crate) targets: TargetLists,
+    /// The engines that this host polls and that drain, stand by or lack their model.
+    pub(crate) not_serving: Mutex<FastSet<Arc<str>>>,
     pub(crate) regions: Mutex<RegionFeed>,
     pub(crate) directory_view: Mutex<RegionDirectory>,
     /// Serializes registration and removal, so that a renewal cannot follow the removal.
--- a/crates/node/src/load_message.rs
+++ b/crates/node/src/load_message.rs
@@ -17,6 +17,8 @@
     pub(crate) targets_digest: u64,
     /// The number of targets between the entry and the one before it, and the load in two bytes.
     loads: Vec<(u32, [u8; 2])>,
+    /// The positions in `loads` of engines that drain, stand by or lack their model.
+    not_serving: Vec<u32>,
     /// The stable hash of a customer's name, and its rate as a code.
     customers: Vec<([u8; 8], u16)>,
 }
@@ -37,6 +39,12 @@
         *next = number + 1;
     }
 
+    /// Notes that the target that was appended last drains, stands by or lacks its model.
+    pub(crate) fn mark_not_serving(&mut self) {
+        self.not_serving
+            .extend((self.loads.len() as u32).checked_sub(1));
+    }
+
     /// Encodes the message.
     ///
     /// # Panics
@@ -48,13 +56,13 @@
         Bytes::from(bytes)
     }
 
-    /// Returns the numbers of the targets with their loads.
-    pub(crate) fn numbered_loads(&self) -> impl Iterator<Item = (usize, [u8; 2])> {
+    /// Returns the numbers of the targets with their loads, and whether they serve.
+    pub(crate) fn numbered_loads(&self) -> impl Iterator<Item = (usize, [u8; 2], bool)> {
         let mut next = 0_usize;
-        self.loads.iter().map(move |(gap, load)| {
+        (0_u32..).zip(&self.loads).map(move |(index, (gap, load))| {
             let number = next.saturating_add(*gap as usize);
             next = number.saturating_add(1);
-            (number, *load)
+            (number, *load, !self.not_serving.contains(&index))
         })
     }
 
--- a/crates/node/src/load_task.rs
+++ b/crates/node/src/load_task.rs
@@ -19,10 +19,10 @@
 const BOARD_MS: u64 = 2_000;
 
 /// How long one poll may take.
-const CALL_MS: u64 = 1_000;
+pub(crate) const CALL_MS: u64 = 1_000;
 
 /// Polls at the same time; at the target size a host polls about 29 targets a second.
-const CONCURRENT_POLLS: usize = 32;
+pub(crate) const CONCURRENT_POLLS: usize = 32;
 
 /// The last reports of the targets that this host polls, by name.
 pub(crate) type Collected = Arc<Mutex<FastMap<Arc<str>, [u8; 2]>>>;
@@ -68,7 +68,7 @@
 
 impl Core {
     /// Returns name and address of the targets that rendezvous hashing assigns to this host.
-    fn targets_to_poll(&self) -> Vec<(Arc<str>, String)> {
+    pub(crate) fn targets_to_poll(&self) -> Vec<(Arc<str>, String)> {
         let live = self.members.lock().ordered();
         let names: Vec<&[u8]> = live.iter().map(|name| name.as_bytes()).collect();
         let view = self.router.view();
@@ -112,11 +112,15 @@
     fn board(&self, loads: &FastMap<Arc<str>, [u8; 2]>) -> LoadMessage {
         let view = self.router.view();
         let list = self.targets.of(view.fleet(), &self.identity.region);
+        let idle = self.not_serving.lock();
         let mut message = LoadMessage::new(list.digest);
         let mut next = 0;
         for (number, target) in (0_u32..).zip(&list.targets) {
             if let Some(load) = loads.get(view.fleet().targets.name(*target)) {
                 message.push_load(&mut next, number, *load);
+                if idle.contains(view.fleet().targets.name(*target)) {
+                    message.mark_not_serving();
+                }
             }
         }
         message
@@ -136,9 +140,10 @@
         if list.digest != message.targets_digest {
             return;
         }
-        for (number, load) in message.numbered_loads() {
+        for (number, load, serving) in message.numbered_loads() {
             if let Some(target) = list.targets.get(number) {
                 view.report(now, *target, &decode_load(load));
+                view.set_serving(now, *target, serving);
             }
         }
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -19,6 +19,7 @@
 use crate::node_error::NodeError;
 use crate::node_parts::NodeParts;
 use crate::node_status::NodeStatus;
+use crate::placement::{self, Placement, PlacementOptions};
 use crate::start::start;
 use crate::traffic::get;
 
@@ -39,6 +40,14 @@
         start(parts)
     }
 
+    /// Starts placement of models on the engines of the region; it ends when the result is dropped.
+    ///
+    /// Returns `None` when the node was built without [`NodeParts::engines`].
+    #[must_use]
+    pub fn start_placement(&self, options: PlacementOptions) -> Option<Placement> {
+        placement::start(&self.core, options)
+    }
+
     /// Returns the address for peer messages.
     #[must_use]
     pub fn peer_address(&self) -> &str {
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -25,6 +25,7 @@
 use crate::node_error::NodeError;
 use crate::node_parts::NodeParts;
 use crate::retention_task::keep_audit;
+use crate::role_task::read_roles;
 use crate::target_list::TargetLists;
 use crate::tick_task::tick;
 use crate::traffic::Traffic;
@@ -138,6 +139,7 @@
         read_map: Notify::new(),
         traffic: Traffic::default(),
         targets: TargetLists::default(),
+        not_serving: Mutex::default(),
         regions: Mutex::default(),
         directory_view: Mutex::default(),
         directory_turn: tokio::sync::Mutex::new(()),
@@ -207,6 +209,7 @@
         tasks.push(spawn(read_regions(core.clone(), directory)));
     }
     if let Some(engines) = core.engines.clone() {
+        tasks.push(spawn(read_roles(core.clone(), engines.clone())));
         tasks.push(spawn(poll_targets(core.clone(), engines, collected)));
     }
     tasks
--- a/crates/node/tests/nodes/main.rs
+++ b/crates/node/tests/nodes/main.rs
@@ -7,4 +7,5 @@
 mod exchange;
 mod isolation;
 mod leaving;
+mod placement;
 mod takeover;
--- a/crates/route/src/explain.rs
+++ b/crates/route/src/explain.rs
@@ -22,6 +22,8 @@
 pub enum RuledOut {
     /// A planned stop or a leaving mark covers it.
     Stopped,
+    /// It is an engine that drains, stands by or lacks the model.
+    NotServing,
     /// It is ejected after failures.
     Ejected,
     /// An earlier attempt of the request used it.
--- a/crates/route/src/target_cell.rs
+++ b/crates/route/src/target_cell.rs
@@ -38,6 +38,8 @@
     load: LoadEstimate,
     ejection: Ejection,
     stops: StopState,
+    /// True for an engine that drains, stands by or lacks the model.
+    not_serving: bool,
     slow_since: Option<MonoMs>,
     /// What the target adds to the load of its service, in thousandths of a request.
     counted_milli: i64,
@@ -60,6 +62,7 @@
                 load: LoadEstimate::default(),
                 ejection: Ejection::default(),
                 stops: StopState::default(),
+                not_serving: false,
                 slow_since: slow.then_some(now),
                 counted_milli: 0,
                 detached: false,
@@ -78,11 +81,22 @@
         self.state.lock().stops.set_leaving(now, leaving);
     }
 
+    /// Notes whether the engine serves its model; one that serves again has a cold cache.
+    pub(crate) fn set_serving(&self, now: MonoMs, serving: bool) {
+        let mut state = self.state.lock();
+        if serving && state.not_serving {
+            state.slow_since = Some(now);
+        }
+        state.not_serving = !serving;
+    }
+
     pub(crate) fn view(&self, now: Now) -> TargetView {
         let state = self.state.lock();
         let gate = state.ejection.gate(now.mono);
         let ruled_out = if state.stops.stopped_for_ms(now).is_some() {
             Some(RuledOut::Stopped)
+        } else if state.not_serving {
+            Some(RuledOut::NotServing)
         } else if gate == Gate::Closed {
             Some(RuledOut::Ejected)
         } else {
@@ -101,7 +115,7 @@
     /// Counts a request; returns whether it is the probe, or `None` when the target takes no new work.
     pub(crate) fn begin(&self, now: Now, total_milli: &mut impl FnMut(i64)) -> Option<bool> {
         let mut state = self.state.lock();
-        if state.stops.stopped_for_ms(now).is_some() {
+        if state.stops.stopped_for_ms(now).is_some() || state.not_serving {
             return None;
         }
         let probe = match state.ejection.gate(now.mono) {
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -126,6 +126,13 @@
         }
     }
 
+    /// Notes whether an engine serves its model; one that drains, stands by or lacks the model gets no requests.
+    pub fn set_serving(&self, now: MonoMs, target: TargetKey, serving: bool) {
+        if let Some(cell) = self.cell(target) {
+            cell.set_serving(now, serving);
+        }
+    }
+
     /// Takes the summary of one service in another region; it takes precedence over the one of the whole region.
     ///
     /// Services differ in load: a region whose engines are full and whose plain services are idle looks half used.
