--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -3,9 +3,11 @@
 mod action;
 mod clock;
 mod gossip;
+mod member;
 mod membership;
 mod message;
 mod probing;
+mod readings;
 mod region_entry;
 mod region_load;
 mod region_summary;
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -3,16 +3,16 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use lw_base::{MonoMs, WallMs, ranked, stable_hash};
+use lw_base::{MonoMs, WallMs};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use crate::action::MemberAction;
-use crate::clock::{CLOCK_OFF_MS, Clocks};
+use crate::clock::Clocks;
+use crate::member::Member;
 use crate::message::MemberMessage;
 use crate::probing::Probing;
 use crate::region_load::RegionLoad;
-use crate::region_summary::RegionSummary;
 use crate::regions::Regions;
 use crate::update::{MemberState, Update};
 
@@ -22,25 +22,9 @@
 /// How long dead members are remembered, so that a healed split is noticed.
 const DEAD_MS: u64 = 600_000;
 
-/// How long an acknowledgement counts for [`Membership::sees_half`].
-const SEEN_MS: u64 = 11_000;
-
 /// A gap between two ticks after which this host takes itself, not the others, for paused.
 const PAUSE_MS: u64 = 2_000;
 
-/// One known member.
-#[derive(Clone, Debug)]
-pub(crate) struct Member {
-    pub(crate) update: Update,
-    /// When the state was taken.
-    pub(crate) since: MonoMs,
-    /// The send time of the last probe that was acknowledged.
-    pub(crate) acknowledged: Option<MonoMs>,
-    /// How often the update is still sent on.
-    pub(crate) sends_left: u32,
-    pub(crate) conf_revision: u64,
-}
-
 /// The membership of one host.
 #[derive(Debug)]
 pub struct Membership {
@@ -60,7 +44,7 @@
     pub(crate) gossip_at: MonoMs,
     pub(crate) summary_at: MonoMs,
     pub(crate) flush_at: MonoMs,
-    started: MonoMs,
+    pub(crate) started: MonoMs,
     last_tick: MonoMs,
 }
 
@@ -139,83 +123,6 @@
         }
     }
 
-    /// Returns the known members except this host.
-    pub fn members(&self) -> impl Iterator<Item = &Update> {
-        self.members.values().map(|member| &member.update)
-    }
-
-    /// Returns the known members except this host, each with the configuration revision that it last showed.
-    pub fn revisions(&self) -> impl Iterator<Item = (&Update, u64)> {
-        let members = self.members.values();
-        members.map(|member| (&member.update, member.conf_revision))
-    }
-
-    /// Returns when a probe to `host` that was acknowledged was last sent.
-    #[must_use]
-    pub fn acknowledged(&self, host: &str) -> Option<MonoMs> {
-        self.members.get(host)?.acknowledged
-    }
-
-    /// Returns the member with the highest configuration revision above `revision`.
-    #[must_use]
-    pub fn ahead_of(&self, revision: u64) -> Option<&Update> {
-        let ahead = self.members.values();
-        ahead
-            .filter(|member| member.conf_revision > revision)
-            .max_by_key(|member| member.conf_revision)
-            .map(|member| &member.update)
-    }
-
-    /// Returns the live hosts in rendezvous order; the first two are the relays of the region.
-    #[must_use]
-    pub fn ordered(&self) -> Vec<Arc<str>> {
-        let live = self.members.values().map(|member| &member.update);
-        let live = live.chain([&self.me]);
-        let mut names: Vec<Arc<str>> = live
-            .filter(|update| update.state == MemberState::Alive)
-            .map(|update| update.host.clone())
-            .collect();
-        names.sort();
-        let keys: Vec<&[u8]> = names.iter().map(|name| name.as_bytes()).collect();
-        let order = ranked(stable_hash(self.region.as_bytes()), &keys);
-        order
-            .into_iter()
-            .map(|index| names[index].clone())
-            .collect()
-    }
-
-    /// Returns the relays of the region, at most two.
-    #[must_use]
-    pub fn relays(&self) -> Vec<Arc<str>> {
-        self.ordered().into_iter().take(2).collect()
-    }
-
-    /// Returns the known region summaries, the own one included.
-    pub fn region_summaries(&self) -> impl Iterator<Item = &RegionSummary> {
-        self.regions.all()
-    }
-
-    /// Returns false when this host was acknowledged by fewer than half of the last known members, itself included.
-    ///
-    /// Lost members count until the host list drops them, or for 10 minutes: a cut-off host must not forget them.
-    #[must_use]
-    pub fn sees_half(&self, now: MonoMs) -> bool {
-        if now.since_ms(self.started) < SEEN_MS {
-            return true;
-        }
-        let seen = self.members.values().filter(|member| {
-            let at = member.acknowledged;
-            at.is_some_and(|at| now.since_ms(at) <= SEEN_MS)
-        });
-        (seen.count() + 1) * 2 > self.members.len()
-    }
-
-    /// Returns false when the own wall clock is more than [`CLOCK_OFF_MS`] from the median of the region.
-    #[must_use]
-    pub fn clock_ok(&self, now: MonoMs) -> bool {
-        self.clocks.median_ms(now).unsigned_abs() <= CLOCK_OFF_MS
-    }
-
     /// Takes a message from the process `from`; `evidence` tells whether an acknowledgement to it with the shown map
     /// revision counts as authority evidence.
     pub fn on_message(
--- a/crates/member/src/updates.rs
+++ b/crates/member/src/updates.rs
@@ -7,7 +7,8 @@
 
 use crate::UPDATES_PER_MESSAGE;
 use crate::action::MemberAction;
-use crate::membership::{Member, Membership};
+use crate::member::Member;
+use crate::membership::Membership;
 use crate::update::{MemberState, Update};
 
 impl Membership {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,8 +7,8 @@
 use lw_base::prelude::*;
 use lw_conf::{ConfShell, ConfigReader, PublishError, PublishRequest, Published};
 use lw_idem::{RecordKey, ShardMap};
-use lw_member::{MemberState, Update};
-use lw_peer::{NngNetwork, Refusal};
+use lw_member::Update;
+use lw_peer::NngNetwork;
 use parking_lot::Mutex;
 use tokio_util::task::AbortOnDropHandle;
 
@@ -21,7 +21,6 @@
 use crate::node_status::NodeStatus;
 use crate::placement::{self, Placement, PlacementOptions};
 use crate::start::start;
-use crate::traffic::get;
 
 /// A running node. Dropping it stops it as [`Node::kill`] does.
 pub struct Node {
@@ -165,7 +164,7 @@
     /// Returns counters and states.
     #[must_use]
     pub fn status(&self) -> NodeStatus {
-        status(&self.core)
+        NodeStatus::of(&self.core)
     }
 
     /// Leaves the directory, tells the peers and hands over all shards. The node keeps running until it is killed.
@@ -193,48 +192,3 @@
         self.kill();
     }
 }
-
-fn status(core: &Core) -> NodeStatus {
-    let now = core.clock.mono();
-    let (owned_shards, backup_shards) = core.idem.roles();
-    let refusals = core.codec.refusals();
-    let traffic = &core.traffic;
-    let mut status = NodeStatus {
-        ready: core.is_ready(),
-        leaving: core.is_leaving(),
-        revision: core.delivered.load(Ordering::Acquire),
-        map_revision: core.idem.map_revision(),
-        service_age_ms: core.service_age_ms(now),
-        owned_shards,
-        backup_shards,
-        records: core.idem.record_count(),
-        sent_frames: get(&traffic.sent_frames),
-        sent_bytes: get(&traffic.sent_bytes),
-        received_frames: get(&traffic.received_frames),
-        received_bytes: get(&traffic.received_bytes),
-        dropped_frames: get(&traffic.dropped_frames),
-        refused_frames: Refusal::ALL
-            .map(|reason| (reason.as_str(), refusals.get(reason)))
-            .to_vec(),
-        map_reads: get(&traffic.map_reads),
-        map_writes: get(&traffic.map_writes),
-        load_polls: get(&traffic.load_polls),
-        busy_us: traffic.busy_us(),
-        ..NodeStatus::default()
-    };
-    status.keeps_audit = core.keeps_audit();
-    let members = core.members.lock();
-    status.sees_half = members.sees_half(now);
-    status.clock_ok = members.clock_ok(now);
-    status.known_regions = members.region_summaries().count();
-    for update in members.members() {
-        let count = match update.state {
-            MemberState::Alive => &mut status.alive_members,
-            MemberState::Leaving => &mut status.leaving_members,
-            MemberState::Suspect => &mut status.suspect_members,
-            MemberState::Dead => &mut status.dead_members,
-        };
-        *count += 1;
-    }
-    status
-}
--- a/crates/node/src/node_status.rs
+++ b/crates/node/src/node_status.rs
@@ -1,5 +1,13 @@
 //! What a node tells about itself.
 
+use std::sync::atomic::Ordering;
+
+use lw_member::MemberState;
+use lw_peer::Refusal;
+
+use crate::core::Core;
+use crate::traffic::get;
+
 /// What a node tells about itself, for metrics and status pages. Counters count from the start of the node.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct NodeStatus {
@@ -56,3 +64,50 @@
     /// Time spent in control work on messages and ticks, in microseconds.
     pub busy_us: u64,
 }
+
+impl NodeStatus {
+    pub(crate) fn of(core: &Core) -> Self {
+        let now = core.clock.mono();
+        let (owned_shards, backup_shards) = core.idem.roles();
+        let refusals = core.codec.refusals();
+        let traffic = &core.traffic;
+        let mut status = Self {
+            ready: core.is_ready(),
+            leaving: core.is_leaving(),
+            revision: core.delivered.load(Ordering::Acquire),
+            map_revision: core.idem.map_revision(),
+            service_age_ms: core.service_age_ms(now),
+            owned_shards,
+            backup_shards,
+            records: core.idem.record_count(),
+            sent_frames: get(&traffic.sent_frames),
+            sent_bytes: get(&traffic.sent_bytes),
+            received_frames: get(&traffic.received_frames),
+            received_bytes: get(&traffic.received_bytes),
+            dropped_frames: get(&traffic.dropped_frames),
+            refused_frames: Refusal::ALL
+                .map(|reason| (reason.as_str(), refusals.get(reason)))
+                .to_vec(),
+            map_reads: get(&traffic.map_reads),
+            map_writes: get(&traffic.map_writes),
+            load_polls: get(&traffic.load_polls),
+            busy_us: traffic.busy_us(),
+            ..Self::default()
+        };
+        status.keeps_audit = core.keeps_audit();
+        let members = core.members.lock();
+        status.sees_half = members.sees_half(now);
+        status.clock_ok = members.clock_ok(now);
+        status.known_regions = members.region_summaries().count();
+        for update in members.members() {
+            let count = match update.state {
+                MemberState::Alive => &mut status.alive_members,
+                MemberState::Leaving => &mut status.leaving_members,
+                MemberState::Suspect => &mut status.suspect_members,
+                MemberState::Dead => &mut status.dead_members,
+            };
+            *count += 1;
+        }
+        status
+    }
+}
