console: edit the audit retention in a form

Cause: `audit_keep_days` was in the document without a form, and a difference of it showed no value before.

Change: a section "Audit retention" with one field, and its value in differences. A text that is no number is one fault, not two.

Conclusion: operators change the retention time like the weights.

--- a/crates/console/src/forms/entity_form.rs
+++ b/crates/console/src/forms/entity_form.rs
@@ -1,13 +1,16 @@
 //! The forms by section.
 
 use lw_base::WallMs;
-use lw_doc::{CustomerEntry, Document, ModelEntry, RegionEntry, ServiceKind, Weights};
+use lw_doc::{
+    AuditKeepDays, CustomerEntry, Document, ModelEntry, RegionEntry, ServiceKind, Weights,
+};
 use serde_json::Value;
 
 use crate::forms::field::{Field, FieldKind, choices, field};
 use crate::forms::form_fault::FormFault;
 use crate::forms::{
-    customer_form, model_form, region_form, service_form, stop_form, target_form, weights_form,
+    audit_form, customer_form, model_form, region_form, service_form, stop_form, target_form,
+    weights_form,
 };
 use crate::inputs::Inputs;
 use crate::section::Section;
@@ -23,6 +26,7 @@
         Section::Weights => weights_form::fields(),
         Section::PlannedStops => stop_form::fields(),
         Section::Models => model_form::fields(),
+        Section::Audit => audit_form::fields(),
     };
     if new && section.has_names() {
         fields.insert(0, name_field(section, document));
@@ -44,7 +48,7 @@
             "1 to 64 letters, digits, `-`, `_` and `.`; it cannot be changed later.",
             FieldKind::Text,
         ),
-        Section::Services | Section::Regions | Section::Weights => field(
+        Section::Services | Section::Regions | Section::Weights | Section::Audit => field(
             "name",
             "Name",
             "1 to 64 letters, digits, `-` and `_`; it cannot be changed later.",
@@ -64,6 +68,7 @@
         Section::Weights => weights_form::fill(document.weights),
         Section::PlannedStops => stop_form::fill(document.planned_stops.get(name)?),
         Section::Models => model_form::fill(document.engine.models.get(name)?),
+        Section::Audit => audit_form::fill(document.audit_keep_days),
     })
 }
 
@@ -78,6 +83,7 @@
         Section::Weights => weights_form::fill(Weights::default()),
         Section::PlannedStops => stop_form::fill(&stop_form::blank(now)),
         Section::Models => model_form::fill(&ModelEntry::default()),
+        Section::Audit => audit_form::fill(AuditKeepDays::default()),
     }
 }
 
@@ -92,5 +98,6 @@
         Section::Weights => weights_form::read(inputs),
         Section::PlannedStops => stop_form::read(inputs),
         Section::Models => model_form::read(inputs),
+        Section::Audit => audit_form::read(inputs),
     }
 }
--- a/crates/console/src/forms/mod.rs
+++ b/crates/console/src/forms/mod.rs
@@ -1,5 +1,6 @@
 //! Forms as pure functions: fields of the browser in, changes of the document or faults out.
 
+mod audit_form;
 mod customer_form;
 mod entity_form;
 mod field;
--- a/crates/console/src/pages/entity_page.rs
+++ b/crates/console/src/pages/entity_page.rs
@@ -68,6 +68,7 @@
         (true, ..) => "Start a planned stop now".to_owned(),
         (_, true, section) => format!("Add a {}", section.entity()),
         (_, _, Section::Weights) => "Edit the weights".to_owned(),
+        (_, _, Section::Audit) => "Edit the audit retention".to_owned(),
         (_, false, section) => format!("Edit {} {}", section.entity(), form.original),
     }
 }
--- a/crates/console/src/section.rs
+++ b/crates/console/src/section.rs
@@ -3,6 +3,8 @@
 use lw_doc::Document;
 use serde_json::Value;
 
+const AUDIT_PATH: &str = "audit_keep_days";
+
 /// A section of the document with its own list and form.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Section {
@@ -20,11 +22,13 @@
     PlannedStops,
     /// Models that engines should hold.
     Models,
+    /// How long the audit is kept, a single entity.
+    Audit,
 }
 
 impl Section {
     /// Every section, in the order of the navigation.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Services,
         Self::Regions,
         Self::Targets,
@@ -32,6 +36,7 @@
         Self::Weights,
         Self::PlannedStops,
         Self::Models,
+        Self::Audit,
     ];
 
     /// Returns the part of a URL that names the section.
@@ -45,6 +50,7 @@
             Self::Weights => "weights",
             Self::PlannedStops => "planned-stops",
             Self::Models => "models",
+            Self::Audit => "audit-retention",
         }
     }
 
@@ -65,6 +71,7 @@
             Self::Weights => "Weights",
             Self::PlannedStops => "Planned stops",
             Self::Models => "Models",
+            Self::Audit => "Audit retention",
         }
     }
 
@@ -79,13 +86,14 @@
             Self::Weights => "weights",
             Self::PlannedStops => "planned stop",
             Self::Models => "model",
+            Self::Audit => "audit retention",
         }
     }
 
     /// Returns true when entities can be added and removed.
     #[must_use]
     pub fn has_names(self) -> bool {
-        self != Self::Weights
+        !matches!(self, Self::Weights | Self::Audit)
     }
 
     /// Returns the path of an entity in changes, faults and warnings.
@@ -93,6 +101,7 @@
     pub fn entity_path(self, name: &str) -> String {
         match self {
             Self::Weights => "weights".to_owned(),
+            Self::Audit => AUDIT_PATH.to_owned(),
             Self::Models => format!("engine/models/{name}"),
             Self::PlannedStops => format!("planned_stops/{name}"),
             _ => format!("{}/{name}", self.slug()),
@@ -113,6 +122,7 @@
             Self::Weights => vec!["weights"],
             Self::PlannedStops => keys(&document.planned_stops),
             Self::Models => keys(&document.engine.models),
+            Self::Audit => vec!["audit"],
         }
     }
 
@@ -127,6 +137,7 @@
             Self::Weights => serde_json::to_value(document.weights),
             Self::PlannedStops => serde_json::to_value(document.planned_stops.get(name)?),
             Self::Models => serde_json::to_value(document.engine.models.get(name)?),
+            Self::Audit => serde_json::to_value(document.audit_keep_days),
         };
         value.ok()
     }
@@ -138,6 +149,7 @@
     match path {
         "format" => return Some(document.format.into()),
         "weights" => return Section::Weights.value(document, ""),
+        AUDIT_PATH => return Section::Audit.value(document, ""),
         _ => {}
     }
     if let Some(name) = path.strip_prefix("engine/models/") {
--- a/crates/console/tests/forms.rs
+++ b/crates/console/tests/forms.rs
@@ -48,6 +48,7 @@
 #[test_case(Section::Customers, "clerks-vadodara")]
 #[test_case(Section::Weights, "weights")]
 #[test_case(Section::Models, "grade-assistant")]
+#[test_case(Section::Audit, "audit")]
 #[test_case(Section::PlannedStops, "week-3")]
 fn keeping_an_opened_form_changes_nothing(section: Section, name: &str) {
     let mut base = sample();
@@ -113,6 +114,7 @@
 
 const REGION: &[(&str, &str)] = &[("name", "kutch"), ("zones", "bhuj-1")];
 const CUSTOMER: &[(&str, &str)] = &[("name", "foundry-77")];
+const AUDIT: &[(&str, &str)] = &[("original", "audit"), ("keep_days", "30")];
 const WEIGHTS: &[(&str, &str)] = &[("original", "weights")];
 const MODEL: &[(&str, &str)] = &[("original", "grade-assistant"), ("version", "4")];
 
@@ -264,6 +266,13 @@
         &[("key_digest", "abc")],
         "key_digest",
     ),
+    bad(Section::Audit, AUDIT, &[("keep_days", "0")], ""),
+    bad(
+        Section::Audit,
+        AUDIT,
+        &[("keep_days", "a month")],
+        "keep_days",
+    ),
     bad(Section::Weights, WEIGHTS, &[("cost", "1.1")], "cost"),
     bad(Section::Weights, WEIGHTS, &[("latency", "-0.1")], "latency"),
     bad(
