node: keep hosts that see nobody from changing the shard map

Cause: a host whose messages no longer arrived took the others for lost while it still reached the key-value service. It dropped its backups and took over shards, so kept answers became unknown on the side of the majority. Receivers of a replaced host's address were dialled for ever, and callers could make the node look up any region name in the directory. Change: a host that sees fewer than half of the map's hosts leaves changes to the others while they make any. Unused sockets are closed, only regions of the document are looked up, reads and writes of the map take turns, and an unspecified listen address is refused. Conclusion: the region that is left keeps the answers.

--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -23,6 +23,7 @@
 use crate::identity::NodeIdentity;
 use crate::map_task::Proposed;
 use crate::node_parts::OnConfig;
+use crate::proposal_rule::ProposalRule;
 use crate::region_feed::RegionFeed;
 use crate::target_list::TargetLists;
 use crate::traffic::{Traffic, add};
@@ -50,7 +51,10 @@
     pub(crate) router: Arc<Router>,
     pub(crate) usage: CustomerUsage,
     pub(crate) answers: Answers,
+    pub(crate) proposal_rule: Mutex<ProposalRule>,
     pub(crate) proposals: mpsc::UnboundedSender<Proposed>,
+    /// Serializes reads and writes of the shard map, so that an older read does not follow a newer write.
+    pub(crate) map_turn: tokio::sync::Mutex<()>,
     /// Asks for a read of the shard map before the next regular one.
     pub(crate) read_map: Notify,
     pub(crate) traffic: Traffic,
--- a/crates/node/src/entry_hosts.rs
+++ b/crates/node/src/entry_hosts.rs
@@ -99,7 +99,7 @@
     }
 
     fn other_entry_hosts(&self, region: &str) -> Vec<EntryHost> {
-        let listed = self.directory_view.lock().ask(region, self.clock.mono());
+        let listed = self.listed_in(region);
         if listed.is_empty() {
             return self.relay_hosts(region);
         }
@@ -112,6 +112,14 @@
         hosts.collect()
     }
 
+    /// Returns what the directory showed of a region; callers name regions, so unknown ones are not looked up.
+    fn listed_in(&self, region: &str) -> Arc<[HostEntry]> {
+        if self.router.view().fleet().regions.key(region).is_none() {
+            return Arc::new([]);
+        }
+        self.directory_view.lock().ask(region, self.clock.mono())
+    }
+
     fn relay_hosts(&self, region: &str) -> Vec<EntryHost> {
         let contacts = self.relay_contacts(region);
         let hosts = contacts.into_iter().filter_map(|contact| {
@@ -137,7 +145,7 @@
 
     /// Returns the addresses in another region that take forwarded requests, in random order.
     pub(crate) fn forward_addresses(&self, region: &str) -> Vec<String> {
-        let listed = self.directory_view.lock().ask(region, self.clock.mono());
+        let listed = self.listed_in(region);
         let live = listed
             .iter()
             .filter(|entry| entry.state == HostState::Live)
--- a/crates/node/src/map_task.rs
+++ b/crates/node/src/map_task.rs
@@ -58,6 +58,7 @@
 
 async fn read_once(core: &Arc<Core>) -> Result<(), KvError> {
     add(&core.traffic.map_reads, 1);
+    let _turn = core.map_turn.lock().await;
     let sent_at = core.clock.mono();
     let read = read_map(&core.kv, map_key(&core.identity.region));
     let read = core.clock.limit(CALL_MS, read).await;
@@ -75,6 +76,7 @@
 pub(crate) async fn write_maps(core: Arc<Core>, mut proposals: mpsc::UnboundedReceiver<Proposed>) {
     while let Some(proposed) = proposals.recv().await {
         add(&core.traffic.map_writes, 1);
+        let _turn = core.map_turn.lock().await;
         let key = map_key(&core.identity.region);
         let write = write_map(&core.kv, key, &proposed.map, proposed.if_version);
         let result = core.clock.limit(CALL_MS, write).await;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -26,7 +26,7 @@
 pub struct Node {
     pub(crate) core: Arc<Core>,
     pub(crate) tasks: Mutex<Vec<AbortOnDropHandle<()>>>,
-    pub(crate) transport: Mutex<Option<NngNetwork>>,
+    pub(crate) transport: Arc<Mutex<Option<NngNetwork>>>,
 }
 
 impl Node {
--- a/crates/node/src/node_error.rs
+++ b/crates/node/src/node_error.rs
@@ -13,4 +13,10 @@
         /// The error of the transport.
         reason: String,
     },
+    /// The address for peer messages stands for every address of the host.
+    #[error("other hosts cannot reach {address}; give the IP address of this host")]
+    Unspecified {
+        /// The address.
+        address: String,
+    },
 }
--- a/crates/node/src/parts_actions.rs
+++ b/crates/node/src/parts_actions.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use lw_idem::{ClaimId, Ending, IdemAction, Instance, MemberStatus, RecordKey};
+use lw_idem::{ClaimId, Ending, IdemAction, Instance, MemberStatus, ProposalResult, RecordKey};
 use lw_member::{MemberAction, MemberState, Update};
 use lw_peer::Message;
 
@@ -70,14 +70,36 @@
                     .answers
                     .deliver(ticket, IdemAnswer::Refuse { kind, outcome }),
                 IdemAction::Propose { map, if_version } => {
-                    // The receiver is gone only after the node stopped.
-                    drop(self.proposals.send(Proposed { map, if_version }));
+                    self.propose(Proposed { map, if_version });
                 }
                 IdemAction::ReadMap => self.read_map.notify_one(),
             }
         }
     }
 
+    fn propose(self: &Arc<Self>, proposed: Proposed) {
+        if self.may_propose() {
+            // The receiver is gone only after the node stopped.
+            drop(self.proposals.send(proposed));
+            return;
+        }
+        let (now, wall) = (self.clock.mono(), self.clock.wall());
+        let mut out = Vec::new();
+        self.idem
+            .on_proposed(ProposalResult::NotWritten, now, wall, &mut out);
+        self.perform_idem(out);
+    }
+
+    fn may_propose(&self) -> bool {
+        let Some(map) = self.idem.map() else {
+            return true;
+        };
+        let me = self.identity.instance();
+        let members = self.members.lock();
+        let rule = self.proposal_rule.lock();
+        rule.allows(&map, &me, &members, self.clock.mono())
+    }
+
     /// A message for a former process of a host is not sent to its present one.
     fn send_idem(&self, to: &Instance, message: lw_idem::IdemMessage) {
         if let Some((address, Some(incarnation))) = self.address_of(&to.host)
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -1,6 +1,7 @@
 //! Starting a node.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Arc, OnceLock, Weak};
 
@@ -24,6 +25,7 @@
 use crate::node::Node;
 use crate::node_error::NodeError;
 use crate::node_parts::NodeParts;
+use crate::socket_task::close_unused;
 use crate::target_list::TargetLists;
 use crate::tick_task::tick;
 use crate::traffic::Traffic;
@@ -38,11 +40,13 @@
     let (proposals, queue) = mpsc::unbounded_channel();
     let core = build(parts, &cell, address, network, proposals);
     drop(cell.set(Arc::downgrade(&core)));
-    let tasks = spawn_all(&core, queue);
+    let transport = Arc::new(Mutex::new(transport));
+    let mut tasks = spawn_all(&core, queue);
+    tasks.push(spawn(close_unused(core.clone(), transport.clone())));
     Ok(Node {
         core,
         tasks: Mutex::new(tasks),
-        transport: Mutex::new(transport),
+        transport,
     })
 }
 
@@ -53,6 +57,12 @@
     match transport {
         Transport::Attached { address, network } => Ok((None, address.clone(), network.clone())),
         Transport::Nng { listen } => {
+            let parsed = listen.parse::<SocketAddr>();
+            if parsed.is_ok_and(|address| address.ip().is_unspecified()) {
+                return Err(NodeError::Unspecified {
+                    address: listen.clone(),
+                });
+            }
             let cell = cell.clone();
             let opened = NngNetwork::listen(listen, move |frame| {
                 if let Some(core) = core_of(&cell) {
@@ -133,7 +143,9 @@
         router: parts.router,
         usage: parts.usage,
         answers: Answers::default(),
+        proposal_rule: Mutex::default(),
         proposals,
+        map_turn: tokio::sync::Mutex::new(()),
         read_map: Notify::new(),
         traffic: Traffic::default(),
         targets: TargetLists::default(),
--- a/crates/node/src/submit.rs
+++ b/crates/node/src/submit.rs
@@ -19,6 +19,9 @@
 
 impl Core {
     pub(crate) async fn submit(self: Arc<Self>, ask: IdemAsk) -> IdemAnswer {
+        if self.is_stopped() {
+            return refuse_unsent(ErrorKind::OwnerUnreachable, ask);
+        }
         let kind = match self.idem.route(ask.key) {
             IdemRoute::Here => return self.decide_here(ask).await,
             IdemRoute::Forward(owner) if !ask.forwarded => return self.forward(&owner, ask),
--- a/crates/node/src/tick_task.rs
+++ b/crates/node/src/tick_task.rs
@@ -44,6 +44,10 @@
     }
 
     fn tick_idem(self: &Arc<Self>) {
+        if let Some(map) = self.idem.map() {
+            let (me, now) = (self.identity.instance(), self.clock.mono());
+            self.proposal_rule.lock().hold(&map, &me, now);
+        }
         let mut out = Vec::new();
         self.idem
             .tick(self.clock.mono(), self.clock.wall(), &mut out);
--- a/crates/node/tests/nodes/isolation.rs
+++ b/crates/node/tests/nodes/isolation.rs
@@ -41,6 +41,28 @@
     bed.assert_no_key_ran_twice();
 }
 
+/// Guards against a host that hears the others, is not heard by them, and keeps running the keys of its shards.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_that_nobody_hears_loses_its_shards() {
+    let bed = Bed::with_hosts(&["a", "b", "c", "d"]).await;
+    let keys = bed.run_keys("a", 40).await;
+    for other in ["b", "c", "d"] {
+        bed.wires.set_cut_one_way("a", other, true);
+    }
+    bed.until("no shard of a", |bed| {
+        let owns = |host: &crate::bed::Host| host.status().owned_shards;
+        owns(bed.host("a")) == 0 && bed.hosts.iter().map(owns).sum::<usize>() == 64
+    })
+    .await;
+    bed.assert_replayed("b", &keys).await;
+    bed.run_keys("c", 40).await;
+    assert_eq!(
+        bed.host("a").node.may_serve(bed.clock.mono()),
+        Err(ErrorKind::NotReady)
+    );
+    bed.assert_no_key_ran_twice();
+}
+
 /// Guards against a host whose wall clock is off and that judges keys by it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_host_with_a_wrong_wall_clock_runs_no_keys() {
--- a/crates/node/tests/nodes/takeover.rs
+++ b/crates/node/tests/nodes/takeover.rs
@@ -60,6 +60,29 @@
     bed.assert_no_key_ran_twice();
 }
 
+/// Guards against a restarted host that is taken for the process whose tables it has lost.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_restarted_host_does_not_run_the_keys_of_its_former_process() {
+    let mut bed = Bed::with_hosts(&["a", "b", "c"]).await;
+    let keys = bed.run_keys("a", 60).await;
+    let former = bed.host("b").node.shard_map().expect("a map is held");
+    bed.kill("b");
+    bed.start("b");
+    for id in &keys {
+        let told = bed.ask("a", *id, false).await;
+        assert!(!matches!(told, Told::Done(_)), "{id} ran again");
+    }
+    bed.settle().await;
+    let map = bed.host("b").node.shard_map().expect("a map is held");
+    assert!(map.revision > former.revision);
+    assert!(
+        map.hosts
+            .iter()
+            .all(|host| !former.lists(&host.instance) || &*host.instance.host != "b")
+    );
+    bed.assert_replayed("b", &keys).await;
+}
+
 /// Guards against a second run after both hosts that knew of the first one failed.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn keys_of_a_killed_pair_are_unknown_and_never_run_again() {
@@ -140,3 +163,32 @@
     bed.run_keys("e", 20).await;
     bed.assert_no_key_ran_twice();
 }
+
+/// Guards against answers that are lost although one host of their pair is left, because that host sees nobody.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_last_host_of_three_replays_the_answers_that_it_has() {
+    let mut bed = Bed::with_hosts(&["a", "b", "c"]).await;
+    let keys = bed.run_keys("a", 40).await;
+    let in_pair = |id: &Uuid| {
+        let (owner, backup) = pair(&bed, *id);
+        owner == "a" || backup == "a"
+    };
+    let kept: Vec<Uuid> = keys.iter().copied().filter(in_pair).collect();
+    let foreign: Vec<Uuid> = keys.iter().copied().filter(|id| !in_pair(id)).collect();
+    bed.kill("b");
+    bed.kill("c");
+    bed.until("the shards that a had a part in", |bed| {
+        let a = bed.host("a").status();
+        a.owned_shards > 0 && a.backup_shards == 0
+    })
+    .await;
+    bed.assert_replayed("a", &kept).await;
+    for id in &foreign {
+        let told = bed.ask("a", *id, false).await;
+        assert!(
+            matches!(told, Told::Refused(_, Outcome::Unknown)),
+            "{told:?}"
+        );
+    }
+    println!("{} kept, {} not", kept.len(), foreign.len());
+}
