--- a/crates/daemon/tests/answers.rs
+++ b/crates/daemon/tests/answers.rs
@@ -12,21 +12,6 @@
 
 const CHAT: &str = "/v1/chat/completions";
 
-/// Returns the text of the tokens of a stream of events.
-fn streamed_text(events: &str) -> String {
-    let data = events
-        .lines()
-        .filter_map(|line| line.strip_prefix("data: "));
-    let chunks = data.filter_map(|data| serde_json::from_str::<serde_json::Value>(data).ok());
-    chunks
-        .filter_map(|chunk| {
-            chunk["choices"][0]["delta"]["content"]
-                .as_str()
-                .map(str::to_owned)
-        })
-        .collect()
-}
-
 fn assert_no_violation() {
     for invariant in Invariant::ALL {
         assert_eq!(invariant_count(invariant), 0, "{invariant:?}");
@@ -47,7 +32,7 @@
     assert_eq!(reply.status, 200, "{}", reply.text());
     let text = reply.text();
     if stream {
-        assert_eq!(streamed_text(&text), whole_answer("grade 7", 20));
+        assert_eq!(support::streamed_text(&text), whole_answer("grade 7", 20));
         assert!(text.ends_with("data: [DONE]\n\n"));
     } else {
         assert!(text.contains(&whole_answer("grade 7", 20)), "{text}");
@@ -83,7 +68,10 @@
             .send(Method::POST, CHAT, &[], &chat_body(&prompt, 12, true))
             .await;
         if resume {
-            assert_eq!(streamed_text(&reply.text()), whole_answer(&prompt, 12));
+            assert_eq!(
+                support::streamed_text(&reply.text()),
+                whole_answer(&prompt, 12)
+            );
         } else if reply.body.is_none() {
             cut = true;
         } else {
@@ -263,6 +251,30 @@
     host.drain().await;
 }
 
+/// Guards against a caller that never reads and keeps its request and its connection beyond the deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stalled_reader_is_cut_off_after_its_deadline() {
+    use tokio::io::AsyncWriteExt;
+    let (listener, _) = support::endless_target(64 * 1024 * 1024).await;
+    let host = TestHost::start(&document(&[("portal", listener)], &[])).await;
+    let callers = host.daemon.addresses().callers;
+    let mut socket = tokio::net::TcpStream::connect(callers).await.unwrap();
+    let head = "GET /s/portal/big HTTP/1.1\r\nHost: a\r\nLacewingstile-Deadline-Ms: 300\r\n\r\n";
+    socket.write_all(head.as_bytes()).await.unwrap();
+    let state = host.daemon.gate().state().clone();
+    until("the request to start", || state.in_flight() == 1).await;
+    until("the request to end", || state.in_flight() == 0).await;
+    // The drain limit of the test hosts is 5 s; a connection that stays open would hold the stop up to it.
+    let started = std::time::Instant::now();
+    host.drain().await;
+    assert!(
+        started.elapsed() < Duration::from_secs(4),
+        "{:?}",
+        started.elapsed()
+    );
+    drop(socket);
+}
+
 /// Guards against a short body that is passed on as a whole one.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_short_body_is_an_error() {
--- a/crates/gate/src/server/http_server.rs
+++ b/crates/gate/src/server/http_server.rs
@@ -9,27 +9,22 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use lw_base::ErrorKind;
 use tokio::runtime::Handle;
-use tokio_util::sync::{CancellationToken, DropGuard};
+use tokio_util::sync::CancellationToken;
 use xitca_http::HttpServiceBuilder;
 use xitca_http::config::HttpServiceConfig;
 use xitca_io::net::Stream;
 use xitca_server::ServerHandle;
-use xitca_web::body::ResponseBody;
+use xitca_web::App;
 use xitca_web::handler::handler_service;
-use xitca_web::http::WebResponse;
 use xitca_web::service::{Service, ServiceExt};
-use xitca_web::{App, WebContext};
 
-use crate::error_reply::error_reply;
 use crate::incoming::Incoming;
-use crate::reply::{Reply, ReplyBody};
+use crate::reply::Reply;
 use crate::server::closing_listener::BoundSocket;
-use crate::server::connection::{Busy, Connection};
+use crate::server::connection::Connection;
 use crate::server::connections::Connections;
-use crate::server::request_body::read_body;
-use crate::server::web_body::WebBody;
+use crate::server::respond::handle;
 
 /// The header lines and bytes that xitca-web reads before it answers 431 without a body. The limits of the gateway lie
 /// below, so that callers see its own error.
@@ -68,14 +63,15 @@
 }
 
 #[derive(Clone)]
-struct WebState {
-    handler: Handler,
-    options: ServerOptions,
-    runtime: Handle,
+pub(crate) struct WebState {
+    pub(crate) handler: Handler,
+    pub(crate) options: ServerOptions,
+    pub(crate) runtime: Handle,
 }
 
 tokio::task_local! {
-    static CONNECTION: Arc<Connection>;
+    /// The connection that the current task serves.
+    pub(crate) static CONNECTION: Arc<Connection>;
 }
 
 impl HttpServer {
@@ -215,69 +211,3 @@
     let _ = CONNECTION.scope(connection, service.call(stream)).await;
     Ok(())
 }
-
-async fn handle(context: &WebContext<'_, WebState>) -> WebResponse {
-    let connection = CONNECTION.get();
-    respond(context, connection).await
-}
-
-async fn respond(context: &WebContext<'_, WebState>, connection: Arc<Connection>) -> WebResponse {
-    let busy = connection.busy();
-    let state = context.state();
-    let request = context.req();
-    let body = std::mem::take(&mut *context.body_borrow_mut());
-    let timeout = Duration::from_millis(state.options.body_timeout_ms);
-    let body = read_body(
-        body,
-        request.headers(),
-        state.options.max_body_bytes,
-        timeout,
-    )
-    .await;
-    let gone = CancellationToken::new();
-    let guard = gone.clone().drop_guard();
-    let incoming = Incoming {
-        method: request.method().clone(),
-        uri: request.uri().clone(),
-        headers: request.headers().clone(),
-        body,
-        gone,
-    };
-    let task = state.runtime.spawn((state.handler)(incoming));
-    let reply = tokio::select! {
-        reply = task => reply,
-        // The task sees the cancelled token and ends by itself, with an outcome.
-        () = connection.gone() => return WebResponse::new(ResponseBody::empty()),
-    };
-    let reply = reply.unwrap_or_else(|error| {
-        log::error!("gate: a request failed inside the gateway: {error}");
-        error_reply(ErrorKind::Internal)
-    });
-    web_response(reply, connection, guard, busy)
-}
-
-fn web_response(
-    reply: Reply,
-    connection: Arc<Connection>,
-    guard: DropGuard,
-    busy: Busy,
-) -> WebResponse {
-    let body = match reply.body {
-        ReplyBody::Whole(bytes) => ResponseBody::bytes(bytes),
-        ReplyBody::Stream {
-            length_bytes,
-            parts,
-        } => ResponseBody::boxed(WebBody {
-            length_bytes,
-            parts,
-            gone: Box::pin(async move { connection.gone().await }),
-            ended: false,
-            _guard: guard,
-            _busy: busy,
-        }),
-    };
-    let mut response = WebResponse::new(body);
-    *response.status_mut() = reply.status;
-    *response.headers_mut() = reply.headers;
-    response
-}
--- a/crates/gate/src/server/request_body.rs
+++ b/crates/gate/src/server/request_body.rs
@@ -10,13 +10,11 @@
 
 use crate::incoming::BodyFault;
 
-/// The most bytes of an oversized body that are read and dropped before the answer.
-///
-/// Closing a connection with unread bytes resets it, and the caller loses the answer that says why.
-const DISCARD_BYTES: usize = 16 * 1024 * 1024;
-
-/// The longest time that is spent on dropping an oversized body.
-const DISCARD: Duration = Duration::from_secs(2);
+/// The time for which the rest of a body that is too large is read and dropped. A connection that closes with unread
+/// bytes is reset, and then the caller may never see why.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+/// How many times the limit of a body is read and dropped.
+const DISCARD_LIMITS: usize = 2;
 
 /// Reads a body whole.
 ///
@@ -28,15 +26,16 @@
     timeout: Duration,
 ) -> Result<Bytes, BodyFault> {
     let declared = declared_bytes(headers);
-    let read = if declared.is_some_and(|declared| declared > max_bytes as u64) {
-        Err(BodyFault::TooLarge)
-    } else {
-        let read = collect(Pin::new(&mut body), max_bytes);
-        let read = tokio::time::timeout(timeout, read).await;
-        read.unwrap_or(Err(BodyFault::TooSlow))
+    let mut body = Pin::new(&mut body);
+    let read = match declared.is_some_and(|declared| declared > max_bytes as u64) {
+        true => Err(BodyFault::TooLarge),
+        false => tokio::time::timeout(timeout, collect(body.as_mut(), max_bytes))
+            .await
+            .unwrap_or(Err(BodyFault::TooSlow)),
     };
     if read == Err(BodyFault::TooLarge) {
-        let _ = tokio::time::timeout(DISCARD, discard(Pin::new(&mut body))).await;
+        let rest = discard(body, max_bytes * DISCARD_LIMITS);
+        let _ = tokio::time::timeout(DISCARD_TIMEOUT, rest).await;
     }
     let bytes = read?;
     if declared.is_some_and(|declared| declared != bytes.len() as u64) {
@@ -45,6 +44,19 @@
     Ok(bytes)
 }
 
+/// Reads and drops up to `max_bytes` bytes.
+async fn discard(mut body: Pin<&mut RequestBody>, max_bytes: usize) {
+    let mut bytes = 0;
+    while let Some(Ok(frame)) = body.as_mut().frame().await {
+        if let Frame::Data(data) = frame {
+            bytes += data.len();
+        }
+        if bytes > max_bytes {
+            return;
+        }
+    }
+}
+
 fn declared_bytes(headers: &HeaderMap) -> Option<u64> {
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
@@ -63,15 +75,3 @@
     }
     Ok(collected.freeze())
 }
-
-async fn discard(mut body: Pin<&mut RequestBody>) {
-    let mut dropped_bytes = 0;
-    while let Some(Ok(frame)) = body.as_mut().frame().await {
-        if let Frame::Data(data) = frame {
-            dropped_bytes += data.len();
-        }
-        if dropped_bytes > DISCARD_BYTES {
-            return;
-        }
-    }
-}
