--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -18,6 +18,8 @@
     Decide(DecideOptions),
     #[options(help = "measure the cost of the proxied path")]
     Proxy(ProxyOptions),
+    #[options(help = "measure what grows with the size of the fleet")]
+    Slopes(SlopesOptions),
     #[options(help = "run every benchmark with its defaults")]
     All(AllOptions),
 }
@@ -58,6 +60,16 @@
     pub(crate) rounds: u32,
 }
 
+#[derive(Debug, Options)]
+pub(crate) struct SlopesOptions {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(help = "seed of the random choices", default = "20261203")]
+    pub(crate) seed: u64,
+    #[options(help = "write the figures as JSON to this file", meta = "FILE")]
+    pub(crate) json: Option<String>,
+}
+
 #[derive(Debug, Options)]
 pub(crate) struct AllOptions {
     #[options(help = "print this help")]
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -4,8 +4,10 @@
 
 use gumdrop::Options;
 
-use crate::options::{BenchOptions, Command, DecideOptions, PoliciesOptions, ProxyOptions};
-use crate::{decide, policies, proxy};
+use crate::options::{
+    BenchOptions, Command, DecideOptions, PoliciesOptions, ProxyOptions, SlopesOptions,
+};
+use crate::{decide, policies, proxy, slopes};
 
 /// Runs the binary with the arguments of the process.
 ///
@@ -17,6 +19,7 @@
         Some(Command::Policies(options)) => policies::run(&options),
         Some(Command::Decide(options)) => decide::run(&options),
         Some(Command::Proxy(options)) => proxy::run(&options),
+        Some(Command::Slopes(options)) => slopes::run(&options),
         Some(Command::All(_)) => run_all(),
         None => {
             println!("{}", BenchOptions::usage());
@@ -40,7 +43,8 @@
         &PoliciesOptions::parse_args_default::<&str>(&[]).map_err(|error| usage(&error))?,
     )?;
     decide::run(&DecideOptions::parse_args_default::<&str>(&[]).map_err(|error| usage(&error))?)?;
-    proxy::run(&ProxyOptions::parse_args_default::<&str>(&[]).map_err(|error| usage(&error))?)
+    proxy::run(&ProxyOptions::parse_args_default::<&str>(&[]).map_err(|error| usage(&error))?)?;
+    slopes::run(&SlopesOptions::parse_args_default::<&str>(&[]).map_err(|error| usage(&error))?)
 }
 
 fn usage(error: &gumdrop::Error) -> std::io::Error {
