gate: tell a refused repeat that its outcome is unknown, and follow the next owner

Cause: (1) a host that refused a request with an idempotency key before its owner decided (leaving, isolated, over a limit, other region, key ahead of the clock) told 'not run', although the same request may have run in an earlier attempt through another host. (2) A forward to an owner that had just left or died was refused, although the node knows when another host has taken over. Ruled out: the owner's own refusals, which already told 'unknown' for repeats. Change: the lifecycle keeps the suspicion of an earlier attempt until the owner decides; refusals at entry look at the key and the attempt header. A failed forward waits for the next owner and asks once more. Conclusion: 'not run' holds for the request, not only for one attempt.

--- a/crates/daemon/src/node_link.rs
+++ b/crates/daemon/src/node_link.rs
@@ -41,8 +41,8 @@
 
     /// Returns the decisions of the node on requests that must not run twice.
     pub(crate) fn keyed_runs(&self) -> KeyedRuns {
-        let link = self.clone();
-        KeyedRuns::new(move |ask| {
+        let (link, waiting) = (self.clone(), self.clone());
+        let runs = KeyedRuns::new(move |ask| {
             let node = link.node();
             async move {
                 match node {
@@ -56,6 +56,15 @@
                     },
                 }
             }
+        });
+        runs.waiting(move |ask, former| {
+            let node = waiting.node();
+            async move {
+                match node {
+                    Some(node) => node.wait_for_owner(ask.key, &former, ask.deadline).await,
+                    None => false,
+                }
+            }
         })
     }
 }
@@ -84,6 +93,6 @@
         IdemAnswer::Run(permit) => KeyedAnswer::Run(Box::new(move |ending| permit.end(ending))),
         IdemAnswer::Replay(ending) => KeyedAnswer::Replay(ending),
         IdemAnswer::Refuse { kind, outcome } => KeyedAnswer::Refuse { kind, outcome },
-        IdemAnswer::Forward { address, .. } => KeyedAnswer::Forward(address),
+        IdemAnswer::Forward { host, address } => KeyedAnswer::Forward { host, address },
     }
 }
--- a/crates/flow/src/request_flow.rs
+++ b/crates/flow/src/request_flow.rs
@@ -19,6 +19,8 @@
     attempts: u32,
     /// The failure of the first attempt that may have run; it forbids the outcome "not run".
     may_have_run: Option<ErrorKind>,
+    /// True while an earlier attempt of the caller with the same idempotency key may have run.
+    earlier_attempt: bool,
 }
 
 impl RequestFlow {
@@ -32,6 +34,7 @@
             stage: Stage::Accepted,
             attempts: 0,
             may_have_run: None,
+            earlier_attempt: false,
         }
     }
 
@@ -53,6 +56,17 @@
         self.deadline.since_ms(now)
     }
 
+    /// Notes that the caller may have sent the same request before, so that no host but the owner of its key can tell
+    /// whether it ran: until [`Self::owner_decided`], "not run" is told as "unknown".
+    pub fn suspect_earlier_attempt(&mut self) {
+        self.earlier_attempt = true;
+    }
+
+    /// Notes that the owner of the key has decided.
+    pub fn owner_decided(&mut self) {
+        self.earlier_attempt = false;
+    }
+
     /// Puts the request into the queue.
     pub fn queue(&mut self) {
         if self.open("queued") {
@@ -232,6 +246,12 @@
 
     /// Checks that "not run" is not told about a request that may have run.
     fn checked(&self, ending: Ending) -> Ending {
+        if self.earlier_attempt && ending.outcome == Outcome::NotRun {
+            return Ending {
+                outcome: Outcome::Unknown,
+                ..ending
+            };
+        }
         let Some(earlier) = self.may_have_run else {
             return ending;
         };
--- a/crates/gate/src/caller_service.rs
+++ b/crates/gate/src/caller_service.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use http::header::{CONNECTION, CONTENT_TYPE};
-use http::{HeaderValue, Method, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
 use lw_base::prelude::*;
 use serde::Serialize;
 
@@ -14,6 +14,7 @@
 use crate::incoming::Incoming;
 use crate::problem::Problem;
 use crate::query_string::query_value;
+use crate::repeat_outcome::refused_ending;
 use crate::reply::Reply;
 use crate::server::Handler;
 
@@ -55,14 +56,14 @@
         }
         match self.intake(&incoming) {
             Ok(ask) => Exchange::new(self, ask).serve().await,
-            Err(problem) => self.rejected(&problem),
+            Err(problem) => self.rejected(&problem, &incoming.headers),
         }
     }
 
     /// Counts and answers a request that is not accepted.
-    pub(crate) fn rejected(&self, problem: &Problem) -> Reply {
+    pub(crate) fn rejected(&self, problem: &Problem, headers: &HeaderMap) -> Reply {
         self.metrics.rejected(problem.kind);
-        problem.reply()
+        problem.reply_as(refused_ending(problem.kind, headers))
     }
 
     fn entry_hosts(&self, incoming: &Incoming) -> Reply {
@@ -75,7 +76,8 @@
         let view = self.router.view();
         if view.fleet().regions.key(&region).is_none() {
             let message = format!("no region has the name {region:?}");
-            return self.rejected(&Problem::new(ErrorKind::BadRequest, message));
+            let problem = Problem::new(ErrorKind::BadRequest, message);
+            return self.rejected(&problem, &incoming.headers);
         }
         json_reply(&EntryHosts {
             region: &region,
--- a/crates/gate/src/keyed.rs
+++ b/crates/gate/src/keyed.rs
@@ -40,16 +40,25 @@
         /// The outcome to tell.
         outcome: Outcome,
     },
-    /// Send the request to the owner of its key at this address.
-    Forward(String),
+    /// Send the request to the owner of its key.
+    Forward {
+        /// The name of the owner.
+        host: Arc<str>,
+        /// The address for forwarded requests.
+        address: String,
+    },
 }
 
+type WaitForOwner =
+    dyn Fn(KeyedAsk, Arc<str>) -> Pin<Box<dyn Future<Output = bool> + Send>> + Send + Sync;
+
 type Decide = dyn Fn(KeyedAsk) -> Pin<Box<dyn Future<Output = KeyedAnswer> + Send>> + Send + Sync;
 
 /// Decides on requests that must not run twice.
 #[derive(Clone)]
 pub struct KeyedRuns {
     decide: Arc<Decide>,
+    wait_for_owner: Arc<WaitForOwner>,
 }
 
 impl KeyedRuns {
@@ -60,9 +69,23 @@
     {
         Self {
             decide: Arc::new(move |ask| Box::pin(decide(ask))),
+            wait_for_owner: Arc::new(|_, _| Box::pin(async { false })),
         }
     }
 
+    /// Sets how to wait until another host than the given one owns a key; the result tells whether that happened.
+    #[must_use]
+    pub fn waiting<F>(
+        mut self,
+        wait: impl Fn(KeyedAsk, Arc<str>) -> F + Send + Sync + 'static,
+    ) -> Self
+    where
+        F: Future<Output = bool> + Send + 'static,
+    {
+        self.wait_for_owner = Arc::new(move |ask, former| Box::pin(wait(ask, former)));
+        self
+    }
+
     /// Refuses every request, for a host without records of keys.
     #[must_use]
     pub fn refused() -> Self {
@@ -80,4 +103,8 @@
     pub(crate) async fn decide(&self, ask: KeyedAsk) -> KeyedAnswer {
         (self.decide)(ask).await
     }
+
+    pub(crate) async fn wait_for_owner(&self, ask: KeyedAsk, former: Arc<str>) -> bool {
+        (self.wait_for_owner)(ask, former).await
+    }
 }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -31,6 +31,7 @@
 mod problem;
 mod query_string;
 mod region_forward;
+mod repeat_outcome;
 mod reply;
 mod run;
 mod serve;
--- a/crates/gate/src/peer_service.rs
+++ b/crates/gate/src/peer_service.rs
@@ -39,7 +39,7 @@
     async fn serve_peer(self: Arc<Self>, incoming: Incoming) -> Reply {
         let ask = match self.peer_intake(&incoming) {
             Ok(ask) => ask,
-            Err(problem) => return self.rejected(&problem),
+            Err(problem) => return self.rejected(&problem, &incoming.headers),
         };
         let id = value_of(&ask.id.to_string());
         let mut reply = Exchange::new(self, ask).serve().await;
--- a/crates/gate/src/problem.rs
+++ b/crates/gate/src/problem.rs
@@ -27,7 +27,12 @@
 
     /// Builds the response.
     pub(crate) fn reply(&self) -> Reply {
-        ending_reply(Ending::rejected(self.kind), &self.detail)
+        self.reply_as(Ending::rejected(self.kind))
+    }
+
+    /// Builds the response with an outcome that differs from the answer table.
+    pub(crate) fn reply_as(&self, ending: Ending) -> Reply {
+        ending_reply(ending, &self.detail)
     }
 }
 
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -1,14 +1,17 @@
 //! Serving an accepted request, by the path that its idempotency demands.
 
+use std::sync::Arc;
+
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, StatusCode};
 use lw_base::prelude::*;
 use lw_base::{stable_hash, stable_hash_pair};
-use lw_flow::AttemptFailure;
+use lw_flow::{AttemptFailure, Ending};
 use lw_idem::{BodyDigest, Ending as RecordEnding, IdempotencyKey, RecordKey};
 use sha2::{Digest, Sha256};
 use tokio_util::sync::CancellationToken;
 
+use crate::answer::Answer;
 use crate::ask::Ask;
 use crate::attempts::Attempted;
 use crate::clock::Clock;
@@ -36,31 +39,89 @@
                 return self.rejection(ending);
             }
         };
-        let decision = self.gate.keyed.clone();
+        let answer = match self.decide_keyed(keyed).await {
+            Ok(answer) => answer,
+            Err(ending) => return self.rejection(ending),
+        };
+        let KeyedAnswer::Forward { host, address } = answer else {
+            return self.follow(answer).await;
+        };
+        let failure = match self.forward_to_owner(&address).await {
+            Ok(answer) => return self.pass_answer(answer).await,
+            Err(Unforwarded::Ended(ending)) => return self.rejection(ending),
+            Err(Unforwarded::NotRun(failure)) => failure,
+        };
+        self.serve_by_next_owner(keyed, host, failure).await
+    }
+
+    /// Serves a request whose owner could not take it, when another host becomes the owner in time.
+    ///
+    /// The former owner has not run the request, and the key keeps it from running twice. One change of the owner is
+    /// waited for: with a second one the region is in a state where the caller had better come back later.
+    async fn serve_by_next_owner(
+        mut self,
+        keyed: KeyedAsk,
+        former: Arc<str>,
+        failure: AttemptFailure,
+    ) -> Reply {
+        let runs = self.gate.keyed.clone();
+        let changed = tokio::select! {
+            changed = runs.wait_for_owner(keyed, former) => changed,
+            () = self.ask.gone.cancelled() => false,
+        };
+        if !changed {
+            let ending = self.end_unforwarded(failure);
+            return self.rejection(ending);
+        }
+        let answer = match self.decide_keyed(keyed).await {
+            Ok(answer) => answer,
+            Err(ending) => return self.rejection(ending),
+        };
+        let KeyedAnswer::Forward { address, .. } = answer else {
+            return self.follow(answer).await;
+        };
+        let ending = match self.forward_to_owner(&address).await {
+            Ok(answer) => return self.pass_answer(answer).await,
+            Err(Unforwarded::Ended(ending)) => ending,
+            Err(Unforwarded::NotRun(failure)) => self.end_unforwarded(failure),
+        };
+        self.rejection(ending)
+    }
+
+    /// Asks for the decision on a request that must not run twice.
+    async fn decide_keyed(&mut self, keyed: KeyedAsk) -> Result<KeyedAnswer, Ending> {
+        let runs = self.gate.keyed.clone();
         let gone = self.ask.gone.clone();
-        let answer = tokio::select! {
-            answer = decision.decide(keyed) => answer,
+        tokio::select! {
+            answer = runs.decide(keyed) => Ok(answer),
             // A request that did not get its permit has not run; an earlier attempt may have.
-            () = gone.cancelled() => {
-                let ending = self.end(ErrorKind::CallerGone);
-                return self.rejection(ending);
-            }
-        };
-        match answer {
-            KeyedAnswer::Run(permit) => self.run_once(permit).await,
-            KeyedAnswer::Replay(ending) => self.replay(ending),
-            KeyedAnswer::Refuse { kind, outcome } => {
-                let ending = self.end_as(kind, outcome);
-                self.rejection(ending)
-            }
-            KeyedAnswer::Forward(address) => self.forward_to_owner(&address).await,
+            () = gone.cancelled() => Err(self.end(ErrorKind::CallerGone)),
         }
     }
 
+    /// Follows a decision that needs no other host.
+    async fn follow(mut self, answer: KeyedAnswer) -> Reply {
+        self.flow.owner_decided();
+        let (kind, outcome) = match answer {
+            KeyedAnswer::Run(permit) => return self.run_once(permit).await,
+            KeyedAnswer::Replay(ending) => return self.replay(ending),
+            KeyedAnswer::Refuse { kind, outcome } => (kind, outcome),
+            KeyedAnswer::Forward { .. } => (ErrorKind::OwnerUnreachable, self.unsent_outcome()),
+        };
+        let ending = self.end_as(kind, outcome);
+        self.rejection(ending)
+    }
+
     /// Reads the key and checks that this region is the one that it belongs to.
     fn keyed_ask(&mut self) -> Result<KeyedAsk, ErrorKind> {
         let text = self.ask.key.as_deref().ok_or(ErrorKind::KeyMissing)?;
-        let key = IdempotencyKey::parse(text, Clock::wall())?;
+        let parsed = IdempotencyKey::parse(text, Clock::wall());
+        // A key that is only too far ahead of this host's clock may have run on a host whose clock is ahead as well.
+        let well_formed = IdempotencyKey::parse(text, WallMs(u64::MAX)).is_ok();
+        if well_formed && !self.ask.first_attempt {
+            self.flow.suspect_earlier_attempt();
+        }
+        let key = parsed?;
         let view = self.gate.router.view();
         let fleet = view.fleet();
         let home = fleet.regions.key(&key.region);
@@ -126,33 +187,55 @@
         reply
     }
 
-    /// Sends the request to the owner of its key, once.
-    async fn forward_to_owner(mut self, address: &str) -> Reply {
-        let answer = match self.forward(Hop::Owner, address).await {
-            Ok(answer) => answer,
-            Err(Attempted::Failed(_, failure)) => {
-                let ending = match failure {
-                    AttemptFailure::ConnectFailed => self.end_unsent(ErrorKind::OwnerUnreachable),
-                    _ => self.end_failed(failure),
-                };
-                return self.rejection(ending);
+    /// Sends the request to the owner of its key.
+    async fn forward_to_owner(&mut self, address: &str) -> Result<Answer, Unforwarded> {
+        match self.forward(Hop::Owner, address).await {
+            Ok(answer) => Ok(answer),
+            Err(Attempted::Failed(_, failure)) if owner_did_not_run(failure) => {
+                Err(Unforwarded::NotRun(failure))
             }
-            Err(Attempted::Ended(ending)) => return self.rejection(ending),
-            Err(Attempted::Again) => {
-                let ending = self.end_unsent(ErrorKind::OwnerUnreachable);
-                return self.rejection(ending);
+            Err(Attempted::Failed(_, failure)) => {
+                self.flow.owner_decided();
+                Err(Unforwarded::Ended(self.end_failed(failure)))
             }
+            Err(Attempted::Ended(ending)) => Err(Unforwarded::Ended(ending)),
+            Err(Attempted::Again) => Err(Unforwarded::NotRun(AttemptFailure::ConnectFailed)),
+        }
+    }
+
+    /// Ends a request that no owner took; only a first attempt is certain not to have run.
+    fn end_unforwarded(&mut self, failure: AttemptFailure) -> Ending {
+        let AttemptFailure::Reported { kind, outcome } = failure else {
+            return self.end_as(ErrorKind::OwnerUnreachable, self.unsent_outcome());
         };
-        self.pass_answer(answer).await
+        self.flow.owner_decided();
+        self.end_as(kind, outcome)
     }
 
-    /// Ends a request of which nothing was sent; only a first attempt is certain not to have run.
-    fn end_unsent(&mut self, kind: ErrorKind) -> lw_flow::Ending {
-        let outcome = match self.ask.first_attempt {
+    fn unsent_outcome(&self) -> Outcome {
+        match self.ask.first_attempt {
             true => Outcome::NotRun,
             false => Outcome::Unknown,
-        };
-        self.end_as(kind, outcome)
+        }
+    }
+}
+
+/// Why the owner of a key gave no answer.
+enum Unforwarded {
+    /// The owner did not run the request; an earlier attempt may have run.
+    NotRun(AttemptFailure),
+    /// The request has ended.
+    Ended(Ending),
+}
+
+/// Returns true when the asked host cannot have run the request: nothing reached it, or it is not the owner.
+fn owner_did_not_run(failure: AttemptFailure) -> bool {
+    match failure {
+        AttemptFailure::ConnectFailed => true,
+        AttemptFailure::Reported { kind, .. } => {
+            matches!(kind, ErrorKind::OwnerUnreachable | ErrorKind::Leaving)
+        }
+        _ => false,
     }
 }
 
--- a/crates/gate/tests/peers.rs
+++ b/crates/gate/tests/peers.rs
@@ -239,7 +239,10 @@
     let owner = host("east", &document, "one key", None, owner_keyed);
     let owner_address = owner.peers.address().to_string();
     let forward = KeyedRuns::new(move |_| {
-        let answer = KeyedAnswer::Forward(owner_address.clone());
+        let answer = KeyedAnswer::Forward {
+            host: "owner".into(),
+            address: owner_address.clone(),
+        };
         async move { answer }
     });
     let entry = host("east", &document, "one key", None, forward);
@@ -263,7 +266,12 @@
         .unwrap()
         .local_addr()
         .unwrap();
-    let forward = KeyedRuns::new(move |_| async move { KeyedAnswer::Forward(closed.to_string()) });
+    let forward = KeyedRuns::new(move |_| async move {
+        KeyedAnswer::Forward {
+            host: "owner".into(),
+            address: closed.to_string(),
+        }
+    });
     let entry = host("east", &document, "one key", None, forward);
     for (attempt, outcome) in [("1", Outcome::NotRun), ("2", Outcome::Unknown)] {
         let headers = [("idempotency-key", KEY), ("lacewingstile-attempt", attempt)];
@@ -273,3 +281,127 @@
     }
     assert_eq!(stand.orders(), 0);
 }
+
+/// Guards against "not run" for a repeat that a host refuses without knowing what became of the first attempt.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_repeat_is_not_told_that_it_did_not_run() {
+    struct Case {
+        name: &'static str,
+        ready: bool,
+        key: &'static str,
+        attempt: &'static str,
+        kind: &'static str,
+        outcome: Outcome,
+    }
+    const OTHER_REGION: &str = "west.0190a0a0-a0a0-7000-8000-00000000000b";
+    const FAR_AHEAD: &str = "east.ffffffff-ffff-7000-8000-00000000000c";
+    let cases = [
+        Case {
+            name: "host without configuration, repeat",
+            ready: false,
+            key: KEY,
+            attempt: "",
+            kind: "not_ready",
+            outcome: Outcome::Unknown,
+        },
+        Case {
+            name: "host without configuration, first attempt",
+            ready: false,
+            key: KEY,
+            attempt: "1",
+            kind: "not_ready",
+            outcome: Outcome::NotRun,
+        },
+        Case {
+            name: "other region, repeat",
+            ready: true,
+            key: OTHER_REGION,
+            attempt: "2",
+            kind: "misdirected",
+            outcome: Outcome::Unknown,
+        },
+        Case {
+            name: "other region, first attempt",
+            ready: true,
+            key: OTHER_REGION,
+            attempt: "1",
+            kind: "misdirected",
+            outcome: Outcome::NotRun,
+        },
+        Case {
+            name: "key ahead of this clock, repeat",
+            ready: true,
+            key: FAR_AHEAD,
+            attempt: "",
+            kind: "key_malformed",
+            outcome: Outcome::Unknown,
+        },
+        Case {
+            name: "malformed key, which no host runs",
+            ready: true,
+            key: "east.1",
+            attempt: "",
+            kind: "key_malformed",
+            outcome: Outcome::NotRun,
+        },
+    ];
+    let stand = PlainStand::default();
+    let target = stand.start(local()).await.unwrap();
+    let document = document(target.address(), "").replace("ZONE", "east-1");
+    for case in cases {
+        let entry = host("east", &document, "one key", None, KeyedRuns::refused());
+        entry.gate.state().set_ready(case.ready);
+        let headers = [
+            ("idempotency-key", case.key),
+            ("lacewingstile-attempt", case.attempt),
+        ];
+        let reply = call(entry.callers.address(), "POST", "/s/portal/order", &headers).await;
+        assert_eq!(
+            header(&reply, "lacewingstile-error"),
+            case.kind,
+            "{}",
+            case.name
+        );
+        assert_eq!(
+            header(&reply, "lacewingstile-outcome"),
+            case.outcome.as_str(),
+            "{}",
+            case.name
+        );
+    }
+    assert_eq!(stand.orders(), 0);
+}
+
+/// Guards against a request that is refused although the next owner of its key could take it.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_next_owner_serves_when_the_first_cannot_be_reached() {
+    let stand = PlainStand::default();
+    let target = stand.start(local()).await.unwrap();
+    let document = document(target.address(), "").replace("ZONE", "east-1");
+    let closed = std::net::TcpListener::bind(local())
+        .unwrap()
+        .local_addr()
+        .unwrap();
+    let lost = Arc::new(Mutex::new(true));
+    let (deciding, waiting) = (lost.clone(), lost.clone());
+    let keyed = KeyedRuns::new(move |_| {
+        let answer = match *deciding.lock() {
+            true => KeyedAnswer::Forward {
+                host: "lost".into(),
+                address: closed.to_string(),
+            },
+            false => KeyedAnswer::Run(Box::new(|_| ())),
+        };
+        async move { answer }
+    });
+    let keyed = keyed.waiting(move |_, former| {
+        assert_eq!(&*former, "lost");
+        *waiting.lock() = false;
+        async { true }
+    });
+    let entry = host("east", &document, "one key", None, keyed);
+    let headers = [("idempotency-key", KEY)];
+    let reply = call(entry.callers.address(), "POST", "/s/portal/order", &headers).await;
+    assert_eq!(reply.status(), 200, "{:?}", reply.body());
+    assert_eq!(stand.runs_of(KEY), 1);
+}
