--- a/crates/demo/src/bin/stand.rs
+++ b/crates/demo/src/bin/stand.rs
@@ -7,8 +7,7 @@
 
 fn main() -> ExitCode {
     let options = StandOptions::parse_args_default_or_exit();
-    let ran = tokio::runtime::Runtime::new()
-        .map(|runtime| runtime.block_on(run_stand(&options.settings)));
+    let ran = tokio::runtime::Runtime::new().map(|runtime| runtime.block_on(run_stand(&options)));
     match ran {
         Ok(Ok(())) => ExitCode::SUCCESS,
         Ok(Err(error)) => {
--- a/crates/demo/src/demo_error.rs
+++ b/crates/demo/src/demo_error.rs
@@ -62,6 +62,9 @@
         /// The limit in seconds.
         limit_s: u64,
     },
+    /// The arguments are wrong.
+    #[error("{0}")]
+    Usage(&'static str),
     /// Signals cannot be received.
     #[error("cannot wait for signals: {0}")]
     Signals(std::io::Error),
--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -7,7 +7,7 @@
 
 fn main() -> ExitCode {
     let options = Options::parse_args_default_or_exit();
-    lw_daemon::start_logs(log::LevelFilter::Error);
+    lw_daemon::start_logs(options.log_level);
     let runtime = match tokio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
         Err(error) => {
--- a/crates/demo/src/options.rs
+++ b/crates/demo/src/options.rs
@@ -31,4 +31,12 @@
     /// The seed of the traffic.
     #[options(no_short, meta = "N", help = "seed of the traffic", default = "7")]
     pub seed: u64,
+    /// The lowest level that is logged.
+    #[options(
+        no_short,
+        meta = "LEVEL",
+        help = "lowest logged level: error, warn, info, debug or trace",
+        default = "error"
+    )]
+    pub log_level: log::LevelFilter,
 }
--- a/crates/demo/src/stand_options.rs
+++ b/crates/demo/src/stand_options.rs
@@ -11,9 +11,15 @@
     /// The settings file.
     #[options(
         no_short,
-        required,
         meta = "FILE",
         help = "the settings file (JSON with comments)"
     )]
-    pub settings: PathBuf,
+    pub settings: Option<PathBuf>,
+    /// The region to print a key for.
+    #[options(
+        no_short,
+        meta = "REGION",
+        help = "print a fresh idempotency key of the region and exit"
+    )]
+    pub new_key: Option<String>,
 }
--- a/crates/demo/src/stand_run.rs
+++ b/crates/demo/src/stand_run.rs
@@ -7,10 +7,13 @@
 use lw_plat::HostEntry;
 use lw_stand::HostListStand;
 use tokio::net::TcpStream;
+use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::ask::new_key;
 use crate::demo_error::DemoError;
 use crate::platform::{Platform, PlatformAddresses};
+use crate::stand_options::StandOptions;
 use crate::stand_settings::{StandSettings, read_text};
 use crate::targets::Targets;
 
@@ -70,19 +73,25 @@
     }
 }
 
-/// Runs the stand-ins until the process is interrupted.
+/// Runs the stand-ins until the process is interrupted, or prints a key.
 ///
 /// # Errors
 ///
 /// See [`Stand::start`].
-pub async fn run_stand(path: &Path) -> Result<(), DemoError> {
-    use tokio::signal::unix::{SignalKind, signal};
+pub async fn run_stand(options: &StandOptions) -> Result<(), DemoError> {
+    if let Some(region) = &options.new_key {
+        println!("{}", new_key(region));
+        return Ok(());
+    }
+    let settings = options.settings.as_deref();
+    let path = settings.ok_or(DemoError::Usage("give --settings FILE or --new-key REGION"))?;
     let mut terminate = signal(SignalKind::terminate()).map_err(DemoError::Signals)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(DemoError::Signals)?;
     let stand = Stand::start(&StandSettings::read(path)?).await?;
     println!("{}", stand.text());
     tokio::select! {
         _ = terminate.recv() => {}
-        interrupted = tokio::signal::ctrl_c() => interrupted.map_err(DemoError::Signals)?,
+        _ = interrupt.recv() => {}
     }
     println!("{}", stand.text());
     Ok(())
--- a/crates/demo/src/table.rs
+++ b/crates/demo/src/table.rs
@@ -9,7 +9,7 @@
 /// Renders the counts since the start.
 pub(crate) fn traffic_table(tally: &Tally, region_attempts: u64, orders_run: u64) -> String {
     let mut table = Table::new();
-    table.load_preset(presets::ASCII_NO_BORDERS);
+    table.load_preset(presets::ASCII_MARKDOWN);
     table.set_header(vec![
         "class", "requests", "complete", "not run", "unknown", "p50 ms", "p99 ms",
     ]);
--- a/crates/demo/tests/run.rs
+++ b/crates/demo/tests/run.rs
@@ -14,6 +14,7 @@
         requests_per_s: 20.0,
         faults: true,
         seed: 11,
+        log_level: log::LevelFilter::Error,
     };
     let verdict = run_demo(&options).await.unwrap();
     println!("seed {}: {verdict:?}", options.seed);
