--- a/crates/demo/src/demo.rs
+++ b/crates/demo/src/demo.rs
@@ -235,6 +235,7 @@
             failed_stops,
             failed_steps: self.failed_steps,
             faults: self.faults,
+            sent_to_other_region: self.scrape.region_attempts(),
             orders_taken: self.orders_taken,
             ..Verdict::of(&tally, &self.targets)
         };
--- a/crates/demo/src/faults.rs
+++ b/crates/demo/src/faults.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use lw_daemon::Exit;
-use lw_doc::{Document, PlannedStopEntry, format_rfc3339};
+use lw_doc::{Document, PlannedStopEntry, ServiceKind, format_rfc3339};
 
 use crate::demo_error::DemoError;
 use crate::hosts::Hosts;
@@ -40,15 +40,17 @@
     HostKilled,
     EngineFails,
     PlannedStop,
+    RegionStop,
 }
 
 impl Fault {
     /// Every fault.
-    pub(crate) const ALL: [Self; 4] = [
+    pub(crate) const ALL: [Self; 5] = [
         Self::KeyValueOutage,
         Self::HostKilled,
         Self::EngineFails,
         Self::PlannedStop,
+        Self::RegionStop,
     ];
 }
 
@@ -63,6 +65,7 @@
             Fault::HostKilled => self.kill_host(round).await,
             Fault::EngineFails => self.fail_engine().await,
             Fault::PlannedStop => self.planned_stop(round).await,
+            Fault::RegionStop => self.region_stop().await,
         }
     }
 
@@ -112,21 +115,7 @@
     async fn planned_stop(&mut self, round: usize) -> Result<(), DemoError> {
         if let Some(engine) = self.pick_engine() {
             announce(&format!("planned stop of target {engine} is published"));
-            let stop = PlannedStopEntry {
-                targets: vec![engine],
-                start: format_rfc3339(wall_now().plus_ms(1_000)),
-                ..PlannedStopEntry::default()
-            };
-            self.change(|next| {
-                next.planned_stops
-                    .insert(STOP_NAME.to_owned(), stop.clone());
-            })
-            .await?;
-            tokio::time::sleep(STOP).await;
-            self.change(|next| {
-                next.planned_stops.remove(STOP_NAME);
-            })
-            .await?;
+            self.stop_for_a_while(vec![engine]).await?;
         }
         let Some(host) = self.pick_host(round + 1) else {
             return Ok(());
@@ -151,6 +140,50 @@
         }
     }
 
+    /// Stops all targets of a service in one region, so that its requests are sent to another region.
+    async fn region_stop(&self) -> Result<(), DemoError> {
+        let Some((service, region)) = self.pick_service() else {
+            return Ok(());
+        };
+        announce(&format!(
+            "planned stop of all targets of {service} in {region} is published"
+        ));
+        let zones = &self.document.regions[&region].zones;
+        let targets = self.document.targets.iter();
+        let there =
+            targets.filter(|(_, entry)| entry.service == service && zones.contains(&entry.zone));
+        self.stop_for_a_while(there.map(|(name, _)| name.clone()).collect())
+            .await
+    }
+
+    async fn stop_for_a_while(&self, targets: Vec<String>) -> Result<(), DemoError> {
+        let stop = PlannedStopEntry {
+            targets,
+            start: format_rfc3339(wall_now().plus_ms(1_000)),
+            ..PlannedStopEntry::default()
+        };
+        self.change(|next| {
+            next.planned_stops
+                .insert(STOP_NAME.to_owned(), stop.clone());
+        })
+        .await?;
+        tokio::time::sleep(STOP).await;
+        self.change(|next| {
+            next.planned_stops.remove(STOP_NAME);
+        })
+        .await
+    }
+
+    /// Returns a model service that may run in every region, and the last of its regions.
+    fn pick_service(&self) -> Option<(String, String)> {
+        let mut services = self.document.services.iter();
+        let (name, entry) = services.find(|(_, entry)| {
+            let everywhere = entry.allowed_regions.is_empty() && entry.regions.len() > 1;
+            entry.kind == ServiceKind::Model && everywhere
+        })?;
+        Some((name.clone(), entry.regions.last()?.clone()))
+    }
+
     async fn change(&self, change: impl Fn(&mut Document)) -> Result<(), DemoError> {
         let addresses = self.hosts.gateway_addresses();
         let revision = self.publisher.change(addresses, change).await?;
--- a/crates/demo/src/options.rs
+++ b/crates/demo/src/options.rs
@@ -25,7 +25,7 @@
     /// Whether faults are produced.
     #[options(
         no_short,
-        help = "produce faults in turn: key-value outage, killed host, failing engine, planned stop"
+        help = "produce faults in turn: key-value outage, killed host, failing engine, planned stops"
     )]
     pub faults: bool,
     /// The seed of the traffic.
--- a/crates/demo/src/verdict.rs
+++ b/crates/demo/src/verdict.rs
@@ -17,6 +17,8 @@
     pub without_outcome: u64,
     /// Complete answers that were not the answer to their request.
     pub wrong_answers: u64,
+    /// Requests that a host sent to another region.
+    pub sent_to_other_region: u64,
     /// Orders that were sent.
     pub orders: u64,
     /// Orders that ran more than once.
@@ -76,12 +78,13 @@
     /// Returns the counts as text.
     pub(crate) fn text(&self) -> String {
         let mut text = format!(
-            "requests {}, complete {}, without outcome {}, wrong answers {}\n\
+            "requests {}, complete {}, without outcome {}, wrong answers {}, sent to another region {}\n\
              orders {}, run twice {}, told wrong {}; invariant violations {}; faults produced {}\n",
             self.requests,
             self.complete,
             self.without_outcome,
             self.wrong_answers,
+            self.sent_to_other_region,
             self.orders,
             self.orders_run_twice,
             self.orders_told_wrong,
--- a/crates/demo/tests/run.rs
+++ b/crates/demo/tests/run.rs
@@ -1,8 +1,10 @@
 //! The demonstration as a library.
 
-use lw_demo::{Deployment, Options, run_demo};
+use lw_demo::{Deployment, Options, Verdict, run_demo};
+use test_case::test_case;
 
-/// Guards against a fault (outage of the key-value service, killed host, failing engine, planned stop) that lets a
+/// Guards against a fault (outage of the key-value service, killed host, failing engine, planned
+/// stops of a target, a host and a region's targets) that lets a
 /// request end without an outcome, mixes up answers, runs an order twice or violates an invariant, and against a
 /// demonstration that does not notice it.
 #[tokio::test(flavor = "multi_thread")]
@@ -20,7 +22,23 @@
     println!("seed {}: {verdict:?}", options.seed);
     assert!(verdict.passed(), "{verdict:?}");
     assert!(verdict.orders_taken, "{verdict:?}");
-    assert_eq!(verdict.faults, 4);
+    assert_eq!(verdict.faults, 5);
+    assert!(verdict.sent_to_other_region > 0, "{verdict:?}");
     assert!(verdict.orders > 20, "{verdict:?}");
     assert!(verdict.complete * 10 >= verdict.requests * 9, "{verdict:?}");
 }
+
+/// Guards against a broken promise that ends with exit code 0.
+#[test_case(|verdict| verdict.without_outcome = 1; "no outcome")]
+#[test_case(|verdict| verdict.wrong_answers = 1; "wrong answer")]
+#[test_case(|verdict| verdict.orders_run_twice = 1; "order twice")]
+#[test_case(|verdict| verdict.orders_told_wrong = 1; "told wrong")]
+#[test_case(|verdict| verdict.violations = 1; "violation")]
+#[test_case(|verdict| verdict.failed_stops.push("host".to_owned()); "failed stop")]
+#[test_case(|verdict| verdict.failed_steps.push("step".to_owned()); "failed step")]
+fn a_broken_promise_fails(broken: fn(&mut Verdict)) {
+    let mut verdict = Verdict::default();
+    assert!(verdict.passed());
+    broken(&mut verdict);
+    assert!(!verdict.passed());
+}
