daemon: expect an unknown outcome for a refused repeat

Cause: two cases of the table of caller errors stated 'not run' for a key of another or of an unknown region without the mark of a first attempt. Change: these cases expect 'unknown', and two new ones with the mark expect 'not run'. Conclusion: the table is as strict as before and states the rule.

--- a/crates/daemon/tests/errors.rs
+++ b/crates/daemon/tests/errors.rs
@@ -160,6 +160,21 @@
         )],
         status: 421,
         kind: "misdirected",
+        outcome: "unknown",
+        ..PLAIN
+    },
+    Case {
+        name: "key of another region, first attempt",
+        method: "POST",
+        headers: &[
+            (
+                "idempotency-key",
+                "west.0190a0a0-a0a0-7000-8000-00000000000a",
+            ),
+            ("lacewingstile-attempt", "1"),
+        ],
+        status: 421,
+        kind: "misdirected",
         ..PLAIN
     },
     Case {
@@ -170,6 +185,20 @@
             "north.0190a0a0-a0a0-7000-8000-00000000000a",
         )],
         kind: "key_malformed",
+        outcome: "unknown",
+        ..PLAIN
+    },
+    Case {
+        name: "key of an unknown region, first attempt",
+        method: "POST",
+        headers: &[
+            (
+                "idempotency-key",
+                "north.0190a0a0-a0a0-7000-8000-00000000000a",
+            ),
+            ("lacewingstile-attempt", "1"),
+        ],
+        kind: "key_malformed",
         ..PLAIN
     },
 ];
