--- a/crates/bench/src/slopes/shard_region.rs
+++ b/crates/bench/src/slopes/shard_region.rs
@@ -42,8 +42,8 @@
 pub(crate) struct ShardRegion {
     pub(crate) now: u64,
     pub(crate) calls: Calls,
-    /// Writes in each second so far.
-    pub(crate) writes_by_second: Vec<u32>,
+    /// Reads and writes in each second so far.
+    pub(crate) by_second: Vec<[u32; 2]>,
     /// Messages about keys and their frame bytes; transfers and votes are not among them.
     pub(crate) key_messages: u64,
     pub(crate) key_bytes: u64,
@@ -66,7 +66,7 @@
         let mut region = Self {
             now: 1_000,
             calls: Calls::default(),
-            writes_by_second: Vec::new(),
+            by_second: Vec::new(),
             key_messages: 0,
             key_bytes: 0,
             ended: 0,
@@ -194,8 +194,8 @@
 
     fn step(&mut self) {
         let second = (self.now / 1_000) as usize;
-        if self.writes_by_second.len() <= second {
-            self.writes_by_second.resize(second + 1, 0);
+        if self.by_second.len() <= second {
+            self.by_second.resize(second + 1, [0; 2]);
         }
         self.tell_losses();
         for host in 0..self.hosts.len() {
@@ -254,6 +254,7 @@
         self.hosts[host].last_read = self.now;
         self.hosts[host].next_read = self.now + READ_MS;
         self.calls.reads += 1.0;
+        self.count_in_second(0);
         let (now, wall) = self.times();
         let mut out = Vec::new();
         let map = self.stored.clone();
@@ -320,10 +321,7 @@
 
     fn write(&mut self, host: usize, map: Arc<ShardMap>, if_version: u64) {
         self.calls.writes += 1.0;
-        let second = (self.now / 1_000) as usize;
-        if let Some(writes) = self.writes_by_second.get_mut(second) {
-            *writes += 1;
-        }
+        self.count_in_second(1);
         let result = if if_version == self.version {
             self.version += 1;
             self.stored = Some(map);
@@ -343,6 +341,13 @@
         self.act(host, out);
     }
 
+    fn count_in_second(&mut self, column: usize) {
+        let second = (self.now / 1_000) as usize;
+        if let Some(counts) = self.by_second.get_mut(second) {
+            counts[column] += 1;
+        }
+    }
+
     /// Returns the number of a process that runs.
     fn number(&self, instance: &Instance) -> Option<usize> {
         let known = |host: &Host| host.up && host.instance == *instance;
--- a/crates/bench/src/slopes/shards.rs
+++ b/crates/bench/src/slopes/shards.rs
@@ -32,6 +32,7 @@
     pub(crate) writes_per_loss: f64,
     pub(crate) writes_per_return: f64,
     pub(crate) start_writes: f64,
+    pub(crate) start_peak_reads_per_s: f64,
     pub(crate) start_peak_writes_per_s: f64,
     map_bytes: f64,
 }
@@ -75,6 +76,12 @@
             "calls",
             &|run| run.start_writes,
         ),
+        slope(
+            "kv.map_start_peak_reads_per_s",
+            "most reads of the map in one second of that restart",
+            "calls/s",
+            &|run| run.start_peak_reads_per_s,
+        ),
         slope(
             "kv.map_start_peak_writes_per_s",
             "most writes of the map in one second of that restart",
@@ -101,15 +108,19 @@
     let map_bytes = map.and_then(Result::ok).map_or(0, |bytes| bytes.len());
     let writes_per_loss = counted_writes(&mut region, |region| region.kill(hosts - 1));
     let writes_per_return = counted_writes(&mut region, |region| region.restart(hosts - 1));
-    let from = region.writes_by_second.len();
+    let from = region.by_second.len();
     let start_writes = counted_writes(&mut region, ShardRegion::restart_all);
-    let peak = region.writes_by_second[from..].iter().max();
+    let peak = |column: usize| {
+        let seconds = region.by_second[from..].iter();
+        f64::from(seconds.map(|counts| counts[column]).max().unwrap_or(0))
+    };
     ShardRun {
         steady_per_s: steady.times(1_000.0 / STEADY_MS as f64),
         writes_per_loss,
         writes_per_return,
         start_writes,
-        start_peak_writes_per_s: f64::from(peak.copied().unwrap_or(0)),
+        start_peak_reads_per_s: peak(0),
+        start_peak_writes_per_s: peak(1),
         map_bytes: map_bytes as f64,
     }
 }
--- a/crates/bench/src/slopes/totals.rs
+++ b/crates/bench/src/slopes/totals.rs
@@ -15,7 +15,7 @@
 
 /// A change that is ten times as frequent as on average over the day.
 const PEAK: f64 = 10.0;
-/// The service counts a snapshot every 256 revisions.
+/// Snapshots per revision.
 const SNAPSHOT_SHARE: f64 = 1.0 / lw_conf::SNAPSHOT_INTERVAL as f64;
 /// The most bytes of encoded entries that a host keeps.
 const HISTORY_BYTES: f64 = 4.0 * 1024.0 * 1024.0;
@@ -121,10 +121,15 @@
             steady,
             peak: steady,
             restart: Calls {
+                reads: self.over_regions("kv.map_start_peak_reads_per_s"),
+                watches: 0.0,
                 writes: self.over_regions("kv.map_start_peak_writes_per_s"),
+            },
+            // Reads come back at their steady rate, but within one second when the service was slow.
+            after_outage: Calls {
+                reads: NODES as f64,
                 ..steady
             },
-            after_outage: steady,
         }
     }
 
--- a/crates/bench/tests/slopes.rs
+++ b/crates/bench/tests/slopes.rs
@@ -54,7 +54,6 @@
 
 /// Guards against loads of the document that the rate limits interrupt again and again, so that no host gets ready.
 #[test]
-#[ignore = "known red"]
 fn a_started_fleet_gets_ready_under_the_limits_of_the_service() {
     let ready_s = measured().account.limited_fleet_ready_s;
     assert!(ready_s.is_finite(), "not ready after a minute");
--- a/crates/conf/src/chain.rs
+++ b/crates/conf/src/chain.rs
@@ -11,7 +11,7 @@
 use crate::service_error::ServiceError;
 use crate::snapshot::read_snapshot;
 
-/// The longest walk. A snapshot is written every 256 revisions, so a longer one means that a whole document is cheaper.
+/// The longest walk. A snapshot is written every 64 revisions, so a longer one means that a whole document is cheaper.
 pub(crate) const MAX_WALK: usize = 512;
 
 /// How the chain of a head relates to a known document.
--- a/crates/conf/src/commit.rs
+++ b/crates/conf/src/commit.rs
@@ -13,7 +13,10 @@
 use crate::snapshot::{snapshot_ref, write_snapshot};
 
 /// Revisions between snapshots: loading a document reads at most this many entries.
-pub const SNAPSHOT_INTERVAL: u64 = 256;
+///
+/// With 256, a start of 380 hosts did not end under the rate limits of the service, because one refused read ends a
+/// load, and a load of 267 reads hardly ever passed. The cost is four times as many snapshots.
+pub const SNAPSHOT_INTERVAL: u64 = 64;
 
 /// Larger changes are kept only in a snapshot, so that an entry stays below the value limit.
 pub const MAX_CHANGES_BYTES: usize = 256 * 1024;
--- a/crates/conf/src/history.rs
+++ b/crates/conf/src/history.rs
@@ -10,7 +10,7 @@
 use crate::message::{MAX_ENTRIES, MAX_PAYLOAD_BYTES};
 use crate::service::encode;
 
-/// Entries kept: as many as lie between two snapshots.
+/// Entries kept: as many as lie between four snapshots, so that peers that were away for minutes get entries.
 const MAX_KEPT_ENTRIES: usize = 256;
 /// Bytes kept, a small part of the 256 MB that the control work of a node may use.
 const MAX_KEPT_BYTES: usize = 4 * 1024 * 1024;
--- a/crates/conf/src/relay.rs
+++ b/crates/conf/src/relay.rs
@@ -15,7 +15,7 @@
 const REPAIR_SPREAD_MS: u64 = 1_500;
 /// A read of the head without an answer for this time counts as failed.
 const READ_LIMIT_MS: u64 = WATCH_MS + 6_000;
-/// Loading a document takes up to 256 reads, each of which may take some 100 ms while the service is slow.
+/// Loading a document takes up to 80 reads, each of which may take some 100 ms while the service is slow.
 const FOLLOW_UP_LIMIT_MS: u64 = 60_000;
 /// A host that is no relay leaves the loading to its peers for this time.
 const PEERS_FIRST_MS: u64 = 3_000;
