route: answer lookups as soon as a target can; gate: spend a retry only on a real attempt

Cause: with every target of a service ejected, requests were refused with no_target until the next probe, up to 60 s after the end of the fault. A failed attempt took a retry from the budget before it was known whether another target was left.

When all are stopped or ejected, a first attempt passes the ejection; its success ends it. A retry does not, so an outage is not amplified. The gate and the bench decide on the next place before they take a retry.

Conclusion: an outage is over for callers as soon as a target answers.

--- a/crates/bench/src/play/world_attempt.rs
+++ b/crates/bench/src/play/world_attempt.rs
@@ -2,7 +2,7 @@
 
 use lw_base::prelude::*;
 use lw_base::violate;
-use lw_route::{AttemptEnd, Query};
+use lw_route::{AttemptEnd, InFlight, Query};
 
 use crate::play::engine::Start;
 use crate::play::event::Event;
@@ -13,11 +13,28 @@
 
 impl World<'_> {
     pub(super) fn attempt(&mut self, request: u32) {
+        let Some(begun) = self.begin_attempt(request) else {
+            self.leave_slot(request);
+            self.refuse_here(request, ErrorKind::NoTarget);
+            return;
+        };
+        self.send_begun(request, begun);
+    }
+
+    fn send_begun(&mut self, request: u32, in_flight: InFlight) {
+        let target = in_flight.target();
+        in_flight.sent(self.now());
+        self.requests[request as usize].attempts += 1;
+        self.requests[request as usize].in_flight = Some(in_flight);
+        self.send(request, target);
+    }
+
+    /// Chooses a target that takes the request; `None` when none is left.
+    fn begin_attempt(&mut self, request: u32) -> Option<InFlight> {
         let now = self.now();
         let host = self.requests[request as usize].host;
         let view = self.hosts[host].view.clone();
-        self.requests[request as usize].attempts += 1;
-        let begun = loop {
+        loop {
             let mut tried = std::mem::take(&mut self.requests[request as usize].tried);
             let query = Query {
                 tried: &tried,
@@ -31,19 +48,11 @@
             }
             self.requests[request as usize].tried = tried;
             match begun {
-                None => break None,
+                None => return None,
                 Some((_, None)) => {}
-                Some((target, Some(in_flight))) => break Some((target, in_flight)),
+                Some((_, Some(in_flight))) => return Some(in_flight),
             }
-        };
-        let Some((target, in_flight)) = begun else {
-            self.leave_slot(request);
-            self.refuse_here(request, ErrorKind::NoTarget);
-            return;
-        };
-        in_flight.sent(now);
-        self.requests[request as usize].in_flight = Some(in_flight);
-        self.send(request, target);
+        }
     }
 
     pub(super) fn send(&mut self, request: u32, target: TargetKey) {
@@ -145,11 +154,15 @@
         };
         state.tried.push(in_flight.target());
         in_flight.finish(now, AttemptEnd::Failure);
-        let budget = &mut self.hosts[state.host].services[service.index()].budget;
-        if state.attempts < ATTEMPTS && budget.try_retry(now) {
-            self.count_retry(service);
-            self.attempt(request);
-            return;
+        let may_retry = state.attempts < ATTEMPTS;
+        if may_retry && let Some(begun) = self.begin_attempt(request) {
+            let host = self.requests[request as usize].host;
+            let budget = &mut self.hosts[host].services[service.index()].budget;
+            if budget.try_retry(now) {
+                self.count_retry(service);
+                self.send_begun(request, begun);
+                return;
+            }
         }
         self.leave_slot(request);
         self.refuse(request, ErrorKind::ConnectFailed);
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -5,7 +5,7 @@
 use lw_base::prelude::*;
 use lw_base::violate;
 use lw_flow::{AttemptFailure, Ending, RequestFlow, RetryDecision};
-use lw_route::{AttemptEnd, RouteView};
+use lw_route::{AttemptEnd, Decision, RouteView};
 
 use crate::answer::Source;
 use crate::ask::Ask;
@@ -41,6 +41,8 @@
     pub(crate) slot: Option<Slot>,
     pub(crate) tried: Vec<Arc<str>>,
     pub(crate) tried_regions: Vec<Arc<str>>,
+    /// The decision for the next attempt, made before its retry was taken from the budget.
+    pub(crate) next: Option<(Arc<RouteView>, Decision)>,
     _in_flight: InFlightGuard,
 }
 
@@ -61,6 +63,7 @@
             slot: None,
             tried: Vec::new(),
             tried_regions: Vec::new(),
+            next: None,
             _in_flight: in_flight,
         }
     }
@@ -73,7 +76,9 @@
     ) -> Result<(), Ending> {
         let now = self.gate.clock.mono();
         let door = self.door.clone();
-        let take = || door.is_some_and(|door| door.take_retry(now));
+        let has_next = self.decide_next(false);
+        // Without another target the retry would not be made, so it must not use up the budget.
+        let take = || has_next && door.is_some_and(|door| door.take_retry(now));
         log::debug!("gate: attempt {attempt} failed: {failure:?}");
         self.last_failure = Some(failure);
         match self.flow.attempt_failed(attempt, failure, now, take) {
@@ -81,7 +86,7 @@
                 self.gate.metrics.attempt(&self.ask.service, "retry");
                 Ok(())
             }
-            RetryDecision::GiveUp(ErrorKind::RetryBudgetSpent) => {
+            RetryDecision::GiveUp(ErrorKind::RetryBudgetSpent) if has_next => {
                 Err(self.end(ErrorKind::RetryBudgetSpent))
             }
             RetryDecision::GiveUp(_) | RetryDecision::Ignore => Err(self.end_failed(failure)),
--- a/crates/gate/src/placement.rs
+++ b/crates/gate/src/placement.rs
@@ -24,8 +24,15 @@
     /// The residency rule is applied again after the wait, with the newest revision.
     pub(crate) async fn place(&mut self) -> Result<Place, Ending> {
         loop {
-            let view = self.gate.router.view();
-            let target = match self.decide(&view) {
+            let (view, decision) = match self.next.take() {
+                Some(next) => next,
+                None => {
+                    let view = self.gate.router.view();
+                    let decision = self.decide(&view);
+                    (view, decision)
+                }
+            };
+            let target = match decision {
                 Decision::Target(target) => target,
                 Decision::Region(region) => {
                     return Ok(Place::Region(view.fleet().regions.name(region).clone()));
@@ -39,6 +46,33 @@
         }
     }
 
+    /// Decides where another attempt would go; returns false when there is no place left for it.
+    ///
+    /// With `resumes`, only a target that resumes streams is a place.
+    pub(crate) fn decide_next(&mut self, resumes: bool) -> bool {
+        let view = self.gate.router.view();
+        loop {
+            let decision = self.decide(&view);
+            match &decision {
+                Decision::Refuse(_) => return false,
+                Decision::Target(target) if resumes && !view.fleet().targets[*target].resume => {
+                    self.tried_target(view.fleet().targets.name(*target).clone());
+                    continue;
+                }
+                Decision::Region(region) => {
+                    let name = view.fleet().regions.name(*region).clone();
+                    if (self.gate.hosts.forward_addresses)(&name).is_empty() {
+                        self.tried_region(name);
+                        continue;
+                    }
+                }
+                Decision::Target(_) => {}
+            }
+            self.next = Some((view, decision));
+            return true;
+        }
+    }
+
     fn decide(&mut self, view: &RouteView) -> Decision {
         self.revision = view.fleet().revision;
         let Some(service) = view.fleet().services.key(&self.ask.service) else {
--- a/crates/gate/src/stream_relay.rs
+++ b/crates/gate/src/stream_relay.rs
@@ -121,7 +121,8 @@
         exchange.abandon(attempt, source, AttemptEnd::Failure);
         let now = exchange.gate.clock.mono();
         let door = exchange.door.clone();
-        let take = || door.is_some_and(|door| door.take_retry(now));
+        let has_next = exchange.decide_next(true);
+        let take = || has_next && door.is_some_and(|door| door.take_retry(now));
         match exchange.flow.stream_cut(attempt, cut, now, take) {
             ResumeDecision::Abort => Err(exchange.end(kind)),
             ResumeDecision::Resume { from_token } => self.resume(exchange, from_token).await,
--- a/crates/gate/tests/peers.rs
+++ b/crates/gate/tests/peers.rs
@@ -1,112 +1,16 @@
 //! Forwarding between hosts of two regions.
 
-use std::net::SocketAddr;
+mod common;
+
 use std::sync::Arc;
 
-use bytes::Bytes;
-use http::{Request, Response};
-use http_body_util::{BodyExt, Full};
-use hyper_util::client::legacy::Client;
-use hyper_util::rt::TokioExecutor;
+use common::{KEY, call, document, header, host, local};
 use lw_base::{Invariant, Outcome, invariant_count};
-use lw_doc::{compile, parse_document};
-use lw_gate::{
-    Clock, Gate, GateParts, HostView, HttpServer, Identity, KeyedAnswer, KeyedRuns, MAX_BODY_BYTES,
-    ServerOptions,
-};
+use lw_gate::{KeyedAnswer, KeyedRuns};
 use lw_idem::Ending;
-use lw_route::Router;
 use lw_stand::PlainStand;
 use parking_lot::Mutex;
 
-const OPTIONS: ServerOptions = ServerOptions {
-    worker_threads: 1,
-    max_body_bytes: MAX_BODY_BYTES,
-    body_timeout_ms: 5_000,
-    keep_alive_ms: 5_000,
-};
-
-const KEY: &str = "east.0190a0a0-a0a0-7000-8000-00000000000a";
-
-fn local() -> SocketAddr {
-    "127.0.0.1:0".parse().unwrap()
-}
-
-/// The portal has its only target in `west`.
-fn document(target: SocketAddr, allowed: &str) -> String {
-    format!(
-        r#"{{"format": 1,
-        "regions": {{"east": {{"zones": ["east-1"]}}, "west": {{"zones": ["west-1"]}}}},
-        "services": {{"portal": {{"kind": "plain", "priority": "lookup", "regions": ["east", "west"],
-            "allowed_regions": [{allowed}], "deadline_ms": 3000}}}},
-        "targets": {{"portal-1": {{"service": "portal", "zone": "ZONE", "address": "{target}"}}}}}}"#
-    )
-}
-
-struct Host {
-    gate: Arc<Gate>,
-    callers: HttpServer,
-    peers: HttpServer,
-}
-
-fn host(
-    region: &str,
-    document: &str,
-    key: &str,
-    forward: Option<SocketAddr>,
-    keyed: KeyedRuns,
-) -> Host {
-    let parsed = parse_document("test", document).unwrap();
-    let fleet = Arc::new(compile(&parsed.document, 1));
-    let clock = Clock::start();
-    let mut hosts = HostView::alone();
-    hosts.forward_addresses = Arc::new(move |_| forward.iter().map(ToString::to_string).collect());
-    let gate = Gate::new(GateParts {
-        identity: Identity {
-            host: format!("{region}-host").as_str().into(),
-            region: region.into(),
-            zone: format!("{region}-1").as_str().into(),
-        },
-        clock,
-        router: Arc::new(Router::new(clock.mono(), &fleet, region, 7)),
-        hosts,
-        keyed,
-        peer_key: key.as_bytes().to_vec(),
-        operators: Vec::new(),
-    });
-    gate.state().set_ready(true);
-    Host {
-        callers: HttpServer::start(local(), OPTIONS, gate.caller_handler()).unwrap(),
-        peers: HttpServer::start(local(), OPTIONS, gate.peer_handler()).unwrap(),
-        gate,
-    }
-}
-
-async fn call(
-    address: SocketAddr,
-    method: &str,
-    path: &str,
-    headers: &[(&str, &str)],
-) -> Response<Bytes> {
-    let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
-    let mut request = Request::builder()
-        .method(method)
-        .uri(format!("http://{address}{path}"));
-    for (name, value) in headers {
-        request = request.header(*name, *value);
-    }
-    let request = request.body(Full::default()).unwrap();
-    let (head, body) = client.request(request).await.unwrap().into_parts();
-    Response::from_parts(head, body.collect().await.unwrap().to_bytes())
-}
-
-fn header<'a>(response: &'a Response<Bytes>, name: &str) -> &'a str {
-    response
-        .headers()
-        .get(name)
-        .map_or("", |value| value.to_str().unwrap())
-}
-
 /// Guards against a request that does not reach the region of its targets, and against a wrong answer from there.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_is_forwarded_to_the_region_of_its_target() {
--- a/crates/route/src/choose_target.rs
+++ b/crates/route/src/choose_target.rs
@@ -38,7 +38,8 @@
 impl RouteView {
     /// Chooses among the two homes of the prefix and two random targets, whatever the number of targets.
     ///
-    /// Only when none of them takes new work, the targets are searched from a random position on.
+    /// Only when none of them takes new work, the targets are searched from a random position on. When each one is
+    /// stopped or ejected, a first attempt goes to an ejected target, because the fault may have ended.
     pub(crate) fn choose_target(
         &self,
         now: Now,
@@ -70,7 +71,12 @@
         }
         if best.target.is_none() {
             let start = rng.random_range(0..count);
-            self.search(now, query, start, &mut best, trace);
+            self.search(now, query, start, Source::Search, &mut best, trace);
+            // Only a first attempt: retries at ejected targets would add a tenth to the load of an outage.
+            let first_attempt = query.tried.is_empty();
+            if best.target.is_none() && first_attempt && service.is_out_of_service(now) {
+                self.search(now, query, start, Source::LastResort, &mut best, trace);
+            }
         }
         best.target
     }
@@ -118,7 +124,7 @@
 
     fn is_slow(&self, now: Now, query: &Query<'_>, index: usize) -> bool {
         let service = &self.services[query.service.index()];
-        let view = service.targets.cells[index].view(now);
+        let view = service.targets.cells[index].view(now, service.longest_ejection_ms());
         slowness(service, &view) > SLOW_HOME
     }
 
@@ -127,13 +133,14 @@
         now: Now,
         query: &Query<'_>,
         start: usize,
+        source: Source,
         best: &mut Best,
         trace: &mut impl FnMut(&Considered),
     ) {
         let count = self.services[query.service.index()].targets.len();
         for step in 0..count {
             let index = (start + step) % count;
-            if self.consider(now, query, index, Source::Search, 0.0, best, trace) {
+            if self.consider(now, query, index, source, 0.0, best, trace) {
                 return;
             }
         }
@@ -153,9 +160,12 @@
     ) -> bool {
         let service = &self.services[query.service.index()];
         let target = service.targets.keys[index];
-        let view = service.targets.cells[index].view(now);
+        let view = service.targets.cells[index].view(now, service.longest_ejection_ms());
+        let last_resort = source == Source::LastResort;
         let ruled_out = if query.tried.contains(&target) {
             Some(RuledOut::Tried)
+        } else if last_resort && view.ruled_out == Some(RuledOut::Ejected) {
+            None
         } else if view.ruled_out.is_some() {
             view.ruled_out
         } else if view.share < 1.0 && draw >= view.share {
@@ -214,7 +224,7 @@
     let bonus = match source {
         Source::FirstHome => 1.0,
         Source::SecondHome => 1.0 - SECOND_HOME_MISS,
-        Source::Random | Source::Search => 0.0,
+        Source::Random | Source::Search | Source::LastResort => 0.0,
     };
     let mean_use = service.shared.requests() / service.targets.slots.max(1.0);
     let use_ratio = view.requests / view.slots;
--- a/crates/route/src/explain.rs
+++ b/crates/route/src/explain.rs
@@ -15,6 +15,8 @@
     Random,
     /// The search that follows when no other candidate can take the request.
     Search,
+    /// No target is in service, so the ejections do not count.
+    LastResort,
 }
 
 /// Why a candidate is not considered further.
--- a/crates/route/src/in_flight.rs
+++ b/crates/route/src/in_flight.rs
@@ -4,6 +4,7 @@
 
 use lw_base::prelude::*;
 
+use crate::ejection::Pass;
 use crate::query::Now;
 use crate::service_shared::ServiceShared;
 use crate::target_cell::TargetCell;
@@ -25,7 +26,7 @@
     pub(crate) cell: Arc<TargetCell>,
     pub(crate) service: Arc<ServiceShared>,
     pub(crate) target: TargetKey,
-    pub(crate) probe: bool,
+    pub(crate) pass: Pass,
     pub(crate) began: MonoMs,
     pub(crate) ended: bool,
 }
@@ -61,9 +62,13 @@
         }
         let service = &self.service;
         service.add_own(-1);
-        self.cell.end(now, self.probe, success, &mut |milli| {
-            service.add_load(milli);
-        });
+        let longest_ms = service.longest_ejection_ms();
+        let change = self
+            .cell
+            .end(now, self.pass, longest_ms, success, &mut |milli| {
+                service.add_load(milli);
+            });
+        service.add_ejected(change);
     }
 }
 
@@ -75,8 +80,12 @@
         let service = &self.service;
         let now = self.began;
         service.add_own(-1);
-        self.cell.end(now, self.probe, None, &mut |milli| {
-            service.add_load(milli);
-        });
+        let longest_ms = service.longest_ejection_ms();
+        let change = self
+            .cell
+            .end(now, self.pass, longest_ms, None, &mut |milli| {
+                service.add_load(milli);
+            });
+        service.add_ejected(change);
     }
 }
--- a/crates/route/src/service_shared.rs
+++ b/crates/route/src/service_shared.rs
@@ -7,6 +7,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::ejection::longest_ejection_ms;
 use crate::region_set::RegionSet;
 use crate::spill::SpillControl;
 
@@ -23,6 +24,8 @@
     pub(crate) spill: Mutex<SpillControl>,
     paused_regions: Mutex<Vec<(RegionKey, MonoMs)>>,
     load_milli: AtomicI64,
+    ejected: AtomicI64,
+    targets: AtomicI64,
     own_requests: AtomicI64,
     service_us: AtomicU64,
     /// The average reported speed in thousandths of a token per second; zero before the first report.
@@ -36,6 +39,8 @@
             spill: Mutex::new(SpillControl::default()),
             paused_regions: Mutex::new(Vec::new()),
             load_milli: AtomicI64::new(0),
+            ejected: AtomicI64::new(0),
+            targets: AtomicI64::new(0),
             own_requests: AtomicI64::new(0),
             speed_milli: AtomicU64::new(0),
             service_us: AtomicU64::new((FIRST_SERVICE_MS * 1_000.0) as u64),
@@ -46,6 +51,29 @@
         self.load_milli.fetch_add(milli, Ordering::Relaxed);
     }
 
+    /// Adds targets that were ejected, or takes off those that returned.
+    pub(crate) fn add_ejected(&self, change: i64) {
+        if change != 0 {
+            self.ejected.fetch_add(change, Ordering::Relaxed);
+        }
+    }
+
+    /// Takes the number of targets of the newest revision.
+    pub(crate) fn set_targets(&self, targets: usize) {
+        self.targets.store(targets as i64, Ordering::Relaxed);
+    }
+
+    /// Returns the longest ejection of a target now.
+    pub(crate) fn longest_ejection_ms(&self) -> u64 {
+        let count = |count: &AtomicI64| count.load(Ordering::Relaxed).max(0) as usize;
+        longest_ejection_ms(count(&self.ejected), count(&self.targets))
+    }
+
+    /// Returns true when a target is ejected.
+    pub(crate) fn has_ejected(&self) -> bool {
+        self.ejected.load(Ordering::Relaxed) > 0
+    }
+
     pub(crate) fn add_own(&self, requests: i64) {
         self.own_requests.fetch_add(requests, Ordering::Relaxed);
     }
--- a/crates/route/src/target_cell.rs
+++ b/crates/route/src/target_cell.rs
@@ -5,7 +5,7 @@
 use lw_doc::Target;
 use parking_lot::Mutex;
 
-use crate::ejection::{Ejection, Gate};
+use crate::ejection::{Ejection, Gate, Pass};
 use crate::explain::RuledOut;
 use crate::load_estimate::LoadEstimate;
 use crate::load_report::LoadReport;
@@ -78,9 +78,10 @@
         self.state.lock().stops.set_leaving(now, leaving);
     }
 
-    pub(crate) fn view(&self, now: Now) -> TargetView {
+    /// Returns what a decision reads; an ejection lasts `longest_ms` at most.
+    pub(crate) fn view(&self, now: Now, longest_ms: u64) -> TargetView {
         let state = self.state.lock();
-        let gate = state.ejection.gate(now.mono);
+        let gate = state.ejection.gate(now.mono, longest_ms);
         let ruled_out = if state.stops.stopped_for_ms(now).is_some() {
             Some(RuledOut::Stopped)
         } else if gate == Gate::Closed {
@@ -98,20 +99,32 @@
         }
     }
 
-    /// Counts a request; returns whether it is the probe, or `None` when the target takes no new work.
-    pub(crate) fn begin(&self, now: Now, total_milli: &mut impl FnMut(i64)) -> Option<bool> {
+    /// Counts a request; returns how it was admitted, or `None` when the target takes no new work.
+    ///
+    /// With `last_resort` the request passes an ejection.
+    pub(crate) fn begin(
+        &self,
+        now: Now,
+        longest_ms: u64,
+        last_resort: bool,
+        total_milli: &mut impl FnMut(i64),
+    ) -> Option<Pass> {
         let mut state = self.state.lock();
         if state.stops.stopped_for_ms(now).is_some() {
             return None;
         }
-        let probe = match state.ejection.gate(now.mono) {
-            Gate::Open => false,
-            Gate::Probe => state.ejection.claim_probe(now.mono),
+        let pass = match state.ejection.gate(now.mono, longest_ms) {
+            Gate::Open => Pass::Normal,
+            Gate::Probe => {
+                state.ejection.claim_probe();
+                Pass::Probe
+            }
+            Gate::Closed if last_resort => Pass::LastResort,
             Gate::Closed => return None,
         };
         state.load.started();
         total_milli(state.recount(now.mono));
-        Some(probe)
+        Some(pass)
     }
 
     /// Notes that a request is sent now and checks I7.
@@ -130,24 +143,31 @@
         self.state.lock().stops.stopped_for_ms(now).is_some()
     }
 
+    /// Ends a request; returns the change in the number of ejected targets.
     pub(crate) fn end(
         &self,
         now: MonoMs,
-        probe: bool,
+        pass: Pass,
+        longest_ms: u64,
         success: Option<bool>,
         total_milli: &mut impl FnMut(i64),
-    ) {
+    ) -> i64 {
         let mut state = self.state.lock();
+        let was_ejected = state.ejection.is_ejected();
         state.load.ended();
         match success {
-            Some(true) => state.succeeded(now, probe),
+            Some(true) => state.succeeded(now, pass),
             Some(false) => {
-                state.ejection.failed(now, probe);
+                state.ejection.failed(now, pass, longest_ms);
             }
-            None if probe => state.ejection.release_probe(),
+            None if pass == Pass::Probe => state.ejection.release_probe(),
             None => {}
         }
         total_milli(state.recount(now));
+        if state.detached {
+            return 0;
+        }
+        i64::from(state.ejection.is_ejected()) - i64::from(was_ejected)
     }
 
     pub(crate) fn report(
@@ -161,17 +181,20 @@
         total_milli(state.recount(now));
     }
 
-    /// Ends the counting of a target that left the service and returns what it counted.
-    pub(crate) fn detach(&self) -> i64 {
+    /// Ends the counting of a target that left the service; returns its load and whether it is ejected.
+    pub(crate) fn detach(&self) -> (i64, bool) {
         let mut state = self.state.lock();
         state.detached = true;
-        std::mem::take(&mut state.counted_milli)
+        (
+            std::mem::take(&mut state.counted_milli),
+            state.ejection.is_ejected(),
+        )
     }
 }
 
 impl TargetState {
-    fn succeeded(&mut self, now: MonoMs, probe: bool) {
-        let returned = self.ejection.succeeded(now, probe);
+    fn succeeded(&mut self, now: MonoMs, pass: Pass) {
+        let returned = self.ejection.succeeded(now, pass);
         if returned {
             self.slow_since = Some(now);
         }
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -23,6 +23,20 @@
     pub(crate) targets: TargetSet,
 }
 
+impl ServiceView {
+    /// Returns the longest ejection of a target now, in milliseconds.
+    pub(crate) fn longest_ejection_ms(&self) -> u64 {
+        self.shared.longest_ejection_ms()
+    }
+
+    /// Returns true when each target is stopped or ejected, none is due for a probe and at least one is ejected.
+    pub(crate) fn is_out_of_service(&self, now: Now) -> bool {
+        let longest_ms = self.longest_ejection_ms();
+        let takes_work = |cell: &Arc<TargetCell>| cell.view(now, longest_ms).ruled_out.is_none();
+        self.shared.has_ejected() && !self.targets.cells.iter().any(takes_work)
+    }
+}
+
 /// The load of a service in the own region.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ServiceLoad {
@@ -94,14 +108,23 @@
     #[must_use]
     pub fn begin(&self, now: Now, target: TargetKey) -> Option<InFlight> {
         let cell = self.cell(target)?.clone();
-        let service = self.service_of(target).shared.clone();
-        let probe = cell.begin(now, &mut |milli| service.add_load(milli))?;
+        let entry = self.service_of(target);
+        let service = entry.shared.clone();
+        let last_resort = entry.is_out_of_service(now);
+        let pass = cell.begin(
+            now,
+            entry.longest_ejection_ms(),
+            last_resort,
+            &mut |milli| {
+                service.add_load(milli);
+            },
+        )?;
         service.add_own(1);
         Some(InFlight {
             cell,
             service,
             target,
-            probe,
+            pass,
             began: now.mono,
             ended: false,
         })
@@ -224,6 +247,7 @@
             Some((_, entry)) => Arc::new(entry.targets.homes.updated(&set.names)),
             None => Arc::new(HomeTable::new(&set.names)),
         };
+        shared.set_targets(set.names.len());
         if let Some((_, entry)) = old {
             forget_removed(shared, &entry.targets, &set);
         }
@@ -243,7 +267,9 @@
     let kept: FastSet<&Arc<str>> = new.names.iter().collect();
     for (name, cell) in old.names.iter().zip(&old.cells) {
         if !kept.contains(name) {
-            shared.add_load(-cell.detach());
+            let (load_milli, ejected) = cell.detach();
+            shared.add_load(-load_milli);
+            shared.add_ejected(-i64::from(ejected));
         }
     }
 }
