--- /dev/null
+++ b/crates/bench/src/slopes/load_message.rs
@@ -0,0 +1,74 @@
+//! Bytes of load reports with the exchange of active customers, by nodes of a region.
+//!
+//! Each host sends to every other host of the region every 2 s the loads of the targets that it polls and its 64 most
+//! active customers, in one message.
+
+use lw_admit::{CustomerId, CustomerLimits, EXCHANGED_CUSTOMERS};
+use lw_base::MonoMs;
+use lw_node::LoadMessage;
+use lw_peer::Message;
+use lw_route::{LoadReport, encode_load};
+
+use crate::slopes::slope::Slope;
+use crate::slopes::target::{NODES, TARGETS, largest_region, largest_region_targets};
+use crate::slopes::wire::Wire;
+
+const NODES_OF_REGION: [usize; 4] = [2, 8, 22, 40];
+const MESSAGES_PER_S: f64 = 0.5;
+
+pub(crate) fn measure() -> Vec<Slope> {
+    let wire = Wire::new();
+    let rows = |customers| NODES_OF_REGION.map(|nodes| bytes_per_s(&wire, nodes, customers));
+    let targets = rows(false).map(|(targets, _, bytes)| (targets, bytes));
+    let customers = rows(true).map(|(_, nodes, bytes)| (nodes, bytes));
+    vec![
+        Slope::new(
+            "load.board_bytes_per_s",
+            "load messages that a host sends and receives, without customers",
+            "bytes/s",
+            "targets of the region",
+            targets,
+            largest_region_targets() as f64,
+        ),
+        Slope::new(
+            "load.full_bytes_per_s",
+            "load messages that a host sends and receives, with 64 active customers each",
+            "bytes/s",
+            "nodes of the region",
+            customers,
+            largest_region() as f64,
+        ),
+    ]
+}
+
+/// Returns the targets and nodes of the region, and the bytes that a host sends and receives.
+fn bytes_per_s(wire: &Wire, nodes: usize, with_customers: bool) -> (f64, f64, f64) {
+    let targets = TARGETS * nodes / NODES;
+    let mut message = LoadMessage::new(u64::MAX / 3);
+    let mut next = 0;
+    for number in (0..targets as u32).step_by(nodes) {
+        let report = LoadReport {
+            requests: 12,
+            speed_tokens_per_s: Some(40.0),
+        };
+        message.push_load(&mut next, number, encode_load(&report));
+    }
+    if with_customers {
+        message.set_customers(&active_customers());
+    }
+    let frame = wire.bytes(&Message::LoadBoard(message.encode()));
+    let bytes = 2.0 * MESSAGES_PER_S * (nodes - 1) as f64 * frame as f64;
+    (targets as f64, nodes as f64, bytes)
+}
+
+/// Returns what a busy host sends: it sees more customers a second than it may report.
+fn active_customers() -> Vec<(CustomerId, f64)> {
+    let mut limits = CustomerLimits::default();
+    for number in 0..EXCHANGED_CUSTOMERS as u64 * 4 {
+        let customer = CustomerId::of_name(&format!("customer-{number:05}"));
+        let _ = limits.admit(MonoMs(number), customer, 20.0, 22);
+    }
+    let mut active = Vec::new();
+    limits.exchange(MonoMs(1_000), &mut active);
+    active
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -26,7 +26,7 @@
 pub struct Node {
     pub(crate) core: Arc<Core>,
     pub(crate) tasks: Mutex<Vec<AbortOnDropHandle<()>>>,
-    pub(crate) transport: Mutex<Option<NngNetwork>>,
+    pub(crate) transport: Arc<Mutex<Option<NngNetwork>>>,
 }
 
 impl Node {
@@ -213,6 +213,7 @@
         busy_us: traffic.busy_us(),
         ..NodeStatus::default()
     };
+    status.keeps_audit = core.keeps_audit();
     let members = core.members.lock();
     status.sees_half = members.sees_half(now);
     status.clock_ok = members.clock_ok(now);
