--- a/crates/demo/src/options.rs
+++ b/crates/demo/src/options.rs
@@ -25,10 +25,18 @@
     /// Whether faults are produced.
     #[options(
         no_short,
-        help = "produce faults in turn: key-value outage, killed host, failing engine, planned stop"
+        help = "produce faults in turn: key-value outage, killed host, failing engine, planned stops"
     )]
     pub faults: bool,
     /// The seed of the traffic.
     #[options(no_short, meta = "N", help = "seed of the traffic", default = "7")]
     pub seed: u64,
+    /// The lowest level that is logged.
+    #[options(
+        no_short,
+        meta = "LEVEL",
+        help = "lowest logged level: error, warn, info, debug or trace",
+        default = "error"
+    )]
+    pub log_level: log::LevelFilter,
 }
--- a/crates/node/tests/nodes/bed/mod.rs
+++ b/crates/node/tests/nodes/bed/mod.rs
@@ -8,6 +8,7 @@
 use lw_base::prelude::*;
 use lw_conf::{PublishError, PublishRequest, Published};
 use lw_doc::{Document, parse_document};
+use lw_idem::Instance;
 use lw_node::{CustomerUsage, Node, NodeClock, NodeIdentity, NodeParts};
 use lw_node::{NodeStatus, Transport};
 use lw_peer::PeerKeys;
@@ -19,10 +20,10 @@
 use rand_chacha::ChaCha8Rng;
 use uuid::Uuid;
 
-mod keys;
+mod requests;
 mod wires;
 
-pub(crate) use keys::Told;
+pub(crate) use requests::Told;
 use wires::Wires;
 
 /// The clocks of the nodes run this many times as fast as real time.
@@ -60,6 +61,7 @@
 /// One started node with the knobs of its host.
 pub(crate) struct Host {
     pub(crate) name: String,
+    pub(crate) instance: Instance,
     pub(crate) node: Arc<Node>,
     pub(crate) router: Arc<Router>,
     pub(crate) kv_link: KvLink,
@@ -107,13 +109,17 @@
     /// Starts nodes with these names and waits until they know each other and every shard has a complete backup.
     pub(crate) async fn with_hosts(names: &[&str]) -> Self {
         let mut bed = Self::new();
-        for name in names {
-            bed.start(name);
-        }
+        bed.start_all(names);
         bed.settle().await;
         bed
     }
 
+    pub(crate) fn start_all(&mut self, names: &[&str]) {
+        for name in names {
+            self.start(name);
+        }
+    }
+
     /// Starts a node; every node knows the first one as its seed.
     pub(crate) fn start(&mut self, name: &str) -> &Host {
         let seeds = self
@@ -171,6 +177,10 @@
             .attach(name, &format!("{name}:{}", self.incarnation), &node);
         self.hosts.push(Host {
             name: name.to_owned(),
+            instance: Instance {
+                host: name.into(),
+                incarnation: self.incarnation,
+            },
             node,
             router,
             kv_link,
@@ -229,15 +239,13 @@
             let map = bed.hosts[0].node.shard_map();
             let Some(map) = map else { return false };
             let wall = bed.clock.wall();
-            let names: Vec<&str> = bed.hosts.iter().map(|host| host.name.as_str()).collect();
             let complete = map.shards.iter().all(|view| {
                 let over = view.cutoff.is_none_or(|cutoff| cutoff.issued_before < wall);
-                let backup = view
-                    .backup
-                    .as_ref()
-                    .is_some_and(|backup| names.contains(&&*backup.host));
-                let owner = names.contains(&&*view.owner.host);
-                over && owner && (others == 0 || (backup && view.backup_complete))
+                let runs =
+                    |instance: &Instance| bed.hosts.iter().any(|host| host.instance == *instance);
+                let backup = view.backup.as_ref().is_some_and(runs);
+                let pair = others == 0 || (backup && view.backup_complete);
+                over && runs(&view.owner) && pair
             });
             let same = bed.hosts.iter().all(|host| {
                 let held = host.node.shard_map();
@@ -286,6 +294,13 @@
             .await
     }
 
+    /// Publishes revision 1 and waits until it is in force everywhere.
+    pub(crate) async fn publish_first(&self) {
+        let published = self.publish(&self.hosts[0], 5_000).await;
+        published.expect("published");
+        self.until_revision(1).await;
+    }
+
     pub(crate) async fn until_revision(&self, revision: u64) {
         self.until("the revision is in force everywhere", |bed| {
             let mut all = bed.hosts.iter();
--- a/crates/node/tests/nodes/bed/keys.rs
+++ b/crates/node/tests/nodes/bed/requests.rs
@@ -1,4 +1,4 @@
-//! Idempotency keys on a bed: asking hosts, running keys and checking what ran.
+//! Requests with idempotency keys, as the HTTP side makes them.
 
 use bytes::Bytes;
 use lw_base::prelude::*;
@@ -15,6 +15,11 @@
     Refused(ErrorKind, Outcome),
 }
 
+impl Told {
+    /// The answer for a key that may have run.
+    pub(crate) const UNKNOWN: Self = Self::Refused(ErrorKind::OutcomeUnknown, Outcome::Unknown);
+}
+
 impl Bed {
     /// Returns a new key that is issued now.
     pub(crate) fn key(&self) -> Uuid {
@@ -77,12 +82,14 @@
     async fn hop(&self, from: &str, to: &str, ask: IdemAsk) -> IdemAnswer {
         let owner = self.hosts.iter().find(|other| other.name == to);
         let Some(owner) = owner.filter(|_| !self.wires.is_cut(from, to)) else {
-            let outcome = match ask.first_attempt {
-                true => Outcome::NotRun,
-                false => Outcome::Unknown,
+            return IdemAnswer::Refuse {
+                kind: ErrorKind::OwnerUnreachable,
+                outcome: if ask.first_attempt {
+                    Outcome::NotRun
+                } else {
+                    Outcome::Unknown
+                },
             };
-            let kind = ErrorKind::OwnerUnreachable;
-            return IdemAnswer::Refuse { kind, outcome };
         };
         let forwarded = IdemAsk {
             forwarded: true,
