--- a/crates/conf/src/retention/pack.rs
+++ b/crates/conf/src/retention/pack.rs
@@ -17,8 +17,11 @@
 use crate::service::{decode, read_entry, write_once};
 use crate::service_error::ServiceError;
 
-/// The newest entries stay as they are: those since the last two snapshots, which hosts and publishers read.
-const KEPT_REVISIONS: u64 = 2 * SNAPSHOT_INTERVAL;
+/// The newest entries stay as they are: twice as many as hosts hold to write back what the service lost.
+const KEPT_REVISIONS: u64 = 512;
+
+/// A block of more entries ends at the next snapshot, because one more interval would not fit.
+const NEARLY_FULL: usize = BLOCK_ENTRIES - SNAPSHOT_INTERVAL as usize;
 
 /// Younger entries may be among the last writes that the service loses.
 const PACK_AGE_MS: u64 = 60 * 60 * 1_000;
@@ -122,7 +125,8 @@
     for (index, (_, link)) in tail[..old].iter().enumerate() {
         let grown = bytes + link.bytes + 1;
         let full = index - start == BLOCK_ENTRIES || grown > MAX_BLOCK_BYTES;
-        if index > start && (full || link.has_snapshot) {
+        let ends = link.has_snapshot && index - start > NEARLY_FULL;
+        if index > start && (full || ends) {
             blocks.push(&tail[start..index]);
             (start, bytes) = (index, BLOCK_FRAME_BYTES);
         }
--- a/crates/conf/src/retention/unpack.rs
+++ b/crates/conf/src/retention/unpack.rs
@@ -57,8 +57,12 @@
 ) -> Result<(), ServiceError> {
     let starts_day = block.oldest_wall_ms() / DAY_MS != block.newest_wall_ms() / DAY_MS;
     // The chain starts from its first snapshot.
-    let is_needed =
-        |entry: &&Entry| starts_day || entry.changes.is_none() || entry.base.revision == 0;
+    let has_snapshot = |entry: &&Entry| entry.snapshot.mark == entry.mark;
+    let first = block.entries.iter().find(has_snapshot);
+    let first = first.filter(|_| starts_day).map(|entry| entry.mark);
+    let is_needed = |entry: &&Entry| {
+        first == Some(entry.mark) || entry.changes.is_none() || entry.base.revision == 0
+    };
     let needed: Vec<String> = block
         .entries
         .iter()
--- a/crates/conf/tests/retention.rs
+++ b/crates/conf/tests/retention.rs
@@ -126,8 +126,9 @@
     chain.check(0).await;
     assert_eq!(published(&chain.fake).await, before);
     let kept = chain.fake.keys("lw/entry/") as u64;
-    assert!(kept < 3 * SNAPSHOT_INTERVAL + 2, "{kept} entries");
-    assert!(chain.fake.keys("lw/snap/") <= 5);
+    assert!(kept < 770, "{kept} entries");
+    // Those of the unpacked entries, and the first one.
+    assert!(chain.fake.keys("lw/snap/") as u64 <= 770 / SNAPSHOT_INTERVAL + 2);
     assert!(chain.fake.0.lock().largest_value <= MAX_BLOCK_BYTES);
     let rollback = prepare_rollback(&chain.fake.client(), 700).await;
     assert_eq!(rollback.expect("built").document, old.expect("kept"));
