daemon, gate, peer: change the peer key host by host; show the control budget

Cause: all hosts had to change peer_key at once, because each accepted only its own. Control work was shown as counters since the start, which hide a rise, and without the budget that a host has for it.

Change: the setting peer_keys_accepted names further keys that are accepted in peer messages and forwarded requests.

Conclusion: the key can be changed while the hosts serve.

--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -154,28 +154,20 @@
     assert_ne!(finished.stdout.is_empty(), finished.stderr.is_empty());
 }
 
-/// Guards against calls of the admin listener without credential, or with an unescaped query.
-#[test_case(&["status"], "GET /admin/status ")]
-#[test_case(&["explain", "--service", "a b", "--customer", "c&d"], "GET /admin/explain?service=a+b&customer=c%26d ")]
-#[test_case(&["drain"], "POST /admin/drain ")]
-fn admin_calls_carry_the_credential(arguments: &[&str], request_line: &str) {
+/// Runs a subcommand against an admin listener that answers with `body`; returns the result and the request.
+fn run_against(body: &'static str, name: &str, arguments: &[&str]) -> (Finished, String) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("bound").to_string();
     let server = std::thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("a connection");
         let mut head = vec![0; 4096];
         let length = stream.read(&mut head).expect("a request");
-        let body = "{\"ready\":true,\"targets\":[{\"name\":\"ga-01\",\"score\":1.5}]}";
         let size = body.len();
         let reply = format!("HTTP/1.1 200 OK\r\ncontent-length: {size}\r\n\r\n{body}");
         stream.write_all(reply.as_bytes()).expect("sent");
         String::from_utf8_lossy(&head[..length]).into_owned()
     });
-    let settings = std::env::temp_dir().join(format!(
-        "lw-cli-{}-{}.json",
-        std::process::id(),
-        arguments[0]
-    ));
+    let settings = std::env::temp_dir().join(format!("lw-cli-{}-{name}.json", std::process::id()));
     let text =
         format!("// settings\n{{\"admin_address\": \"{address}\", \"operator_key\": \"secret\"}}");
     std::fs::write(&settings, text).expect("the file is writable");
@@ -187,9 +179,18 @@
         .map(|text| (*text).to_owned())
         .collect();
     let finished = run(&all);
+    (finished, server.join().expect("the server ends"))
+}
+
+/// Guards against calls of the admin listener without credential, or with an unescaped query.
+#[test_case(&["status"], "GET /admin/status ")]
+#[test_case(&["explain", "--service", "a b", "--customer", "c&d"], "GET /admin/explain?service=a+b&customer=c%26d ")]
+#[test_case(&["drain"], "POST /admin/drain ")]
+fn admin_calls_carry_the_credential(arguments: &[&str], request_line: &str) {
+    let body = "{\"ready\":true,\"targets\":[{\"name\":\"ga-01\",\"score\":1.5}]}";
+    let (finished, request) = run_against(body, arguments[0], arguments);
     assert_eq!(finished.code, 0, "{finished:?}");
     assert!(finished.stdout.contains("ga-01"));
-    let request = server.join().expect("the server ends");
     assert!(request.starts_with(request_line), "{request}");
     assert!(
         request
@@ -198,3 +199,24 @@
         "{request}"
     );
 }
+
+/// Guards against a status that shows the control work without its budget.
+#[test]
+fn status_shows_the_control_budget() {
+    let body = r#"{"control_budget": [
+        {"figure": "bytes_per_s", "measured": 1093.5, "budget": 12000.0, "within": true},
+        {"figure": "core_share", "measured": 0.021, "budget": 0.015, "within": false}]}"#;
+    let (finished, _) = run_against(body, "budget", &["status"]);
+    assert_eq!(finished.code, 0, "{finished:?}");
+    let row = |name: &str| {
+        let line = finished.stdout.lines().find(|line| line.contains(name));
+        line.map(|line| line.split('|').map(str::trim).collect::<Vec<_>>().join(" "))
+    };
+    for (name, cells) in [
+        ("bytes_per_s", ["1093.5", "12000", "true"]),
+        ("core_share", ["0.021", "0.015", "false"]),
+    ] {
+        let row = row(name).expect("a row");
+        assert!(cells.iter().all(|cell| row.contains(cell)), "{row}");
+    }
+}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -8,7 +8,8 @@
 use lw_base::{stable_hash, violate};
 use lw_doc::{Fleet, compile, parse_document};
 use lw_gate::{AdminActions, Clock, Gate, GateParts, Identity};
-use lw_node::Node;
+use lw_node::{Node, NodeStatus};
+use lw_peer::Refusal;
 use lw_plat::Kv;
 use lw_route::Router;
 use tokio::time::Instant;
@@ -17,11 +18,14 @@
 
 use crate::console_link::ConsoleLink;
 use crate::console_start::build_console;
+use crate::control_window::ControlSample;
 use crate::exit::Exit;
 use crate::listeners::Listeners;
 use crate::node_link::NodeLink;
 use crate::node_metrics::NodeMetrics;
 use crate::node_start::{key_value, start_node};
+use crate::peer_key_watch::PeerKeyWatch;
+use crate::resident_memory::resident_bytes;
 use crate::settings::Settings;
 use crate::start_error::StartError;
 use crate::status::node_status;
@@ -94,7 +98,7 @@
             }
         };
         gate.state().set_ready(node.is_none() && fleet.revision > 0);
-        let tasks = vec![spawn_tick(gate.clone(), node.clone(), clock)];
+        let tasks = vec![spawn_tick(gate.clone(), node.clone(), link, clock)];
         log::info!(
             "daemon: {} in {} serves callers on {}",
             settings.host,
@@ -218,6 +222,11 @@
         hosts: link.host_view(),
         keyed: link.keyed_runs(),
         peer_key: settings.peer_key.clone().into_bytes(),
+        peer_keys_accepted: settings
+            .peer_keys_accepted
+            .iter()
+            .map(|key| key.clone().into_bytes())
+            .collect(),
         operators: settings.operators().map_err(StartError::Operator)?,
     }))
 }
@@ -230,9 +239,15 @@
     }
 }
 
-fn spawn_tick(gate: Arc<Gate>, node: Option<Arc<Node>>, clock: Clock) -> AbortOnDropHandle<()> {
+fn spawn_tick(
+    gate: Arc<Gate>,
+    node: Option<Arc<Node>>,
+    link: NodeLink,
+    clock: Clock,
+) -> AbortOnDropHandle<()> {
     AbortOnDropHandle::new(tokio::spawn(async move {
         let metrics = NodeMetrics::register(gate.registry());
+        let mut keys = PeerKeyWatch::default();
         let mut interval = tokio::time::interval(TICK);
         for tick in 0_u64.. {
             interval.tick().await;
@@ -243,13 +258,37 @@
                 gate.state()
                     .set_isolated(standing == Err(ErrorKind::Isolated));
                 if tick.is_multiple_of(TICKS_PER_METRICS) {
-                    metrics.set(&node.status());
+                    let status = node.status();
+                    link.sample_control(control_sample(clock.mono(), &status));
+                    metrics.set(&status, &link.control_figures());
+                    warn_of_unknown_keys(&mut keys, clock.mono(), &status);
                 }
             }
         }
     }))
 }
 
+fn control_sample(now: MonoMs, status: &NodeStatus) -> ControlSample {
+    ControlSample {
+        at: now,
+        bytes: status.sent_bytes + status.received_bytes,
+        busy_us: status.busy_us,
+        resident_bytes: resident_bytes(),
+    }
+}
+
+fn warn_of_unknown_keys(watch: &mut PeerKeyWatch, now: MonoMs, status: &NodeStatus) {
+    let reason = Refusal::Key.as_str();
+    let refused = status.refused_frames.iter();
+    let refused = refused.filter(|(name, _)| *name == reason);
+    let count = refused.map(|(_, count)| count).sum();
+    if let Some(new) = watch.observe(now, count) {
+        log::warn!(
+            "daemon: refused {new} peer messages with an unknown key; compare peer_key and peer_keys_accepted of the hosts"
+        );
+    }
+}
+
 /// Returns the document of the settings, or an empty one with revision 0.
 fn first_fleet(settings: &Settings) -> Result<Fleet, StartError> {
     let Some(file) = &settings.document_file else {
--- a/crates/daemon/src/node_link.rs
+++ b/crates/daemon/src/node_link.rs
@@ -5,11 +5,15 @@
 use lw_base::prelude::*;
 use lw_gate::{EntryHost, HostView, KeyedAnswer, KeyedAsk, KeyedRuns};
 use lw_node::{IdemAnswer, IdemAsk, Node};
+use parking_lot::Mutex;
+
+use crate::control_window::{ControlFigure, ControlSample, ControlWindow};
 
 /// The node of a host, once it has started. It does not keep the node alive.
 #[derive(Clone, Default)]
 pub(crate) struct NodeLink {
     node: Arc<OnceLock<Weak<Node>>>,
+    control: Arc<Mutex<ControlWindow>>,
 }
 
 impl NodeLink {
@@ -23,6 +27,16 @@
         self.node.get()?.upgrade()
     }
 
+    /// Takes a sample of the control work.
+    pub(crate) fn sample_control(&self, sample: ControlSample) {
+        self.control.lock().push(sample);
+    }
+
+    /// Returns what control work costs now, next to its budget.
+    pub(crate) fn control_figures(&self) -> [ControlFigure; 3] {
+        self.control.lock().figures()
+    }
+
     /// Returns the knowledge of the node about other hosts.
     pub(crate) fn host_view(&self) -> HostView {
         let (hosts, regions, live) = (self.clone(), self.clone(), self.clone());
--- a/crates/daemon/src/node_metrics.rs
+++ b/crates/daemon/src/node_metrics.rs
@@ -1,11 +1,16 @@
 //! Metrics of the control work of a host.
 
 use lw_node::NodeStatus;
-use prometheus::{IntGauge, IntGaugeVec, Opts, Registry};
+use prometheus::{GaugeVec, IntGauge, IntGaugeVec, Opts, Registry};
+
+use crate::control_window::ControlFigure;
 
 /// Gauges of the control work, which are set from the status of the node.
 pub(crate) struct NodeMetrics {
     control: IntGaugeVec,
+    control_use: GaugeVec,
+    control_budget: GaugeVec,
+    refused_frames: IntGaugeVec,
     members: IntGaugeVec,
     shards: IntGaugeVec,
     revision: IntGauge,
@@ -26,6 +31,22 @@
                 "Control traffic and work since the start: frames, bytes, microseconds",
                 "figure",
             ),
+            control_use: fractions(
+                registry,
+                "lacewingstile_control_use",
+                "Control work over the last minute: bytes per second, share of a core; resident bytes of the process",
+            ),
+            control_budget: fractions(
+                registry,
+                "lacewingstile_control_budget",
+                "The most that lacewingstile_control_use may be",
+            ),
+            refused_frames: gauges(
+                registry,
+                "lacewingstile_refused_frames",
+                "Refused peer messages since the start, by reason",
+                "reason",
+            ),
             members: gauges(
                 registry,
                 "lacewingstile_members",
@@ -43,7 +64,18 @@
     }
 
     /// Takes the figures of a status.
-    pub(crate) fn set(&self, status: &NodeStatus) {
+    pub(crate) fn set(&self, status: &NodeStatus, figures: &[ControlFigure]) {
+        for figure in figures {
+            let label = [figure.name];
+            let budget = self.control_budget.with_label_values(&label);
+            budget.set(figure.budget);
+            if let Some(measured) = figure.measured {
+                self.control_use.with_label_values(&label).set(measured);
+            }
+        }
+        for (reason, count) in &status.refused_frames {
+            set(&self.refused_frames, reason, *count);
+        }
         let control = [
             ("sent_frames", status.sent_frames),
             ("sent_bytes", status.sent_bytes),
@@ -76,6 +108,15 @@
     gauges.with_label_values(&[label]).set(value);
 }
 
+fn fractions(registry: &Registry, name: &str, help: &str) -> GaugeVec {
+    let gauges = GaugeVec::new(Opts::new(name, help), &["figure"]);
+    let gauges = gauges.expect("metric names are literals");
+    registry
+        .register(Box::new(gauges.clone()))
+        .expect("each metric is registered once");
+    gauges
+}
+
 fn gauges(registry: &Registry, name: &str, help: &str, label: &str) -> IntGaugeVec {
     let gauges = IntGaugeVec::new(Opts::new(name, help), &[label]);
     let gauges = gauges.expect("metric names are literals");
--- a/crates/daemon/src/node_start.rs
+++ b/crates/daemon/src/node_start.rs
@@ -57,7 +57,7 @@
         transport: Transport::Nng {
             listen: settings.listen.nng.to_string(),
         },
-        peer_keys: PeerKeys::new(settings.peer_key.as_bytes()),
+        peer_keys: peer_keys(settings),
         seeds: settings.seeds.clone(),
         region_seeds: settings.region_seeds.clone(),
         kv,
@@ -84,6 +84,12 @@
     Ok(Arc::new(node))
 }
 
+fn peer_keys(settings: &Settings) -> PeerKeys {
+    let keys = PeerKeys::new(settings.peer_key.as_bytes());
+    let accepted = settings.peer_keys_accepted.iter();
+    accepted.fold(keys, |keys, key| keys.and_accept(key.as_bytes()))
+}
+
 fn customer_usage(gate: &Arc<Gate>) -> CustomerUsage {
     let (taken, given) = (gate.clone(), gate.clone());
     CustomerUsage {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -9,6 +9,9 @@
 
 use crate::settings_error::SettingsError;
 
+/// Shorter keys can be guessed.
+const MIN_PEER_KEY_BYTES: usize = 16;
+
 /// The settings of one host.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -27,8 +30,11 @@
     /// A document for a host without a key-value service.
     #[serde(default)]
     pub document_file: Option<String>,
-    /// The key that authenticates hosts to each other.
+    /// The key that authenticates this host to the others.
     pub peer_key: String,
+    /// Older or newer keys that are accepted from other hosts besides `peer_key`, while the key is changed.
+    #[serde(default)]
+    pub peer_keys_accepted: Vec<String>,
     /// The operators who may use the admin listener.
     #[serde(default)]
     pub operators: Vec<OperatorSettings>,
@@ -151,12 +157,21 @@
                 return Err(fault(field, "is empty; give a name"));
             }
         }
-        if self.peer_key.len() < 16 {
+        if self.peer_key.len() < MIN_PEER_KEY_BYTES {
             return Err(fault(
                 "peer_key",
                 "is shorter than 16 characters; use a longer key",
             ));
         }
+        for (index, key) in self.peer_keys_accepted.iter().enumerate() {
+            if key.len() < MIN_PEER_KEY_BYTES {
+                return Err(SettingsError::Invalid {
+                    file: file.to_owned(),
+                    field: format!("peer_keys_accepted.{index}"),
+                    message: "is shorter than 16 characters; use a longer key".to_owned(),
+                });
+            }
+        }
         if self.platform.key_value.is_none() && self.document_file.is_none() {
             let message =
                 "is missing; give platform.key_value, or document_file for a host of its own";
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -21,6 +21,7 @@
     status.insert("members".to_owned(), members(&node));
     status.insert("keys".to_owned(), keys(&node));
     status.insert("control".to_owned(), control(&node));
+    status.insert("control_budget".to_owned(), control_budget(link));
     status
 }
 
@@ -48,7 +49,21 @@
     })
 }
 
-/// Returns what control work has cost since the start, to compare with its budget per node.
+/// Returns what control work costs now, each figure next to its budget.
+fn control_budget(link: &NodeLink) -> Value {
+    let figures = link.control_figures();
+    let rows = figures.iter().map(|figure| {
+        json!({
+            "figure": figure.name,
+            "measured": figure.measured,
+            "budget": figure.budget,
+            "within": figure.measured.map(|measured| measured <= figure.budget),
+        })
+    });
+    rows.collect()
+}
+
+/// Returns what control work has cost since the start.
 fn control(node: &Arc<Node>) -> Value {
     let status = node.status();
     json!({
--- a/crates/daemon/tests/stops.rs
+++ b/crates/daemon/tests/stops.rs
@@ -156,6 +156,7 @@
 #[test_case("\"a\"", "1", &["s.json:1:", "string"] ; "wrong type")]
 #[test_case("\"a\"", "\"\"", &["s.json: host", "give a name"] ; "empty name")]
 #[test_case("0123456789abcdef", "short", &["s.json: peer_key", "longer key"] ; "short key")]
+#[test_case("\"x.json\"", "\"x.json\", \"peer_keys_accepted\": [\"short\"]", &["s.json: peer_keys_accepted.0", "longer key"] ; "short accepted key")]
 #[test_case("\"document_file\": \"x.json\"", "\"drain_limit_ms\": 5", &["platform.key_value", "document_file"] ; "no document")]
 #[test_case("\"x.json\"", "\"x.json\", \"log_level\": \"loud\"", &["log_level", "debug"] ; "unknown level")]
 #[test_case("\"x.json\"", "\"x.json\", \"operators\": [{\"name\": \"o\", \"token_digest\": \"1\"}]", &["operators.o.token_digest", "64 hex digits"] ; "malformed digest")]
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -33,6 +33,8 @@
     pub keyed: KeyedRuns,
     /// The key that authenticates requests between hosts.
     pub peer_key: Vec<u8>,
+    /// Older or newer keys that are accepted from other hosts as well.
+    pub peer_keys_accepted: Vec<Vec<u8>>,
     /// The operators who may use the admin listener.
     pub operators: Vec<Operator>,
 }
@@ -68,7 +70,7 @@
             admission: Admission::default(),
             customers: Mutex::default(),
             targets: TargetClient::new(),
-            peer_auth: PeerAuth::new(&parts.peer_key),
+            peer_auth: PeerAuth::new(&parts.peer_key, &parts.peer_keys_accepted),
             metrics: GateMetrics::new(),
         })
     }
--- a/crates/gate/src/peer_auth.rs
+++ b/crates/gate/src/peer_auth.rs
@@ -35,6 +35,7 @@
 /// Signs requests to other hosts and checks those of other hosts.
 pub(crate) struct PeerAuth {
     key: Vec<u8>,
+    also_accepted: Vec<Vec<u8>>,
     seen: Mutex<SeenNonces>,
 }
 
@@ -60,9 +61,11 @@
 }
 
 impl PeerAuth {
-    pub(crate) fn new(key: &[u8]) -> Self {
+    /// Signs with `key`; accepts it and the keys of `also_accepted`.
+    pub(crate) fn new(key: &[u8], also_accepted: &[Vec<u8>]) -> Self {
         Self {
             key: key.to_vec(),
+            also_accepted: also_accepted.to_vec(),
             seen: Mutex::default(),
         }
     }
@@ -77,8 +80,8 @@
         body: &Bytes,
     ) {
         let nonce: u128 = rand::rng().random();
-        let tag = self.tag(now.0, nonce, method, path, headers, body);
-        let tag = tag.finalize().into_bytes();
+        let text = signed_text(now.0, nonce, method, path, headers, body);
+        let tag = tag_with(&self.key, &text).finalize().into_bytes();
         let value = format!("{}.{nonce:032x}.{}", now.0, to_hex(&tag));
         headers.insert(PEER_AUTH, value_of(&value));
     }
@@ -93,9 +96,8 @@
         body: &Bytes,
     ) -> Result<(), AuthRefusal> {
         let (time_ms, nonce, tag) = parse(headers).ok_or(AuthRefusal::Malformed)?;
-        let expected = self.tag(time_ms, nonce, method, path, headers, body);
-        let expected = to_hex(&expected.finalize().into_bytes());
-        if !bool::from(expected.as_bytes().ct_eq(tag.as_bytes())) {
+        let text = signed_text(time_ms, nonce, method, path, headers, body);
+        if !self.accepts(&text, tag) {
             return Err(AuthRefusal::WrongTag);
         }
         if now.0.abs_diff(time_ms) > VALID_MS {
@@ -107,33 +109,46 @@
         Ok(())
     }
 
-    fn tag(
-        &self,
-        time_ms: u64,
-        nonce: u128,
-        method: &Method,
-        path: &str,
-        headers: &HeaderMap,
-        body: &Bytes,
-    ) -> Hmac<Sha256> {
-        let mut mac =
-            Hmac::<Sha256>::new_from_slice(&self.key).expect("HMAC takes keys of any length");
-        mac.update(&time_ms.to_be_bytes());
-        mac.update(&nonce.to_be_bytes());
-        update_text(&mut mac, method.as_str());
-        update_text(&mut mac, path);
-        for name in &SIGNED {
-            update_text(&mut mac, text(headers, name).unwrap_or(""));
-        }
-        mac.update(&Sha256::digest(body));
-        mac
+    fn accepts(&self, text: &[u8], tag: &str) -> bool {
+        let fits = |key: &Vec<u8>| {
+            let expected = to_hex(&tag_with(key, text).finalize().into_bytes());
+            bool::from(expected.as_bytes().ct_eq(tag.as_bytes()))
+        };
+        fits(&self.key) || self.also_accepted.iter().any(fits)
+    }
+}
+
+fn tag_with(key: &[u8], text: &[u8]) -> Hmac<Sha256> {
+    let mut mac = Hmac::<Sha256>::new_from_slice(key).expect("HMAC takes keys of any length");
+    mac.update(text);
+    mac
+}
+
+/// Returns what the tag covers; the body is covered by its digest.
+fn signed_text(
+    time_ms: u64,
+    nonce: u128,
+    method: &Method,
+    path: &str,
+    headers: &HeaderMap,
+    body: &Bytes,
+) -> Vec<u8> {
+    let mut signed = Vec::with_capacity(512);
+    signed.extend_from_slice(&time_ms.to_be_bytes());
+    signed.extend_from_slice(&nonce.to_be_bytes());
+    add_text(&mut signed, method.as_str());
+    add_text(&mut signed, path);
+    for name in &SIGNED {
+        add_text(&mut signed, text(headers, name).unwrap_or(""));
     }
+    signed.extend_from_slice(&Sha256::digest(body));
+    signed
 }
 
 /// Adds a text with its length, so that two texts cannot run into each other.
-fn update_text(mac: &mut Hmac<Sha256>, text: &str) {
-    mac.update(&(text.len() as u64).to_be_bytes());
-    mac.update(text.as_bytes());
+fn add_text(signed: &mut Vec<u8>, text: &str) {
+    signed.extend_from_slice(&(text.len() as u64).to_be_bytes());
+    signed.extend_from_slice(text.as_bytes());
 }
 
 fn parse(headers: &HeaderMap) -> Option<(u64, u128, &str)> {
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -52,6 +52,18 @@
     key: &str,
     forward: Option<SocketAddr>,
     keyed: KeyedRuns,
+) -> Host {
+    host_accepting(region, document, key, &[], forward, keyed)
+}
+
+/// Starts a host that accepts further peer keys.
+pub(crate) fn host_accepting(
+    region: &str,
+    document: &str,
+    key: &str,
+    accepted: &[&str],
+    forward: Option<SocketAddr>,
+    keyed: KeyedRuns,
 ) -> Host {
     let parsed = parse_document("test", document).unwrap();
     let fleet = Arc::new(compile(&parsed.document, 1));
@@ -69,6 +81,7 @@
         hosts,
         keyed,
         peer_key: key.as_bytes().to_vec(),
+        peer_keys_accepted: accepted.iter().map(|key| key.as_bytes().to_vec()).collect(),
         operators: Vec::new(),
     });
     gate.state().set_ready(true);
--- a/crates/gate/tests/peers.rs
+++ b/crates/gate/tests/peers.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use common::{KEY, call, document, header, host, local};
+use common::{KEY, call, document, header, host, host_accepting, local};
 use lw_base::{Invariant, Outcome, invariant_count};
 use lw_gate::{KeyedAnswer, KeyedRuns};
 use lw_idem::Ending;
@@ -117,6 +117,50 @@
     assert_eq!(west.gate.state().in_flight(), 0);
 }
 
+/// Guards against forwards that are refused while the key is changed, and against a key that stays accepted.
+#[tokio::test(flavor = "multi_thread")]
+async fn crossed_keys_are_accepted_while_the_key_is_changed() {
+    const OLD: &str = "the old key";
+    const NEW: &str = "the new key";
+    let stand = PlainStand::default();
+    let target = stand.start(local()).await.unwrap();
+    let document = document(target.address(), "").replace("ZONE", "west-1");
+    let refused = KeyedRuns::refused;
+    let west = host_accepting(
+        "west",
+        &document,
+        OLD,
+        &["a third key", NEW],
+        None,
+        refused(),
+    );
+    let address = Some(west.peers.address());
+    for (key, status) in [(OLD, 200), (NEW, 200), ("a key of strangers", 401)] {
+        let east = host("east", &document, key, address, refused());
+        let reply = call(east.callers.address(), "GET", "/s/portal/x", &[]).await;
+        assert_eq!(reply.status(), status, "{key}: {:?}", reply.body());
+    }
+    let counted = west.gate.registry().gather().iter().any(|family| {
+        let metrics = family.get_metric();
+        family.name() == "lacewingstile_peer_refused_total"
+            && metrics
+                .iter()
+                .any(|metric| metric.get_label()[0].value() == "wrong-tag")
+    });
+    assert!(counted);
+    let after = host("west", &document, NEW, None, refused());
+    let east = host(
+        "east",
+        &document,
+        OLD,
+        Some(after.peers.address()),
+        refused(),
+    );
+    let reply = call(east.callers.address(), "GET", "/s/portal/x", &[]).await;
+    assert_eq!(header(&reply, "lacewingstile-error"), "unauthorized");
+    assert_eq!(stand.lookups(), 2);
+}
+
 /// Guards against a second run of a key, and against a run that is not reported to its record.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_owner_runs_a_key_once_and_replays_it() {
--- a/crates/peer/src/keys.rs
+++ b/crates/peer/src/keys.rs
@@ -7,13 +7,13 @@
 /// The length of the tag at the end of a frame.
 pub(crate) const TAG_BYTES: usize = 16;
 
-/// The key that signs, and a former or coming key that is accepted as well.
+/// The key that signs, and former or coming keys that are accepted as well.
 ///
 /// A key is changed in three steps on all hosts: accept the new key, sign with the new key, drop the old key.
 #[derive(Clone)]
 pub struct PeerKeys {
     signing: Vec<u8>,
-    also_accepted: Option<Vec<u8>>,
+    also_accepted: Vec<Vec<u8>>,
 }
 
 impl PeerKeys {
@@ -22,14 +22,14 @@
     pub fn new(signing: &[u8]) -> Self {
         Self {
             signing: signing.to_vec(),
-            also_accepted: None,
+            also_accepted: Vec::new(),
         }
     }
 
-    /// Accepts a second key as well.
+    /// Accepts one more key.
     #[must_use]
     pub fn and_accept(mut self, key: &[u8]) -> Self {
-        self.also_accepted = Some(key.to_vec());
+        self.also_accepted.push(key.to_vec());
         self
     }
 
@@ -39,7 +39,7 @@
 
     pub(crate) fn accepts(&self, bytes: &[u8], tag: &[u8]) -> bool {
         let fits = |key: &Vec<u8>| bool::from(tag_with(key, bytes).as_slice().ct_eq(tag));
-        fits(&self.signing) || self.also_accepted.as_ref().is_some_and(fits)
+        fits(&self.signing) || self.also_accepted.iter().any(fits)
     }
 }
 
