--- a/crates/bench/src/play/engine.rs
+++ b/crates/bench/src/play/engine.rs
@@ -146,6 +146,17 @@
         Some(self.start(now_us, next, &arrivals[next as usize]))
     }
 
+    /// Drops a waiting or running request; returns the next one that starts.
+    pub fn cancel(&mut self, now_us: u64, request: u32, arrivals: &[Arrival]) -> Option<Start> {
+        for queue in &mut self.waiting {
+            if let Some(position) = queue.iter().position(|waiting| *waiting == request) {
+                queue.remove(position);
+                return None;
+            }
+        }
+        self.complete(now_us, arrivals)
+    }
+
     fn start(&mut self, now_us: u64, request: u32, arrival: &Arrival) -> Start {
         self.running += 1;
         match self.kind {
--- a/crates/bench/src/play/event.rs
+++ b/crates/bench/src/play/event.rs
@@ -20,6 +20,8 @@
         epoch: u32,
         request: u32,
     },
+    /// The hedge of a request is due, if it still waits in the attempt of this number.
+    Hedge { request: u32, attempts: u32 },
     /// Load reports are read.
     ReadReports,
     /// Load reports that were read reach the hosts.
--- a/crates/bench/src/play/figures.rs
+++ b/crates/bench/src/play/figures.rs
@@ -47,6 +47,10 @@
     pub forwarded: u64,
     /// Retries.
     pub retries: u64,
+    /// Second attempts of requests whose first one was slow; they count as retries.
+    pub hedges: u64,
+    /// Those that answered first.
+    pub hedges_won: u64,
     /// The most retries per request of one service within ten seconds, over all hosts.
     pub highest_retry_share: f64,
     /// Requests without an outcome at the end.
@@ -127,6 +131,6 @@
     }
 }
 
-fn histogram() -> Histogram<u64> {
+pub(crate) fn histogram() -> Histogram<u64> {
     Histogram::new_with_max(LONGEST_US, 3).expect("bounds of the histogram are constant")
 }
--- a/crates/bench/src/play/mod.rs
+++ b/crates/bench/src/play/mod.rs
@@ -14,6 +14,7 @@
 mod scenario;
 mod world;
 mod world_attempt;
+mod world_hedge;
 mod world_periodic;
 mod world_request;
 
@@ -25,4 +26,4 @@
 pub use prefix_cache::PrefixCache;
 pub use record::record;
 pub use scenario::{Fault, Scenario};
-pub use world::play;
+pub use world::{play, play_hedged};
--- a/crates/bench/src/play/world.rs
+++ b/crates/bench/src/play/world.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use hdrhistogram::Histogram;
 use lw_admit::Ticket;
 use lw_base::prelude::*;
 use lw_base::{invariant_count, stable_hash_pair};
@@ -29,6 +30,10 @@
     pub(super) attempts: u32,
     pub(super) forwarded: bool,
     pub(super) first_token_us: u64,
+    pub(super) sent_us: u64,
+    pub(super) started_us: u64,
+    pub(super) done_us: u64,
+    pub(super) engine_us: u64,
     pub(super) ended: bool,
 }
 
@@ -47,6 +52,11 @@
     pub(super) summaries: Vec<(RegionKey, ServiceKey, RegionSummary)>,
     /// Requests and retries by service and window of ten seconds.
     pub(super) retry_windows: BTreeMap<(ServiceKey, u64), (u64, u64)>,
+    /// Waits for the first token by service and class, in microseconds.
+    pub(super) waits: BTreeMap<(ServiceKey, PriorityClass), Histogram<u64>>,
+    pub(super) hedging: bool,
+    /// The recorded requests; the requests after them are their hedges.
+    pub(super) real: usize,
     pub(super) open: usize,
     pub(super) figures: Figures,
     pub(super) latencies: Latencies,
@@ -61,9 +71,25 @@
     seed: u64,
     seconds: u64,
 ) -> Figures {
+    let world = World::new(scenario, arrivals, policy, seed);
+    run(world, seconds)
+}
+
+/// Plays the arrivals against the policy of this project with hedges of lookup and interactive requests.
+#[must_use]
+pub fn play_hedged(scenario: &Scenario, arrivals: &[Arrival], seed: u64, seconds: u64) -> Figures {
+    let doubled = [arrivals, arrivals].concat();
+    let mut world = World::new(scenario, &doubled, Policy::Lacewingstile, seed);
+    world.hedging = true;
+    world.real = arrivals.len();
+    world.open = arrivals.len();
+    world.figures.requests = arrivals.len() as u64;
+    run(world, seconds)
+}
+
+fn run(mut world: World<'_>, seconds: u64) -> Figures {
     let violations = || -> u64 { Invariant::ALL.into_iter().map(invariant_count).sum() };
     let before = violations();
-    let mut world = World::new(scenario, arrivals, policy, seed);
     world.schedule(seconds);
     while let Some((at_us, event)) = world.events.pop() {
         world.now_us = at_us;
@@ -107,6 +133,9 @@
             summaries: Vec::new(),
             retry_windows: BTreeMap::new(),
             open: arrivals.len(),
+            real: arrivals.len(),
+            hedging: false,
+            waits: BTreeMap::new(),
             figures: Figures {
                 requests: arrivals.len() as u64,
                 ..Figures::default()
@@ -147,6 +176,7 @@
                 epoch,
                 request,
             } => self.done(target, epoch, request),
+            Event::Hedge { request, attempts } => self.hedge(request, attempts),
             Event::ReadReports => self.read_reports(),
             Event::DeliverReports => self.deliver_reports(),
             Event::ExchangeSummaries => self.exchange_summaries(),
@@ -169,7 +199,7 @@
 
     pub(super) fn finish(mut self, violations: u64) -> Figures {
         let lost = |request: &(&Request, &Arrival)| !request.0.ended;
-        let pairs = self.requests.iter().zip(self.arrivals);
+        let pairs = self.requests[..self.real].iter().zip(self.arrivals);
         self.figures.lost = pairs.clone().filter(lost).count() as u64;
         self.figures.batch_lost = pairs
             .filter(lost)
--- a/crates/bench/src/play/world_attempt.rs
+++ b/crates/bench/src/play/world_attempt.rs
@@ -21,16 +21,17 @@
         self.send_begun(request, begun);
     }
 
-    fn send_begun(&mut self, request: u32, in_flight: InFlight) {
+    pub(super) fn send_begun(&mut self, request: u32, in_flight: InFlight) {
         let target = in_flight.target();
         in_flight.sent(self.now());
         self.requests[request as usize].attempts += 1;
         self.requests[request as usize].in_flight = Some(in_flight);
+        self.plan_hedge(request);
         self.send(request, target);
     }
 
     /// Chooses a target that takes the request; `None` when none is left.
-    fn begin_attempt(&mut self, request: u32) -> Option<InFlight> {
+    pub(super) fn begin_attempt(&mut self, request: u32) -> Option<InFlight> {
         let now = self.now();
         let host = self.requests[request as usize].host;
         let view = self.hosts[host].view.clone();
@@ -74,7 +75,11 @@
         let arrival = &self.arrivals[start.request as usize];
         self.figures.prefix_starts += u64::from(arrival.prefix_tokens > 0);
         self.figures.cache_misses += u64::from(start.missed);
-        self.requests[start.request as usize].first_token_us = start.first_token_us;
+        let state = &mut self.requests[start.request as usize];
+        state.first_token_us = start.first_token_us;
+        (state.started_us, state.done_us) = (self.now_us, start.done_us);
+        state.engine_us = start.engine_us;
+        self.note_wait(start.request);
         let event = Event::Done {
             target: target.0,
             epoch: self.engines[target.index()].epoch,
@@ -85,7 +90,8 @@
 
     pub(super) fn done(&mut self, target: u32, epoch: u32, request: u32) {
         let engine = &mut self.engines[target as usize];
-        if engine.epoch != epoch {
+        let is_there = self.at_target[target as usize].contains(&request);
+        if engine.epoch != epoch || !is_there {
             return;
         }
         let next = engine.complete(self.now_us, self.arrivals);
@@ -97,6 +103,7 @@
         if let Some(in_flight) = self.requests[request as usize].in_flight.take() {
             in_flight.finish(now, AttemptEnd::Success);
         }
+        let request = self.settle_hedge(request);
         self.record(request);
         self.leave_slot(request);
         self.end(request);
@@ -154,6 +161,13 @@
         };
         state.tried.push(in_flight.target());
         in_flight.finish(now, AttemptEnd::Failure);
+        if self.is_hedge(request) {
+            return;
+        }
+        if self.hedging {
+            self.cancel(request + self.real as u32);
+        }
+        let state = &self.requests[request as usize];
         let may_retry = state.attempts < ATTEMPTS;
         if may_retry && let Some(begun) = self.begin_attempt(request) {
             let host = self.requests[request as usize].host;
--- a/crates/bench/src/play/world_request.rs
+++ b/crates/bench/src/play/world_request.rs
@@ -16,7 +16,7 @@
 
 impl World<'_> {
     pub(super) fn arrive(&mut self, request: u32) {
-        if let Some(next) = self.arrivals.get(request as usize + 1) {
+        if let Some(next) = self.arrivals[..self.real].get(request as usize + 1) {
             self.events.push(next.at_us, Event::Arrive(request + 1));
         }
         let arrival = &self.arrivals[request as usize];
