--- a/crates/node/tests/nodes/main.rs
+++ b/crates/node/tests/nodes/main.rs
@@ -8,6 +8,7 @@
 mod isolation;
 mod leaving;
 mod permits;
+mod placement;
 mod random;
 mod takeover;
 mod traffic;
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -149,6 +149,13 @@
         }
     }
 
+    /// Notes whether an engine serves its model; one that drains, stands by or lacks the model gets no requests.
+    pub fn set_serving(&self, now: MonoMs, target: TargetKey, serving: bool) {
+        if let Some(cell) = self.cell(target) {
+            cell.set_serving(now, serving);
+        }
+    }
+
     /// Takes the summary of one service in another region; it takes precedence over the one of the whole region.
     ///
     /// Services differ in load: a region whose engines are full and whose plain services are idle looks half used.
@@ -166,6 +173,13 @@
         self.regions.set(region, summary);
     }
 
+    /// Returns the use of a service in another region as its last summary shows it; `None` without a recent one.
+    #[must_use]
+    pub fn region_use(&self, now: MonoMs, region: RegionKey, service: ServiceKey) -> Option<f64> {
+        let summary = self.regions.fresh(now, region, service);
+        summary.map(|summary| summary.use_ratio())
+    }
+
     /// Notes that a forwarded request failed or was rejected for lack of capacity in `region`.
     pub fn region_failed(&self, now: MonoMs, service: ServiceKey, region: RegionKey) {
         self.services[service.index()]
