--- a/crates/gate/src/attempts.rs
+++ b/crates/gate/src/attempts.rs
@@ -156,6 +156,10 @@
             return Some(AttemptFailure::CrossedAnswer);
         }
         let status = opened.response.status();
+        // A target that switches protocols sends no response; the caller's client would leave HTTP on its connection.
+        if status.is_informational() {
+            return Some(AttemptFailure::AnswerIncomplete);
+        }
         let refuses =
             status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS;
         if refuses && text(headers, &NOT_STARTED) == Some("true") {
--- /dev/null
+++ b/crates/gate/tests/bare_answers.rs
@@ -0,0 +1,66 @@
+//! Answers that the HTTP library builds itself.
+
+mod common;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+
+use common::{call, document, header, host, local};
+use lw_gate::KeyedRuns;
+use lw_stand::PlainStand;
+use test_case::test_case;
+
+fn exchange(address: SocketAddr, request: &str) -> String {
+    let mut socket = TcpStream::connect(address).unwrap();
+    socket.write_all(request.as_bytes()).unwrap();
+    let mut answer = String::new();
+    let _ = socket.read_to_string(&mut answer);
+    answer
+}
+
+/// Guards against a bare answer for a request that ran: callers take a bare 400 or 431 for "not run" (6.1).
+#[test_case("Content-Length: 3\r\nContent-Length: 5\r\n", "400"; "conflicting lengths")]
+#[test_case(&"X-Line: a\r\n".repeat(200), "431"; "too many lines")]
+#[test_case(&format!("X-Line: {}\r\n", "a".repeat(140 * 1_024)), "431"; "too many bytes")]
+#[test_case("Broken\r\n", "400"; "malformed line")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_bare_answer_means_not_run(head: &str, status: &str) {
+    let stand = PlainStand::default();
+    let target = stand.start(local()).await.unwrap();
+    let document = document(target.address(), "").replace("ZONE", "east-1");
+    let host = host("east", &document, "one key", None, KeyedRuns::refused());
+    let request = format!("PUT /s/portal/x HTTP/1.1\r\nHost: a\r\n{head}\r\nabcde");
+    let address = host.callers.address();
+    let answer = tokio::task::spawn_blocking(move || exchange(address, &request))
+        .await
+        .unwrap();
+    assert!(
+        answer.starts_with(&format!("HTTP/1.1 {status}")),
+        "{answer}"
+    );
+    assert_eq!(stand.lookups() + stand.orders(), 0);
+}
+
+/// Guards against a switch of protocols that is passed on as a complete response: the caller's connection would no
+/// longer carry HTTP.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_switch_of_protocols_is_no_response() {
+    let listener = TcpListener::bind(local()).unwrap();
+    let target = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for socket in listener.incoming() {
+            let mut socket = socket.unwrap();
+            let mut head = [0; 4_096];
+            let _ = socket.read(&mut head);
+            let reply =
+                "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n";
+            let _ = socket.write_all(reply.as_bytes());
+        }
+    });
+    let document = document(target, "").replace("ZONE", "east-1");
+    let host = host("east", &document, "one key", None, KeyedRuns::refused());
+    let reply = call(host.callers.address(), "PUT", "/s/portal/x", &[]).await;
+    assert_eq!(reply.status(), 502, "{reply:?}");
+    assert_eq!(header(&reply, "lacewingstile-error"), "answer_incomplete");
+    assert_eq!(header(&reply, "lacewingstile-outcome"), "unknown");
+}
