bench, gate: play seeded faults against two regions; keep resumed streams in their region

A resume only considers targets of the own region. The stand-ins of targets tell an observer what they receive.

--- /dev/null
+++ b/crates/bench/src/faults/report.rs
@@ -0,0 +1,66 @@
+//! The report of a run of faults.
+
+use std::collections::BTreeMap;
+
+use comfy_table::{Table, presets};
+
+use crate::faults::check::Check;
+
+/// What a run played and found.
+#[derive(Clone, Debug)]
+pub struct FaultReport {
+    /// The seed.
+    pub seed: u64,
+    /// The faults with what each met, in the order of their ends.
+    pub played: Vec<String>,
+    /// Requests by kind and ending.
+    pub endings: BTreeMap<(&'static str, String), u64>,
+    /// Each check with how often it was made.
+    pub checks: Vec<(Check, u64)>,
+    /// The violations.
+    pub violations: Vec<(Check, String)>,
+}
+
+impl FaultReport {
+    /// Returns the share of requests that were answered whole.
+    #[must_use]
+    pub fn whole_share(&self) -> f64 {
+        let whole = self
+            .endings
+            .iter()
+            .filter(|((_, ending), _)| ending == "complete");
+        let whole: u64 = whole.map(|(_, count)| count).sum();
+        let all: u64 = self.endings.values().sum();
+        whole as f64 / all.max(1) as f64
+    }
+
+    /// Returns how often a check was made.
+    #[must_use]
+    pub fn checked(&self, check: Check) -> u64 {
+        let counts = self.checks.iter().filter(|(of, _)| *of == check);
+        counts.map(|(_, count)| count).sum()
+    }
+
+    /// Prints the report.
+    pub fn print(&self) {
+        println!("seed {}", self.seed);
+        for line in &self.played {
+            println!("{line}");
+        }
+        let mut table = Table::new();
+        table.load_preset(presets::ASCII_MARKDOWN);
+        table.set_header(vec!["request", "ending", "count"]);
+        for ((kind, ending), count) in &self.endings {
+            table.add_row(vec![(*kind).to_owned(), ending.clone(), count.to_string()]);
+        }
+        println!("{table}");
+        for (check, count) in &self.checks {
+            let violated = self.violations.iter().filter(|(of, _)| of == check);
+            println!("{check:?}: {count} checked, {} violated", violated.count());
+        }
+        for (check, detail) in &self.violations {
+            println!("violation of {check:?}: {detail}");
+        }
+        println!("answered whole: {:.1}%", 100.0 * self.whole_share());
+    }
+}
--- /dev/null
+++ b/crates/bench/src/faults/targets.rs
@@ -0,0 +1,106 @@
+//! The targets of a run.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use lw_stand::{EngineOptions, EngineStand, PlainStand, ServerHandle};
+
+use crate::faults::ledger::{Ledger, Reception};
+
+/// A stand-in with its knobs.
+pub(crate) enum Stand {
+    Plain(PlainStand),
+    Engine(EngineStand),
+}
+
+/// A target.
+pub(crate) struct Target {
+    pub(crate) name: String,
+    pub(crate) service: &'static str,
+    pub(crate) zone: &'static str,
+    pub(crate) stand: Stand,
+    pub(crate) server: ServerHandle,
+}
+
+/// All targets.
+pub(crate) struct Targets {
+    pub(crate) all: Vec<Target>,
+}
+
+const PLACES: [(&str, &str, &str); 13] = [
+    ("portal", "east", "east-1"),
+    ("portal", "east", "east-2"),
+    ("portal", "west", "west-1"),
+    ("portal", "west", "west-2"),
+    ("stock", "west", "west-1"),
+    ("stock", "west", "west-2"),
+    ("chat", "east", "east-1"),
+    ("chat", "east", "east-2"),
+    ("chat", "west", "west-1"),
+    ("chat", "west", "west-2"),
+    ("review", "east", "east-1"),
+    ("review", "east", "east-2"),
+    ("review", "west", "west-1"),
+];
+
+impl Targets {
+    /// Starts the stand-ins.
+    pub(crate) async fn start(ledger: &Arc<Ledger>) -> std::io::Result<Self> {
+        let mut all = Vec::new();
+        for (service, region, zone) in PLACES {
+            let name = format!("{service}-{zone}");
+            let local = SocketAddr::from(([127, 0, 0, 1], 0));
+            let taker = taker(ledger.clone(), name.clone(), region);
+            let is_plain = service == "portal" || service == "stock";
+            let (stand, server) = if is_plain {
+                let stand = PlainStand::default();
+                stand.observe(move |path, key| taker(path, key));
+                let server = stand.start(local).await?;
+                (Stand::Plain(stand), server)
+            } else {
+                let stand = EngineStand::new(engine_options(service));
+                stand.observe(move |prompt| taker(prompt, None));
+                let server = stand.start(local).await?;
+                (Stand::Engine(stand), server)
+            };
+            all.push(Target {
+                name,
+                service,
+                zone,
+                stand,
+                server,
+            });
+        }
+        Ok(Self { all })
+    }
+}
+
+fn taker(
+    ledger: Arc<Ledger>,
+    target: String,
+    region: &'static str,
+) -> impl Fn(&str, Option<&str>) + Send + Sync + 'static {
+    move |text, key| {
+        if let Some(key) = key {
+            *ledger.runs.lock().entry(key.to_owned()).or_default() += 1;
+        }
+        let reception = Reception {
+            target: target.clone(),
+            text: text.to_owned(),
+            region,
+            at: Instant::now(),
+        };
+        ledger.receive(reception);
+    }
+}
+
+fn engine_options(service: &str) -> EngineOptions {
+    EngineOptions {
+        model: service.to_owned(),
+        slots: 4,
+        decode_ms: 10.0,
+        resume: true,
+        ..EngineOptions::default()
+    }
+}
--- /dev/null
+++ b/crates/bench/src/faults/world.rs
@@ -0,0 +1,145 @@
+//! Two regions with their hosts, targets and key-value service.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use lw_daemon::{Daemon, Settings};
+use lw_plat::{HttpTimeouts, http_kv};
+use lw_stand::{KvLink, KvStand, ServerHandle};
+use parking_lot::Mutex;
+use serde_json::json;
+
+use crate::faults::host::{Host, Process};
+use crate::faults::ledger::Ledger;
+use crate::faults::targets::Targets;
+
+/// The zones of the hosts: four hosts in one region, three in the other.
+const HOSTS: [(&str, &str); 7] = [
+    ("east", "east-1"),
+    ("east", "east-2"),
+    ("east", "east-1"),
+    ("east", "east-2"),
+    ("west", "west-1"),
+    ("west", "west-2"),
+    ("west", "west-1"),
+];
+
+/// The limits that the daemon has for calls to the service.
+const TIMEOUTS: HttpTimeouts = HttpTimeouts {
+    connect_ms: 500,
+    call_ms: 3_000,
+};
+
+/// Everything of one run.
+pub(crate) struct World {
+    pub(crate) ledger: Arc<Ledger>,
+    pub(crate) kv: KvStand,
+    pub(crate) targets: Targets,
+    pub(crate) hosts: Vec<Host>,
+    pub(crate) next: AtomicU64,
+    pub(crate) stopped: AtomicBool,
+    /// Regions whose hosts are cut off from the service now.
+    pub(crate) cut_regions: Mutex<Vec<&'static str>>,
+    /// Lookups that were answered whole in each region.
+    pub(crate) served: [AtomicU64; 2],
+    kv_server: ServerHandle,
+}
+
+impl World {
+    pub(crate) async fn start() -> std::io::Result<Self> {
+        let ledger = Arc::new(Ledger::default());
+        let targets = Targets::start(&ledger).await?;
+        let kv = KvStand::default();
+        let kv_server = kv.start(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let hosts = HOSTS
+            .iter()
+            .enumerate()
+            .map(|(number, (region, zone))| Host {
+                name: format!("{region}-host-{number}"),
+                region,
+                zone,
+                link: KvLink::default(),
+                daemon: Mutex::default(),
+                process: Mutex::default(),
+            });
+        let world = Self {
+            ledger,
+            kv,
+            targets,
+            hosts: hosts.collect(),
+            next: AtomicU64::new(0),
+            stopped: AtomicBool::new(false),
+            cut_regions: Mutex::default(),
+            served: Default::default(),
+            kv_server,
+        };
+        for host in 0..world.hosts.len() {
+            world.start_host(host).await?;
+        }
+        Ok(world)
+    }
+
+    /// Starts a process of a host that has none.
+    pub(crate) async fn start_host(&self, number: usize) -> std::io::Result<()> {
+        let host = &self.hosts[number];
+        let settings = self.settings(host)?;
+        let kv = http_kv(&self.kv_server.address().to_string(), TIMEOUTS);
+        let daemon = Daemon::start_with(settings, Some(host.link.attach(kv)));
+        let daemon = daemon.await.map_err(std::io::Error::other)?;
+        *host.process.lock() = Process::new(number, host.region, &daemon);
+        *host.daemon.lock() = Some(daemon);
+        Ok(())
+    }
+
+    fn settings(&self, host: &Host) -> std::io::Result<Settings> {
+        let seeds = |own: bool| {
+            let processes = self.processes().into_iter();
+            let chosen = processes.filter(|process| (process.region == host.region) == own);
+            chosen
+                .map(|process| process.node.peer_address().to_owned())
+                .collect::<Vec<_>>()
+        };
+        let local = "127.0.0.1:0";
+        let text = json!({
+            "host": host.name, "region": host.region, "zone": host.zone,
+            "listen": {"callers": local, "peers": local, "nng": local, "admin": local},
+            "platform": {"key_value": self.kv_server.address().to_string()},
+            "peer_key": "a key of the hosts of a run", "seeds": seeds(true), "region_seeds": seeds(false),
+            "log_level": "error", "drain_limit_ms": 20_000, "worker_threads": 1,
+        });
+        Settings::parse("settings of a run", &text.to_string()).map_err(std::io::Error::other)
+    }
+
+    /// Returns the running processes.
+    pub(crate) fn processes(&self) -> Vec<Process> {
+        let hosts = self.hosts.iter();
+        hosts
+            .filter_map(|host| host.process.lock().clone())
+            .collect()
+    }
+
+    /// Returns a number that no other request or publication of the run has.
+    pub(crate) fn next(&self) -> u64 {
+        self.next.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Returns the number of lookups that a region answered whole.
+    pub(crate) fn served(&self, region: &str) -> &AtomicU64 {
+        &self.served[usize::from(region == "west")]
+    }
+
+    pub(crate) fn is_stopped(&self) -> bool {
+        self.stopped.load(Ordering::Acquire)
+    }
+
+    /// Kills all hosts.
+    pub(crate) async fn stop(&self) {
+        for host in &self.hosts {
+            let daemon = host.daemon.lock().take();
+            if let Some(daemon) = daemon {
+                daemon.kill().await;
+            }
+        }
+    }
+}
--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -18,6 +18,8 @@
     Decide(DecideOptions),
     #[options(help = "measure the cost of the proxied path")]
     Proxy(ProxyOptions),
+    #[options(help = "play seeded faults against two regions and check the invariants")]
+    Faults(FaultsOptions),
     #[options(help = "run every benchmark with its defaults")]
     All(AllOptions),
 }
@@ -63,3 +65,13 @@
     #[options(help = "print this help")]
     pub(crate) help: bool,
 }
+
+#[derive(Debug, Options)]
+pub(crate) struct FaultsOptions {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(help = "seed of the schedule and the callers", default = "1")]
+    pub(crate) seed: u64,
+    #[options(help = "length of the faults in seconds", default = "40")]
+    pub(crate) seconds: u64,
+}
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -5,7 +5,7 @@
 use gumdrop::Options;
 
 use crate::options::{BenchOptions, Command, DecideOptions, PoliciesOptions, ProxyOptions};
-use crate::{decide, policies, proxy};
+use crate::{decide, faults, policies, proxy};
 
 /// Runs the binary with the arguments of the process.
 ///
@@ -17,6 +17,7 @@
         Some(Command::Policies(options)) => policies::run(&options),
         Some(Command::Decide(options)) => decide::run(&options),
         Some(Command::Proxy(options)) => proxy::run(&options),
+        Some(Command::Faults(options)) => faults::run(&options),
         Some(Command::All(_)) => run_all(),
         None => {
             println!("{}", BenchOptions::usage());
--- /dev/null
+++ b/crates/bench/tests/faults.rs
@@ -0,0 +1,32 @@
+//! The invariants of the whole system under seeded faults; longer runs are made with `lacewingstile-bench faults`.
+
+use lw_bench::{Check, play_faults};
+
+const SEEDS: [u64; 3] = [1, 2, 5];
+/// The schedules together have an occasion for each check.
+const SECONDS: u64 = 16;
+
+/// Guards against a second run of an order, a wrong "not run", mixed or cut answers, data outside its region, work for
+/// stopped targets, requests cut by planned stops, lost revisions and regions that stop with the key-value service.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn invariants_hold_under_faults() {
+    println!("seeds {SEEDS:?}, {SECONDS} s of faults each");
+    let runs = SEEDS.map(|seed| tokio::spawn(play_faults(seed, SECONDS)));
+    let mut reports = Vec::new();
+    for run in runs {
+        reports.push(run.await.unwrap().unwrap());
+    }
+    for report in &reports {
+        report.print();
+    }
+    for report in &reports {
+        assert!(report.violations.is_empty(), "seed {}", report.seed);
+    }
+    for check in Check::ALL {
+        let counts = reports.iter().map(|report| report.checked(check));
+        assert!(
+            counts.sum::<u64>() > 0,
+            "no run had an occasion for {check:?}"
+        );
+    }
+}
--- a/crates/gate/src/attempts.rs
+++ b/crates/gate/src/attempts.rs
@@ -33,7 +33,9 @@
     /// With `resume_from`, the engine leaves out the tokens that the caller has received.
     pub(crate) async fn open(&mut self, resume_from: Option<u64>) -> Result<Answer, Ending> {
         loop {
-            let tried = match self.place().await? {
+            // A host of another region does not know which tokens the caller has received.
+            let stays = resume_from.is_some();
+            let tried = match self.place(stays).await? {
                 Place::Target(view, target) => self.try_target(&view, target, resume_from).await,
                 Place::Region(region) => self.try_region(&region).await,
             };
--- a/crates/gate/src/placement.rs
+++ b/crates/gate/src/placement.rs
@@ -21,11 +21,12 @@
 impl Exchange {
     /// Decides where the next attempt goes; waits for a slot of the service when that is this region.
     ///
-    /// The residency rule is applied again after the wait, with the newest revision.
-    pub(crate) async fn place(&mut self) -> Result<Place, Ending> {
+    /// The residency rule is applied again after the wait, with the newest revision. With `stays`, no other region is
+    /// considered.
+    pub(crate) async fn place(&mut self, stays: bool) -> Result<Place, Ending> {
         loop {
             let view = self.gate.router.view();
-            let target = match self.decide(&view) {
+            let target = match self.decide(&view, stays) {
                 Decision::Target(target) => target,
                 Decision::Region(region) => {
                     return Ok(Place::Region(view.fleet().regions.name(region).clone()));
@@ -39,7 +40,7 @@
         }
     }
 
-    fn decide(&mut self, view: &RouteView) -> Decision {
+    fn decide(&mut self, view: &RouteView, stays: bool) -> Decision {
         self.revision = view.fleet().revision;
         let Some(service) = view.fleet().services.key(&self.ask.service) else {
             return Decision::Refuse(Refusal {
@@ -77,7 +78,7 @@
         self.door = Some(door);
         let now = self.gate.clock.now();
         match self.ask.hop {
-            Hop::Caller if self.ask.idempotent => view.decide(now, &query),
+            Hop::Caller if self.ask.idempotent && !stays => view.decide(now, &query),
             // A key belongs to its region, so the owner's requests stay in it.
             Hop::Caller | Hop::Region | Hop::Owner => local(view.decide_forwarded(now, &query)),
         }
--- a/crates/stand/src/engine_http.rs
+++ b/crates/stand/src/engine_http.rs
@@ -70,6 +70,9 @@
     if request.resume_from > 0 && !shared.options.resume {
         return Ok(reply(StatusCode::BAD_REQUEST, Bytes::new()));
     }
+    if let Some(observer) = &*shared.observer.lock() {
+        observer(&request.prompt());
+    }
     let mislabelled = shared.takes_mislabel();
     let job = Job {
         attempt: header_text(headers, ATTEMPT_HEADER).to_owned(),
--- a/crates/stand/src/engine_shared.rs
+++ b/crates/stand/src/engine_shared.rs
@@ -41,6 +41,9 @@
     pub(crate) break_after_tokens: usize,
 }
 
+/// Takes the prompt of each received completion.
+pub(crate) type PromptObserver = Box<dyn Fn(&str) + Send + Sync>;
+
 /// The state of one engine.
 pub(crate) struct EngineShared {
     pub(crate) options: EngineOptions,
@@ -48,6 +51,7 @@
     pub(crate) cache: Mutex<PrefixCache>,
     pub(crate) commands: Mutex<CommandLog>,
     pub(crate) knobs: Mutex<Knobs>,
+    pub(crate) observer: Mutex<Option<PromptObserver>>,
     pub(crate) totals: Mutex<EngineTotals>,
     pub(crate) cancels: Mutex<FastMap<String, oneshot::Sender<()>>>,
     pub(crate) paused: watch::Sender<bool>,
@@ -70,6 +74,7 @@
             slots: SlotQueue::new(options.slots),
             cache: Mutex::new(PrefixCache::new(options.cache_tokens)),
             commands: Mutex::new(commands),
+            observer: Mutex::new(None),
             knobs: Mutex::new(Knobs {
                 slow_factor: 1.0,
                 to_refuse: 0,
--- a/crates/stand/src/engine_stand.rs
+++ b/crates/stand/src/engine_stand.rs
@@ -69,6 +69,11 @@
         self.shared.cache.lock().clear(Instant::now());
     }
 
+    /// Calls `observer` with the prompt of each completion that the engine accepts.
+    pub fn observe(&self, observer: impl Fn(&str) + Send + Sync + 'static) {
+        *self.shared.observer.lock() = Some(Box::new(observer));
+    }
+
     /// Returns what the engine did since its start.
     #[must_use]
     pub fn totals(&self) -> EngineTotals {
--- a/crates/stand/src/plain_stand.rs
+++ b/crates/stand/src/plain_stand.rs
@@ -20,8 +20,12 @@
     state: Arc<Mutex<State>>,
 }
 
+/// Takes the path and the idempotency key of each received request.
+type Observer = Arc<dyn Fn(&str, Option<&str>) + Send + Sync>;
+
 #[derive(Default)]
 struct State {
+    observer: Option<Observer>,
     runs: FastMap<String, u64>,
     lookups: u64,
     orders: u64,
@@ -112,6 +116,11 @@
         self.state.lock().to_mislabel = count;
     }
 
+    /// Calls `observer` with path and idempotency key of each request that runs, before it runs.
+    pub fn observe(&self, observer: impl Fn(&str, Option<&str>) + Send + Sync + 'static) {
+        self.state.lock().observer = Some(Arc::new(observer));
+    }
+
     async fn answer(&self, request: Request<Incoming>) -> Result<Reply, Broken> {
         let (parts, body) = request.into_parts();
         let body = read_body(body).await?;
@@ -137,6 +146,9 @@
     fn run(&self, parts: &http::request::Parts, received: &Bytes) -> (Plan, Body) {
         let mut state = self.state.lock();
         let key = key_of(&parts.headers);
+        if let Some(observer) = &state.observer {
+            observer(parts.uri.path(), key.as_deref());
+        }
         let order = match parts.method {
             Method::GET | Method::HEAD => {
                 state.lookups += 1;
