--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -20,6 +20,8 @@
     Proxy(ProxyOptions),
     #[options(help = "play seeded faults against two regions and check the invariants")]
     Faults(FaultsOptions),
+    #[options(help = "measure what grows with the size of the fleet")]
+    Slopes(SlopesOptions),
     #[options(help = "run every benchmark with its defaults")]
     All(AllOptions),
 }
@@ -60,6 +62,16 @@
     pub(crate) rounds: u32,
 }
 
+#[derive(Debug, Options)]
+pub(crate) struct SlopesOptions {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(help = "seed of the random choices", default = "20261203")]
+    pub(crate) seed: u64,
+    #[options(help = "write the figures as JSON to this file", meta = "FILE")]
+    pub(crate) json: Option<String>,
+}
+
 #[derive(Debug, Options)]
 pub(crate) struct AllOptions {
     #[options(help = "print this help")]
--- a/crates/route/src/explain.rs
+++ b/crates/route/src/explain.rs
@@ -15,6 +15,8 @@
     Random,
     /// The search that follows when no other candidate can take the request.
     Search,
+    /// No target is in service, so the ejections do not count.
+    LastResort,
 }
 
 /// Why a candidate is not considered further.
@@ -22,6 +24,8 @@
 pub enum RuledOut {
     /// A planned stop or a leaving mark covers it.
     Stopped,
+    /// It is an engine that drains, stands by or lacks the model.
+    NotServing,
     /// It is ejected after failures.
     Ejected,
     /// An earlier attempt of the request used it.
