--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -7,7 +7,7 @@
 use crate::options::{
     BenchOptions, Command, DecideOptions, PoliciesOptions, ProxyOptions, SlopesOptions,
 };
-use crate::{decide, policies, proxy, slopes};
+use crate::{decide, faults, policies, proxy, slopes};
 
 /// Runs the binary with the arguments of the process.
 ///
@@ -19,6 +19,7 @@
         Some(Command::Policies(options)) => policies::run(&options),
         Some(Command::Decide(options)) => decide::run(&options),
         Some(Command::Proxy(options)) => proxy::run(&options),
+        Some(Command::Faults(options)) => faults::run(&options),
         Some(Command::Slopes(options)) => slopes::run(&options),
         Some(Command::All(_)) => run_all(),
         None => {
--- a/crates/gate/src/placement.rs
+++ b/crates/gate/src/placement.rs
@@ -21,14 +21,17 @@
 impl Exchange {
     /// Decides where the next attempt goes; waits for a slot of the service when that is this region.
     ///
-    /// The residency rule is applied again after the wait, with the newest revision.
-    pub(crate) async fn place(&mut self) -> Result<Place, Ending> {
+    /// The residency rule is applied again after the wait, with the newest revision. With `stays`, no other region is
+    /// considered.
+    pub(crate) async fn place(&mut self, stays: bool) -> Result<Place, Ending> {
         loop {
-            let (view, decision) = match self.next.take() {
+            let next = self.next.take();
+            let next = next.filter(|(_, next)| !stays || !matches!(next, Decision::Region(_)));
+            let (view, decision) = match next {
                 Some(next) => next,
                 None => {
                     let view = self.gate.router.view();
-                    let decision = self.decide(&view);
+                    let decision = self.decide(&view, stays);
                     (view, decision)
                 }
             };
@@ -48,11 +51,11 @@
 
     /// Decides where another attempt would go; returns false when there is no place left for it.
     ///
-    /// With `resumes`, only a target that resumes streams is a place.
+    /// With `resumes`, only a target of the own region that resumes streams is a place.
     pub(crate) fn decide_next(&mut self, resumes: bool) -> bool {
         let view = self.gate.router.view();
         loop {
-            let decision = self.decide(&view);
+            let decision = self.decide(&view, resumes);
             match &decision {
                 Decision::Refuse(_) => return false,
                 Decision::Target(target) if resumes && !view.fleet().targets[*target].resume => {
@@ -73,7 +76,7 @@
         }
     }
 
-    fn decide(&mut self, view: &RouteView) -> Decision {
+    fn decide(&mut self, view: &RouteView, stays: bool) -> Decision {
         self.revision = view.fleet().revision;
         let Some(service) = view.fleet().services.key(&self.ask.service) else {
             return Decision::Refuse(Refusal {
@@ -111,7 +114,7 @@
         self.door = Some(door);
         let now = self.gate.clock.now();
         match self.ask.hop {
-            Hop::Caller if self.ask.idempotent => view.decide(now, &query),
+            Hop::Caller if self.ask.idempotent && !stays => view.decide(now, &query),
             // A key belongs to its region, so the owner's requests stay in it.
             Hop::Caller | Hop::Region | Hop::Owner => local(view.decide_forwarded(now, &query)),
         }
