peer: send over publishing sockets, which do not abort when a peer goes away

The stack shows a push socket that sends over a connection that its peer closes at that moment. A daemon would abort whenever a peer stops at the wrong moment.

Change: a publishing socket per peer and a subscribing one per host.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -5,6 +5,7 @@
 mod message;
 mod network;
 mod nng_network;
+mod peer_link;
 mod refusal;
 mod replay;
 
--- a/crates/peer/src/nng_network.rs
+++ b/crates/peer/src/nng_network.rs
@@ -1,36 +1,32 @@
-//! The transport over nng: one pull socket per host, and one push socket per peer.
+//! The transport over nng: one subscribing socket per host, and one publishing socket per peer.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
 use bytes::Bytes;
 use lw_base::FastMap;
-use nng::options::{
-    Options, ReconnectMaxTime, ReconnectMinTime, RecvMaxSize, RecvTimeout, SendBufferSize,
-};
+use nng::options::protocol::pubsub::Subscribe;
+use nng::options::{Options, RecvBufferSize, RecvMaxSize, RecvTimeout};
 use nng::{Error, Protocol, Socket};
 use parking_lot::Mutex;
 
 use crate::codec::FRAME_BYTES_MAX;
 use crate::network::{Network, SendOutcome};
+use crate::peer_link::PeerLink;
 
-/// Frames that wait for one peer; a peer that is away for longer gets newer state by the protocols' own repeats.
-const QUEUE_FRAMES: i32 = 256;
-
-/// The first pause before another connection attempt to a peer; it doubles up to [`RECONNECT_MAX`].
-const RECONNECT_MIN: Duration = Duration::from_millis(100);
-
-/// The longest pause between connection attempts: a restarted peer answers within the time of a suspicion.
-const RECONNECT_MAX: Duration = Duration::from_secs(2);
+/// Received frames that wait for the receiving thread; later ones are dropped. The library's default of 128 is less
+/// than one queue of one peer.
+const RECEIVED_FRAMES: i32 = 4_096;
 
 /// How often the receiving thread looks whether it shall end.
 const POLL_MS: u64 = 200;
 
 struct Shared {
-    peers: Mutex<FastMap<String, Socket>>,
-    stopping: std::sync::atomic::AtomicBool,
+    peers: Mutex<FastMap<String, Arc<PeerLink>>>,
+    connected: Arc<AtomicBool>,
+    stopping: AtomicBool,
     dropped: AtomicU64,
 }
 
@@ -48,7 +44,9 @@
     ///
     /// Returns the nng error when the address cannot be used.
     pub fn listen(address: &str, on_frame: impl Fn(&[u8]) + Send + 'static) -> Result<Self, Error> {
-        let socket = Socket::new(Protocol::Pull0)?;
+        let socket = Socket::new(Protocol::Sub0)?;
+        socket.set_opt::<Subscribe>(Vec::new())?;
+        socket.set_opt::<RecvBufferSize>(RECEIVED_FRAMES)?;
         socket.set_opt::<RecvMaxSize>(FRAME_BYTES_MAX)?;
         socket.set_opt::<RecvTimeout>(Some(Duration::from_millis(POLL_MS)))?;
         let listener = nng::ListenerBuilder::new(&socket, &format!("tcp://{address}"))?;
@@ -56,7 +54,8 @@
         let url = listener.get_opt::<nng::options::Url>()?;
         let shared = Arc::new(Shared {
             peers: Mutex::new(FastMap::default()),
-            stopping: std::sync::atomic::AtomicBool::new(false),
+            connected: Arc::default(),
+            stopping: AtomicBool::new(false),
             dropped: AtomicU64::new(0),
         });
         let seen = shared.clone();
@@ -117,6 +116,9 @@
 
 fn receive(socket: &Socket, shared: &Shared, on_frame: &impl Fn(&[u8])) {
     while !shared.stopping.load(Ordering::Relaxed) {
+        if shared.connected.swap(false, Ordering::AcqRel) {
+            flush(shared);
+        }
         match socket.recv() {
             Ok(frame) => on_frame(frame.as_slice()),
             Err(Error::TimedOut) => {}
@@ -129,34 +131,29 @@
     }
 }
 
+fn flush(shared: &Shared) {
+    let links: Vec<Arc<PeerLink>> = shared.peers.lock().values().cloned().collect();
+    for link in links {
+        link.flush();
+    }
+}
+
 fn send(shared: &Shared, address: &str, frame: &Bytes) -> SendOutcome {
-    let Some(socket) = socket_to(shared, address) else {
-        return SendOutcome::Unreachable;
-    };
-    match socket.try_send(frame.as_ref()) {
-        Ok(()) => SendOutcome::Queued,
-        Err((_, Error::TryAgain)) => SendOutcome::Full,
-        Err(_) => SendOutcome::Unreachable,
+    match link_to(shared, address) {
+        Some(link) => link.send(frame.clone()),
+        None => SendOutcome::Unreachable,
     }
 }
 
-fn socket_to(shared: &Shared, address: &str) -> Option<Socket> {
+fn link_to(shared: &Shared, address: &str) -> Option<Arc<PeerLink>> {
     let mut peers = shared.peers.lock();
-    if let Some(socket) = peers.get(address) {
-        return Some(socket.clone());
+    if let Some(link) = peers.get(address) {
+        return Some(link.clone());
     }
-    let socket = dial(address)
+    let link = PeerLink::dial(address, shared.connected.clone())
         .inspect_err(|error| log::warn!("peer: dialling {address} failed: {error}"))
         .ok()?;
-    peers.insert(address.to_owned(), socket.clone());
-    Some(socket)
-}
-
-fn dial(address: &str) -> Result<Socket, Error> {
-    let socket = Socket::new(Protocol::Push0)?;
-    socket.set_opt::<SendBufferSize>(QUEUE_FRAMES)?;
-    socket.set_opt::<ReconnectMinTime>(Some(RECONNECT_MIN))?;
-    socket.set_opt::<ReconnectMaxTime>(Some(RECONNECT_MAX))?;
-    socket.dial_async(&format!("tcp://{address}"))?;
-    Ok(socket)
+    let link = Arc::new(link);
+    peers.insert(address.to_owned(), link.clone());
+    Some(link)
 }
