--- a/crates/bench/src/slopes/member_fleet.rs
+++ b/crates/bench/src/slopes/member_fleet.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 
 use lw_base::{FastMap, MonoMs, WallMs};
-use lw_member::{MemberAction, MemberMessage, MemberState, Membership, Update};
+use lw_member::{
+    MemberAction, MemberMessage, MemberState, Membership, RegionLoad, ServiceUse, Update,
+};
 use lw_peer::Message;
 
 use crate::slopes::target::{host_name, region_name};
@@ -16,6 +18,7 @@
 struct Node {
     membership: Membership,
     host: Arc<str>,
+    region: usize,
     incarnation: u64,
     probe_bytes: u64,
     summary_bytes: u64,
@@ -66,10 +69,11 @@
         membership.set_seeds(vec![address(region, 0)]);
         membership.set_region_seeds(vec![address((region + 1) % regions, 0)]);
         membership.set_revisions(26_000_000, 100_000);
-        membership.set_load(12_000, 700);
+        membership.set_load(region_load());
         self.nodes.push(Node {
             membership,
             host,
+            region,
             incarnation,
             probe_bytes: 0,
             summary_bytes: 0,
@@ -104,10 +108,18 @@
         (probes.unwrap_or(0), summaries.unwrap_or(0))
     }
 
-    /// Returns the mean bytes for summaries that a node sent and received.
-    pub(crate) fn mean_summary_bytes(&self) -> f64 {
-        let sum: u64 = self.nodes.iter().map(|node| node.summary_bytes).sum();
-        sum as f64 / self.nodes.len() as f64
+    /// Returns the most bytes for summaries that one node sent and received, apart from the two relays of each region.
+    pub(crate) fn busiest_member_bytes(&self) -> u64 {
+        let mut by_region: FastMap<usize, Vec<u64>> = FastMap::default();
+        for node in &self.nodes {
+            let bytes = by_region.entry(node.region).or_default();
+            bytes.push(node.summary_bytes);
+        }
+        let third = by_region.values_mut().filter_map(|bytes| {
+            bytes.sort_unstable_by(|a, b| b.cmp(a));
+            bytes.get(2).copied()
+        });
+        third.max().unwrap_or(0)
     }
 
     /// Returns the age of the oldest summary that any node knows, or `None` when a node lacks one.
@@ -172,3 +184,17 @@
 fn address(region: usize, number: usize) -> Arc<str> {
     format!("10.244.{}.{}:7443", 100 + region, 100 + number).into()
 }
+
+/// The load of a region with three models and two plain services.
+fn region_load() -> RegionLoad {
+    let service = |number: u8| ServiceUse {
+        service: [number.wrapping_mul(47); 8],
+        slots: 2_400 + u32::from(number),
+        load_permille: 700 + u16::from(number),
+    };
+    RegionLoad {
+        capacity_slots: 12_000,
+        load_permille: 700,
+        services: (1..=5).map(service).collect(),
+    }
+}
--- a/crates/bench/src/slopes/totals.rs
+++ b/crates/bench/src/slopes/totals.rs
@@ -15,7 +15,7 @@
 
 /// A change that is ten times as frequent as on average over the day.
 const PEAK: f64 = 10.0;
-/// The service counts a snapshot every 256 revisions.
+/// Snapshots per revision.
 const SNAPSHOT_SHARE: f64 = 1.0 / lw_conf::SNAPSHOT_INTERVAL as f64;
 /// The most bytes of encoded entries that a host keeps.
 const HISTORY_BYTES: f64 = 4.0 * 1024.0 * 1024.0;
@@ -36,7 +36,7 @@
             book.shard_maps(),
             book.leases(),
         ],
-        shares: book.shares(distribution),
+        shares: book.shares(),
         memory: book.memory(),
         in_force_ms: [
             book.at("distribution.in_force_ms"),
@@ -121,10 +121,15 @@
             steady,
             peak: steady,
             restart: Calls {
+                reads: self.over_regions("kv.map_start_peak_reads_per_s"),
+                watches: 0.0,
                 writes: self.over_regions("kv.map_start_peak_writes_per_s"),
+            },
+            // Reads come back at their steady rate, but within one second when the service was slow.
+            after_outage: Calls {
+                reads: NODES as f64,
                 ..steady
             },
-            after_outage: steady,
         }
     }
 
@@ -154,7 +159,7 @@
         }
     }
 
-    fn shares(&self, distribution: &Distribution) -> Vec<Share> {
+    fn shares(&self) -> Vec<Share> {
         let board = self.at("load.board_bytes_per_s");
         let both = |name, bytes| Share {
             name,
@@ -168,7 +173,7 @@
             ),
             Share {
                 name: "region summaries",
-                member: self.at("summaries.mean_bytes_per_s"),
+                member: self.at("summaries.member_bytes_per_s"),
                 relay: self.at("summaries.relay_bytes_per_s"),
             },
             both("load messages, without active customers", board),
@@ -178,7 +183,7 @@
             ),
             both(
                 "configuration changes, busiest node",
-                distribution.busiest_bytes_per_s,
+                self.at("distribution.busiest_bytes_per_s"),
             ),
             both(
                 "reads of the shard map",
