daemon: place models on engines when the settings ask for it

Cause: the placement runtime was built and tested, but no daemon started it. Change: the settings field placement gives the region's share of the weight store's rate; a host with it takes part in the lease of its region and gives it up first when it leaves. Conclusion: the document's engine section takes effect.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -8,7 +8,7 @@
 use lw_base::{stable_hash, violate};
 use lw_doc::{Fleet, compile, parse_document};
 use lw_gate::{AdminActions, Clock, Gate, GateParts, Identity};
-use lw_node::{Node, NodeStatus};
+use lw_node::{Node, NodeStatus, Placement};
 use lw_peer::Refusal;
 use lw_plat::Kv;
 use lw_route::Router;
@@ -23,7 +23,7 @@
 use crate::listeners::Listeners;
 use crate::node_link::NodeLink;
 use crate::node_metrics::NodeMetrics;
-use crate::node_start::{key_value, start_node};
+use crate::node_start::{key_value, start_node, start_placement};
 use crate::peer_key_watch::PeerKeyWatch;
 use crate::resident_memory::resident_bytes;
 use crate::settings::Settings;
@@ -53,6 +53,7 @@
     settings: Settings,
     gate: Arc<Gate>,
     node: Option<Arc<Node>>,
+    placement: Option<Placement>,
     listeners: Listeners,
     drain_requested: CancellationToken,
     tasks: Vec<AbortOnDropHandle<()>>,
@@ -97,6 +98,7 @@
                 Some(node)
             }
         };
+        let placement = start_placement(&settings, node.as_ref());
         gate.state().set_ready(node.is_none() && fleet.revision > 0);
         let tasks = vec![spawn_tick(gate.clone(), node.clone(), link, clock)];
         log::info!(
@@ -109,6 +111,7 @@
             settings,
             gate,
             node,
+            placement,
             listeners,
             drain_requested,
             tasks,
@@ -127,6 +130,12 @@
         self.node.as_ref()
     }
 
+    /// Returns the placement of models, or `None` when the settings do not ask for it.
+    #[must_use]
+    pub fn placement(&self) -> Option<&Placement> {
+        self.placement.as_ref()
+    }
+
     /// Returns the HTTP side.
     #[must_use]
     pub fn gate(&self) -> &Arc<Gate> {
@@ -139,13 +148,16 @@
     }
 
     /// Performs a planned stop.
-    pub async fn drain(self) -> Exit {
+    pub async fn drain(mut self) -> Exit {
         let state = self.gate.state().clone();
         state.set_leaving();
         log::info!(
             "daemon: leaving with {} requests in flight",
             state.in_flight()
         );
+        if let Some(placement) = self.placement.take() {
+            placement.leave().await;
+        }
         let moved = tokio::time::sleep(Duration::from_millis(self.settings.move_ms));
         tokio::join!(moved, self.hand_over());
         self.listeners.callers.close_listener();
@@ -176,6 +188,7 @@
 
     async fn stop(self) {
         drop(self.tasks);
+        drop(self.placement);
         if let Some(node) = &self.node {
             node.kill();
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -28,6 +28,8 @@
 pub use main_exit::main_exit;
 pub use peer_key_watch::PeerKeyWatch;
 pub use run::run;
-pub use settings::{ListenSettings, OperatorSettings, PlatformSettings, Settings};
+pub use settings::{
+    ListenSettings, OperatorSettings, PlacementSettings, PlatformSettings, Settings,
+};
 pub use settings_error::SettingsError;
 pub use start_error::StartError;
--- a/crates/daemon/src/node_start.rs
+++ b/crates/daemon/src/node_start.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use lw_gate::{Clock, Gate};
-use lw_node::{CustomerUsage, Node, NodeClock, NodeIdentity, NodeParts, Transport};
+use lw_node::{
+    CustomerUsage, Node, NodeClock, NodeIdentity, NodeParts, Placement, PlacementOptions, Transport,
+};
 use lw_peer::PeerKeys;
 use lw_plat::{Directory, EngineControl, HostList, HttpTimeouts, Kv, http_kv};
 use lw_route::Router;
@@ -90,6 +92,16 @@
     accepted.fold(keys, |keys, key| keys.and_accept(key.as_bytes()))
 }
 
+/// Starts placement when the settings ask for it.
+pub(crate) fn start_placement(settings: &Settings, node: Option<&Arc<Node>>) -> Option<Placement> {
+    let asked = settings.placement?;
+    node?.start_placement(PlacementOptions {
+        weight_loads_per_s: asked.weight_loads_per_s,
+        weight_burst: asked.weight_burst,
+        ..PlacementOptions::default()
+    })
+}
+
 fn customer_usage(gate: &Arc<Gate>) -> CustomerUsage {
     let (taken, given) = (gate.clone(), gate.clone());
     CustomerUsage {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -35,6 +35,9 @@
     /// Older or newer keys that are accepted from other hosts besides `peer_key`, while the key is changed.
     #[serde(default)]
     pub peer_keys_accepted: Vec<String>,
+    /// How this host places models on engines while it holds the lease of its region; without it, it never does.
+    #[serde(default)]
+    pub placement: Option<PlacementSettings>,
     /// The operators who may use the admin listener.
     #[serde(default)]
     pub operators: Vec<OperatorSettings>,
@@ -90,6 +93,17 @@
     pub weights: Option<String>,
 }
 
+/// How models are placed on engines.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlacementSettings {
+    /// The share of the weight store's rate that the region may use, in loads per second.
+    pub weight_loads_per_s: f64,
+    /// How many loads may start at once.
+    #[serde(default = "default_weight_burst")]
+    pub weight_burst: u32,
+}
+
 /// An operator.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -108,6 +122,10 @@
     660_000
 }
 
+fn default_weight_burst() -> u32 {
+    2
+}
+
 fn default_move_ms() -> u64 {
     2_000
 }
@@ -181,6 +199,12 @@
             let message = "is given beside platform.key_value; leave out one of them";
             return Err(fault("document_file", message));
         }
+        if let Some(placement) = &self.placement
+            && !(placement.weight_loads_per_s > 0.0 && placement.weight_burst > 0)
+        {
+            let message = "needs a weight_loads_per_s above 0 and a weight_burst of at least 1";
+            return Err(fault("placement", message));
+        }
         if level_of(&self.log_level).is_none() {
             return Err(fault(
                 "log_level",
--- a/crates/daemon/tests/region.rs
+++ b/crates/daemon/tests/region.rs
@@ -7,9 +7,9 @@
 use http::Method;
 use lw_base::{Invariant, WallMs, invariant_count};
 use lw_conf::PublishRequest;
-use lw_daemon::{Daemon, Exit, Settings};
+use lw_daemon::{Daemon, Exit, PlacementSettings, Settings};
 use lw_doc::parse_document;
-use lw_stand::{KvStand, PlainStand};
+use lw_stand::{EngineOptions, EngineStand, KvStand, PlainStand};
 use support::{OPERATOR_DIGEST, TestClient, TestReply, document, local, send, until};
 use uuid::Uuid;
 
@@ -144,3 +144,35 @@
         assert_eq!(invariant_count(invariant), 0, "{invariant:?}");
     }
 }
+
+/// Guards against a daemon whose settings ask for placement and that never sends a command to an engine.
+#[tokio::test(flavor = "multi_thread")]
+async fn engines_load_the_version_of_the_document() {
+    let kv = KvStand::default();
+    let engine = EngineStand::new(EngineOptions {
+        model: String::new(),
+        version: String::new(),
+        ..EngineOptions::default()
+    });
+    let server = engine.start(local()).await.unwrap();
+    let mut document = document(&[], &[("chat", server.address())]);
+    document["engine"] = serde_json::json!({"models": {"chat": {"version": "7"}}});
+    document["targets"]["chat-1"]["fencing"] = true.into();
+    let mut settings = region_settings(&[]);
+    settings.placement = Some(PlacementSettings {
+        weight_loads_per_s: 5.0,
+        weight_burst: 5,
+    });
+    let host = Daemon::start_with(settings, Some(kv.kv())).await.unwrap();
+    publish(&host, &document).await;
+    // A new decider first reads the states of all engines.
+    for _ in 0..400 {
+        if engine.state().version == "7" {
+            break;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    }
+    assert_eq!(engine.state().version, "7");
+    assert_eq!(engine.stale_commands(), 0);
+    assert_eq!(host.drain().await, Exit::Ok);
+}
