Propose shard map changes that can wait in turns

Cause: when a region starts, each host proposes its join, and later its takeovers, in the same second. Only one of these writes succeeds.

Change: a proposal that can wait (join, takeover without consent, electorate, balance) is made in rendezvous order of the live hosts, 0.6 s apart, which is longer than the least time between two reads of the map. Proposals that restore a pair or a lost map, or let a host leave, are made at once, as before. Who may propose what is unchanged.

The last host of 22 joins up to 12.6 s later than before.

--- a/crates/bench/tests/slopes.rs
+++ b/crates/bench/tests/slopes.rs
@@ -46,7 +46,6 @@
 
 /// Guards against writes of all hosts in the same second when the whole fleet starts.
 #[test]
-#[ignore = "known red"]
 fn writes_of_a_fleet_start_fit_the_service() {
     let writes = measured().account.total(|caller| caller.restart).writes;
     assert!(writes <= WRITES_PER_S, "{writes} writes in one second");
--- a/crates/idem/src/authority.rs
+++ b/crates/idem/src/authority.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use lw_base::{FastMap, FastSet, Invariant, MonoMs, violate};
+use lw_base::{FastMap, FastSet, Invariant, MonoMs, ranked, violate};
 
 use crate::action::{IdemAction, ProposalResult};
 use crate::evidence::PeerEvidence;
@@ -15,6 +15,9 @@
 /// How long after its start a host waits for membership before it takes a process as lost that it has not heard of.
 const SETTLE_MS: u64 = 15_000;
 
+/// Ranks the hosts for proposals; the keys of shards are hashes of other values.
+const RANK_KEY: u64 = 0;
+
 /// A proposal whose reply is awaited.
 #[derive(Debug)]
 pub(crate) struct Proposal {
@@ -38,6 +41,8 @@
     /// The base revision of a proposal whose reply was lost.
     pub(crate) unclear_base: Option<u64>,
     pub(crate) next_propose: MonoMs,
+    /// Since when this host has a change to propose that can wait for its turn.
+    pub(crate) waits_since: Option<MonoMs>,
     pub(crate) peers: PeerEvidence,
     pub(crate) votes: Votes,
     pub(crate) clock_ok: bool,
@@ -59,6 +64,7 @@
             proposal: None,
             unclear_base: None,
             next_propose: now,
+            waits_since: None,
             peers: PeerEvidence::default(),
             votes: Votes::new(now),
             clock_ok: true,
@@ -149,6 +155,17 @@
             || (settled && !self.alive.contains(instance))
     }
 
+    /// Returns the place of this host among the live hosts that it knows, in rendezvous order.
+    pub(crate) fn rank(&self) -> usize {
+        let others = self.alive.iter().filter(|host| **host != self.me);
+        let names: Vec<&[u8]> = std::iter::once(&self.me)
+            .chain(others)
+            .map(|host| host.host.as_bytes())
+            .collect();
+        let order = ranked(RANK_KEY, &names);
+        order.iter().position(|index| *index == 0).unwrap_or(0)
+    }
+
     pub(crate) fn is_leaving(&self, instance: &Instance) -> bool {
         self.leaving_hosts.contains(instance)
     }
--- a/crates/idem/src/propose.rs
+++ b/crates/idem/src/propose.rs
@@ -20,6 +20,13 @@
 /// How long a host waits between two looks at the map.
 const PROPOSE_MS: u64 = 1_000;
 
+/// How much later than the host before it in rank a host makes a proposal that can wait.
+///
+/// All hosts of a region want to write the map in the same second when they start together or take over without
+/// consent, and only one of these writes succeeds. A turn is longer than the least time between two reads of the map,
+/// so that a host knows what the one before it wrote. The last of 22 hosts waits 12.6 s.
+const TURN_MS: u64 = 600;
+
 impl Idem {
     /// Proposes the next map, or asks for votes, when something is to change.
     pub(crate) fn propose(&self, now: MonoMs, wall: WallMs, out: &mut Vec<IdemAction>) {
@@ -50,7 +57,11 @@
                 ..ShardMap::clone(&held)
             })
         });
-        if let Some(map) = next {
+        let Some(map) = next else {
+            authority.waits_since = None;
+            return;
+        };
+        if is_urgent(&authority, &held, &map, now) || has_turn(&mut authority, now) {
             self.send_proposal(&mut authority, map, version, now, out);
         }
     }
@@ -98,6 +109,7 @@
             shard.lock().uncertain |= changed;
         }
         let map = Arc::new(map);
+        authority.waits_since = None;
         authority.proposal = Some(Proposal {
             map: map.clone(),
             sent_at: now,
@@ -185,3 +197,29 @@
         }
     }
 }
+
+/// Returns true when the change restores a pair of this host or a lost map, or this host leaves.
+fn is_urgent(authority: &Authority, held: &ShardMap, next: &ShardMap, now: MonoMs) -> bool {
+    let me = &authority.me;
+    let views = held.shards.iter().zip(&next.shards);
+    let mut changed = views
+        .filter(|(view, next)| view != next)
+        .map(|(view, _)| view);
+    let restores = changed.any(|view| {
+        let mut members = std::iter::once(&view.owner).chain(&view.backup);
+        let consents = view.owner == *me || view.backup_complete;
+        consents && view.has(me) && members.any(|member| authority.is_lost(member, now))
+    });
+    authority.leaving || authority.write_back || restores
+}
+
+/// Returns true when the hosts before this one in rank had time to propose; otherwise the next look is at its turn.
+fn has_turn(authority: &mut Authority, now: MonoMs) -> bool {
+    let since = *authority.waits_since.get_or_insert(now);
+    let turn = since.plus_ms(authority.rank() as u64 * TURN_MS);
+    if now >= turn {
+        return true;
+    }
+    authority.next_propose = turn;
+    false
+}
--- a/crates/idem/tests/rules.rs
+++ b/crates/idem/tests/rules.rs
@@ -475,3 +475,27 @@
             .all(|(held, new)| new.epoch >= held.epoch && new.has(&instance("a")))
     );
 }
+
+/// Guards against hosts that start together and write the map in the same second, though one of the writes succeeds.
+#[test]
+fn joining_hosts_take_turns() {
+    let names = ["d", "e", "f", "g", "h", "i", "j", "k"];
+    let held = map(5, 3, "a", "b");
+    let mut proposed: Vec<u64> = Vec::new();
+    for name in names {
+        let host = Host::with(name, &held);
+        for other in names {
+            host.0.on_member(&instance(other), MemberStatus::Alive);
+        }
+        let mut times = (3_000..10_000).step_by(100);
+        proposed.extend(times.find(|now| {
+            host.read(1, &held, *now);
+            host.proposal(*now).is_some()
+        }));
+    }
+    proposed.sort_unstable();
+    assert_eq!(proposed.len(), names.len(), "{proposed:?}");
+    for pair in proposed.windows(2) {
+        assert!(pair[1] - pair[0] >= 500, "{proposed:?}");
+    }
+}
