--- a/crates/node/src/placement/decide_task.rs
+++ b/crates/node/src/placement/decide_task.rs
@@ -23,6 +23,7 @@
     let weights = WeightBudget::new(options.weight_loads_per_s, options.weight_burst);
     let mut decider = Decider::new(options.decider_times, weights);
     loop {
+        shared.lease.set_first(shared.is_first());
         shared.lease.set_wanted(shared.wants_lease());
         shared.decide_once(&mut decider).await;
         shared.core.clock.sleep(DECIDE_MS).await;
--- a/crates/node/src/placement/shared.rs
+++ b/crates/node/src/placement/shared.rs
@@ -37,6 +37,12 @@
         })
     }
 
+    /// Returns true for the first relay, which takes a free lease at once; the other one waits for its turn.
+    pub(crate) fn is_first(&self) -> bool {
+        let core = &self.core;
+        core.members.lock().relays().first() == Some(&core.identity.host)
+    }
+
     /// Only relays ask for the lease, so that not every host of the fleet keeps a watch on it. A holder that is no relay
     /// any more keeps it: a change of the holder stops commands for seconds.
     pub(crate) fn wants_lease(&self) -> bool {
