--- a/crates/member/src/suspicion.rs
+++ b/crates/member/src/suspicion.rs
@@ -15,7 +15,7 @@
 const TIMEOUT_MS: u64 = 500;
 
 /// How many members probe a silent one on behalf of this host.
-const HELPERS: usize = 2;
+const INDIRECT_PROBES: usize = 2;
 
 impl Membership {
     pub(crate) fn on_indirect_probe(
@@ -44,15 +44,19 @@
         let due: Vec<(u64, Outstanding)> =
             due.map(|(nonce, probe)| (*nonce, probe.clone())).collect();
         for (nonce, probe) in due {
-            let helpers = self.helpers(&probe);
-            if helpers.is_empty() {
+            let intermediaries = self.intermediaries(&probe);
+            if intermediaries.is_empty() {
                 self.probing.outstanding.remove(&nonce);
                 self.suspect(&probe, now, out);
                 continue;
             }
-            for helper in helpers {
+            for intermediary in intermediaries {
                 let target = probe.target.clone();
-                self.send_to(&helper, MemberMessage::IndirectProbe { nonce, target }, out);
+                self.send_to(
+                    &intermediary,
+                    MemberMessage::IndirectProbe { nonce, target },
+                    out,
+                );
             }
             if let Some(probe) = self.probing.outstanding.get_mut(&nonce) {
                 probe.indirect = true;
@@ -61,7 +65,7 @@
     }
 
     /// Selects members for indirect probes; there are none for a second try, a seed or on behalf of another host.
-    fn helpers(&mut self, probe: &Outstanding) -> Vec<Arc<str>> {
+    fn intermediaries(&mut self, probe: &Outstanding) -> Vec<Arc<str>> {
         if probe.indirect || probe.target.is_empty() || probe.for_other.is_some() {
             return Vec::new();
         }
@@ -70,7 +74,7 @@
             .filter(|update| update.state <= MemberState::Leaving && update.host != probe.target)
             .map(|update| update.host.clone())
             .collect();
-        let chosen = alive.choose_multiple(&mut self.rng, HELPERS);
+        let chosen = alive.choose_multiple(&mut self.rng, INDIRECT_PROBES);
         chosen.cloned().collect()
     }
 
