--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -1,6 +1,7 @@
 //! Priorities, bounded queues, limits per customer and the retry budget.
 
 mod class_queue;
+mod cold_pace;
 mod counts;
 mod customer_limits;
 mod deadline_queue;
@@ -9,17 +10,20 @@
 mod retry_budget;
 mod schedule;
 mod service_queue;
+mod shared_budget;
 mod ticket;
 mod ticket_table;
 mod usage_board;
 mod usage_rate;
 mod wait_estimate;
 
+pub use cold_pace::{ColdLimit, ColdPace};
 pub use counts::Counts;
 pub use customer_limits::{ACTIVE_CUSTOMERS, CustomerId, CustomerLimits, EXCHANGED_CUSTOMERS};
 pub use offer::{Offer, Verdict};
 pub use queue_config::QueueConfig;
 pub use retry_budget::RetryBudget;
 pub use service_queue::ServiceQueue;
+pub use shared_budget::{BudgetShare, SharedBudget};
 pub use ticket::Ticket;
 pub use usage_rate::UsageRate;
--- a/crates/daemon/src/arguments.rs
+++ b/crates/daemon/src/arguments.rs
@@ -20,4 +20,10 @@
     /// Only check the settings.
     #[options(no_short, help = "check the settings and exit")]
     pub check: bool,
+    /// Run on the platform, with its settings.
+    #[options(
+        no_short,
+        help = "run on the platform; its environment names the settings file"
+    )]
+    pub platform: bool,
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 mod control_window;
 mod daemon;
 mod exit;
+mod json_logs;
 mod listeners;
 mod logs;
 mod main_exit;
--- a/crates/daemon/src/main_exit.rs
+++ b/crates/daemon/src/main_exit.rs
@@ -8,6 +8,7 @@
 
 use crate::arguments::Arguments;
 use crate::exit::Exit;
+use crate::json_logs::start_json_logs;
 use crate::logs::start_logs;
 use crate::run::run;
 use crate::settings::{Settings, level_of};
@@ -27,6 +28,9 @@
         );
         return Exit::Ok;
     }
+    if arguments.platform {
+        return serve_on_platform(arguments.check);
+    }
     let Some(path) = &arguments.settings else {
         return usage("--settings FILE is missing");
     };
@@ -40,6 +44,44 @@
     }
 }
 
+/// Runs a host on the platform, on one thread: a request then needs no wake-up of another thread.
+fn serve_on_platform(check: bool) -> Exit {
+    let path = match lw_platform::settings_path() {
+        Ok(path) => path,
+        Err(error) => return usage(&error.to_string()),
+    };
+    if check {
+        return match lw_platform::check_settings(&path) {
+            Ok(()) => {
+                println!("{}: ok", path.display());
+                Exit::Ok
+            }
+            Err(error) => usage(&error.to_string()),
+        };
+    }
+    start_json_logs();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            log::error!(reason = error.to_string().as_str(); "the runtime does not start");
+            return Exit::Failed;
+        }
+    };
+    let tasks = tokio::task::LocalSet::new();
+    let ended = tasks.block_on(&runtime, lw_platform::run(&path));
+    log::logger().flush();
+    match ended {
+        Ok(()) => Exit::Ok,
+        Err(error) => {
+            eprintln!("lacewingstiled: {error}");
+            Exit::Failed
+        }
+    }
+}
+
 fn usage(message: &str) -> Exit {
     eprintln!("lacewingstiled: {message}");
     Exit::Usage
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -6,6 +6,7 @@
 mod attempt_failure;
 mod body_length;
 mod ending;
+mod event_cursor;
 mod request_flow;
 mod resume;
 mod retry;
@@ -16,6 +17,7 @@
 pub use attempt_failure::AttemptFailure;
 pub use body_length::BodyLength;
 pub use ending::Ending;
+pub use event_cursor::{EventCursor, EventFault};
 pub use request_flow::RequestFlow;
 pub use resume::{CutStream, ResumeDecision, ResumeFacts, decide_resume};
 pub use retry::{MAX_ATTEMPTS, RetryDecision, RetryFacts, decide_retry};
--- a/crates/flow/src/stream_tracker.rs
+++ b/crates/flow/src/stream_tracker.rs
@@ -109,7 +109,7 @@
 }
 
 /// Returns the position after the last empty line, which ends an event.
-fn whole_events_end(bytes: &[u8]) -> usize {
+pub(crate) fn whole_events_end(bytes: &[u8]) -> usize {
     let mut end = 0;
     let mut line_start = 0;
     for (position, byte) in bytes.iter().enumerate() {
--- /dev/null
+++ b/crates/mesh/src/host_entry.rs
@@ -0,0 +1,42 @@
+//! What is known about one host.
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+use lw_base::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::beat::RegionUse;
+use crate::stage::Stage;
+
+/// How a host is reached; the platform keeps one entry a host.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostAddress {
+    /// The name of the host.
+    pub host: Arc<str>,
+    /// Its address.
+    pub ip: Ipv4Addr,
+    /// Its availability zone.
+    pub zone: Arc<str>,
+    /// Its region.
+    pub region: Arc<str>,
+    /// The wall clock at the start of its process, in milliseconds.
+    pub started_ms: u64,
+}
+
+/// What is known about one host.
+#[derive(Clone, Debug)]
+pub struct HostEntry {
+    /// How it is reached.
+    pub address: HostAddress,
+    /// When it was last heard; `None` when only the platform named it.
+    pub heard_at: Option<MonoMs>,
+    /// Its stage in its last beat.
+    pub stage: Stage,
+    /// The revision of its mirror in its last beat.
+    pub as_of: u64,
+    /// Requests that it served at its last beat.
+    pub requests: u16,
+    /// The use of the services in its region at its last beat.
+    pub services: Vec<RegionUse>,
+}
--- /dev/null
+++ b/crates/mesh/src/host_table.rs
@@ -0,0 +1,243 @@
+//! The hosts that this host knows.
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+use lw_base::prelude::*;
+use lw_base::{ranked, stable_hash};
+
+use crate::beat::{Beat, RegionUse};
+use crate::host_entry::{HostAddress, HostEntry};
+use crate::stage::Stage;
+
+/// A host counts as up for this long after its last beat: six lost beats in a row.
+pub const HEARD_MS: u64 = 2_500;
+/// A host that is silent for this long is forgotten; above the longest outage that a day holds.
+const FORGET_MS: u64 = 30_000;
+/// A restarted host whose wall clock went back is taken for newer after this silence of the former process.
+const REPLACE_MS: u64 = 900;
+/// The most hosts of its region that a host sends each beat to. Larger regions are covered in turns, which keeps the
+/// bytes of a host independent of the size of its region.
+const REGION_FAN_OUT: usize = 12;
+/// Hosts of other regions that a host sends each beat to.
+const REMOTE_FAN_OUT: usize = 3;
+
+/// Where the next beat goes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Recipients {
+    /// Hosts of the sender's region.
+    pub near: Vec<Ipv4Addr>,
+    /// Hosts of other regions.
+    pub far: Vec<Ipv4Addr>,
+}
+
+/// The hosts that a host knows, without itself.
+#[derive(Debug)]
+pub struct HostTable {
+    name: Arc<str>,
+    region: Arc<str>,
+    hosts: FastMap<Arc<str>, HostEntry>,
+    seeds: Vec<Ipv4Addr>,
+    turn: usize,
+    /// The most hosts of the region that were known together with this host.
+    most_near: usize,
+    most_all: usize,
+}
+
+impl HostTable {
+    /// Creates the table of the host `name` in `region`.
+    #[must_use]
+    pub fn new(name: Arc<str>, region: Arc<str>, seeds: Vec<Ipv4Addr>) -> Self {
+        Self {
+            name,
+            region,
+            hosts: FastMap::default(),
+            seeds,
+            turn: 0,
+            most_near: 1,
+            most_all: 1,
+        }
+    }
+
+    /// Takes the platform's entry of a host.
+    pub fn listed(&mut self, address: HostAddress) {
+        if address.host == self.name {
+            return;
+        }
+        let known = self.hosts.get(&address.host);
+        if known.is_some_and(|known| known.address.started_ms >= address.started_ms) {
+            return;
+        }
+        let entry = HostEntry {
+            address,
+            heard_at: None,
+            stage: Stage::Starting,
+            as_of: 0,
+            requests: 0,
+            services: Vec::new(),
+        };
+        self.hosts.insert(entry.address.host.clone(), entry);
+        self.note_sizes();
+    }
+
+    /// Forgets a host that the platform no longer names and that was never heard.
+    pub fn unlisted(&mut self, host: &str) {
+        if self
+            .hosts
+            .get(host)
+            .is_some_and(|entry| entry.heard_at.is_none())
+        {
+            self.hosts.remove(host);
+        }
+    }
+
+    /// Takes a beat; returns false when it comes from a former process or from this host.
+    pub fn heard(&mut self, now: MonoMs, beat: &Beat) -> bool {
+        if beat.host == self.name {
+            return false;
+        }
+        if let Some(known) = self.hosts.get(&beat.host) {
+            let former = beat.started_ms < known.address.started_ms;
+            let silent = known
+                .heard_at
+                .is_none_or(|at| now.since_ms(at) > REPLACE_MS);
+            if former && !silent {
+                return false;
+            }
+        }
+        let entry = HostEntry {
+            address: HostAddress {
+                host: beat.host.clone(),
+                ip: beat.ip,
+                zone: beat.zone.clone(),
+                region: beat.region.clone(),
+                started_ms: beat.started_ms,
+            },
+            heard_at: Some(now),
+            stage: beat.stage,
+            as_of: beat.as_of,
+            requests: beat.requests,
+            services: beat.services.clone(),
+        };
+        self.hosts.insert(beat.host.clone(), entry);
+        self.note_sizes();
+        true
+    }
+
+    /// Forgets hosts that have been silent for long.
+    pub fn prune(&mut self, now: MonoMs) {
+        self.hosts
+            .retain(|_, entry| entry.heard_at.is_none_or(|at| now.since_ms(at) < FORGET_MS));
+    }
+
+    /// Returns the hosts that are up and take requests.
+    pub fn ready(&self, now: MonoMs) -> impl Iterator<Item = &HostEntry> {
+        self.up(now).filter(|entry| entry.stage == Stage::Ready)
+    }
+
+    /// Returns the hosts that were heard lately.
+    pub fn up(&self, now: MonoMs) -> impl Iterator<Item = &HostEntry> {
+        self.hosts.values().filter(move |entry| {
+            entry
+                .heard_at
+                .is_some_and(|at| now.since_ms(at) <= HEARD_MS)
+        })
+    }
+
+    /// Returns a host that knows a newer state of the platform than `as_of`.
+    #[must_use]
+    pub fn ahead_of(&self, now: MonoMs, as_of: u64) -> Option<&HostEntry> {
+        let ahead = self.up(now).filter(|entry| entry.as_of > as_of);
+        ahead.max_by_key(|entry| (*entry.address.region == *self.region, entry.as_of))
+    }
+
+    /// Returns how many hosts of the region, with this one, share a limit of a target.
+    ///
+    /// The largest number ever seen counts, so that hosts that do not hear one another do not exceed the limit
+    /// together.
+    #[must_use]
+    pub fn sharers_near(&self) -> usize {
+        self.most_near
+    }
+
+    /// Returns how many hosts, with this one, share a limit of a service.
+    #[must_use]
+    pub fn sharers_all(&self) -> usize {
+        self.most_all
+    }
+
+    /// Returns whether this host is among the `count` hosts of the region that may use the scarce thing `key`.
+    #[must_use]
+    pub fn is_among(&self, now: MonoMs, key: &str, count: usize) -> bool {
+        let near = self.up(now);
+        let near = near.filter(|entry| entry.address.region == self.region);
+        let mut names: Vec<Arc<str>> = near.map(|entry| entry.address.host.clone()).collect();
+        names.push(self.name.clone());
+        let order = ranked(
+            stable_hash(key.as_bytes()),
+            &names.iter().map(|name| name.as_bytes()).collect::<Vec<_>>(),
+        );
+        order
+            .into_iter()
+            .take(count)
+            .any(|index| names[index] == self.name)
+    }
+
+    /// Returns the use of a service in the regions of the hosts that were heard, the freshest word of each region.
+    pub fn region_uses(
+        &self,
+        now: MonoMs,
+        service: u32,
+    ) -> impl Iterator<Item = (&Arc<str>, MonoMs, RegionUse)> {
+        self.ready(now).filter_map(move |entry| {
+            let mut uses = entry.services.iter();
+            let found = uses.find(|used| used.service == service)?;
+            Some((&entry.address.region, entry.heard_at?, *found))
+        })
+    }
+
+    /// Returns the addresses for the next beat and moves on to the next turn.
+    pub fn recipients(&mut self) -> Recipients {
+        self.turn += 1;
+        let mut near = Vec::new();
+        let mut far = Vec::new();
+        for entry in self.hosts.values() {
+            if entry.address.region == self.region {
+                near.push(entry.address.ip);
+            } else {
+                far.push(entry.address.ip);
+            }
+        }
+        let mut seeds: Vec<Ipv4Addr> = self.seeds.clone();
+        seeds.retain(|seed| !near.contains(seed) && !far.contains(seed));
+        near.sort_unstable();
+        far.sort_unstable();
+        let mut far = in_turn(&far, self.turn, REMOTE_FAN_OUT);
+        // Seeds that no entry names yet are asked as well, so that a host finds others without the platform.
+        far.extend(seeds);
+        Recipients {
+            near: in_turn(&near, self.turn, REGION_FAN_OUT),
+            far,
+        }
+    }
+
+    fn note_sizes(&mut self) {
+        let near = self.hosts.values();
+        let near = near
+            .filter(|entry| entry.address.region == self.region)
+            .count();
+        self.most_near = self.most_near.max(near + 1);
+        self.most_all = self.most_all.max(self.hosts.len() + 1);
+    }
+}
+
+/// Returns `count` of `all`, going round with each turn.
+fn in_turn(all: &[Ipv4Addr], turn: usize, count: usize) -> Vec<Ipv4Addr> {
+    if all.len() <= count {
+        return all.to_vec();
+    }
+    let start = turn * count;
+    (0..count)
+        .map(|step| all[(start + step) % all.len()])
+        .collect()
+}
--- /dev/null
+++ b/crates/mesh/src/lib.rs
@@ -0,0 +1,16 @@
+//! What hosts without a control plane know of the platform and of one another, as decisions without I/O.
+//!
+//! [`Mirror`] is a host's copy of the platform's state; hosts pass it on when the platform serves only some of them.
+//! [`HostTable`] holds the hosts that a host hears of, by their [`Beat`]s.
+
+mod beat;
+mod host_entry;
+mod host_table;
+mod mirror;
+mod stage;
+
+pub use beat::{Beat, BeatError, PlacedPart, RegionUse, TargetUse};
+pub use host_entry::{HostAddress, HostEntry};
+pub use host_table::{HEARD_MS, HostTable, Recipients};
+pub use mirror::{Changed, Item, Listing, Mirror, Written};
+pub use stage::Stage;
--- /dev/null
+++ b/crates/mesh/src/mirror.rs
@@ -0,0 +1,153 @@
+//! A host's copy of the platform's state.
+
+use std::collections::BTreeMap;
+use std::ops::Bound;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+/// A value with the revision of its last write.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Item {
+    /// The bytes as they were written.
+    pub value: Bytes,
+    /// The revision of the write.
+    pub revision: u64,
+}
+
+/// One write or removal of a key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Written {
+    /// The key.
+    pub key: Arc<str>,
+    /// The revision of the change.
+    pub revision: u64,
+    /// The new value; `None` when the key was removed.
+    pub value: Option<Bytes>,
+}
+
+/// The state of all keys, read from the platform or from another host.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listing {
+    /// Every change up to this revision is contained. Single items may be newer, because pages are no snapshot.
+    pub as_of: u64,
+    /// The items by key.
+    pub items: BTreeMap<Arc<str>, Item>,
+}
+
+/// What an update changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Changed {
+    /// Keys with a new value.
+    pub written: Vec<Arc<str>>,
+    /// Keys that are gone.
+    pub removed: Vec<Arc<str>>,
+}
+
+/// A copy of the platform's state that never goes back to an older revision.
+#[derive(Clone, Debug, Default)]
+pub struct Mirror {
+    listing: Listing,
+}
+
+impl Mirror {
+    /// Returns the revision up to which every change is contained; zero before the first listing.
+    #[must_use]
+    pub fn as_of(&self) -> u64 {
+        self.listing.as_of
+    }
+
+    /// Returns the state, for another host.
+    #[must_use]
+    pub fn listing(&self) -> &Listing {
+        &self.listing
+    }
+
+    /// Returns an item.
+    #[must_use]
+    pub fn get(&self, key: &str) -> Option<&Item> {
+        self.listing.items.get(key)
+    }
+
+    /// Iterates over the items whose keys begin with `prefix`.
+    pub fn with_prefix<'a>(
+        &'a self,
+        prefix: &'a str,
+    ) -> impl Iterator<Item = (&'a Arc<str>, &'a Item)> {
+        let keys = self
+            .listing
+            .items
+            .range::<str, _>((Bound::Included(prefix), Bound::Unbounded));
+        keys.take_while(move |(key, _)| key.starts_with(prefix))
+    }
+
+    /// Applies the changes of a watch, which contain everything after [`Self::as_of`] up to `as_of`.
+    pub fn apply(&mut self, changes: Vec<Written>, as_of: u64) -> Changed {
+        let mut changed = Changed::default();
+        for change in changes {
+            self.apply_one(change, &mut changed);
+        }
+        self.listing.as_of = self.listing.as_of.max(as_of);
+        changed
+    }
+
+    /// Replaces the state by a listing that is not older; an older one changes nothing.
+    pub fn replace(&mut self, listing: Listing) -> Changed {
+        let mut changed = Changed::default();
+        if listing.as_of < self.listing.as_of {
+            return changed;
+        }
+        for (key, item) in &listing.items {
+            let known = self.listing.items.get(key).map(|known| known.revision);
+            if known.is_none_or(|known| known < item.revision) {
+                changed.written.push(key.clone());
+            }
+        }
+        let mut items = listing.items;
+        for (key, known) in &self.listing.items {
+            match items.get(key) {
+                Some(item) if item.revision >= known.revision => {}
+                // The listing may have read this key before its last write, which a watch has already brought.
+                _ if known.revision > listing.as_of => {
+                    items.insert(key.clone(), known.clone());
+                }
+                Some(_) => {}
+                None => changed.removed.push(key.clone()),
+            }
+        }
+        self.listing = Listing {
+            as_of: listing.as_of,
+            items,
+        };
+        changed
+    }
+
+    fn apply_one(&mut self, change: Written, changed: &mut Changed) {
+        let known = self
+            .listing
+            .items
+            .get(&change.key)
+            .map(|item| item.revision);
+        if change.revision <= self.listing.as_of || known >= Some(change.revision) {
+            return;
+        }
+        match change.value {
+            Some(value) => {
+                let item = Item {
+                    value,
+                    revision: change.revision,
+                };
+                changed.removed.retain(|key| *key != change.key);
+                changed.written.push(change.key.clone());
+                self.listing.items.insert(change.key, item);
+            }
+            None => {
+                if self.listing.items.remove(&change.key).is_some() {
+                    changed.written.retain(|key| *key != change.key);
+                    changed.removed.push(change.key);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/choose.rs
@@ -0,0 +1,159 @@
+//! The choice of a target in the host's region.
+
+use lw_admit::ColdLimit;
+use lw_base::prelude::*;
+
+use crate::plan::{Plan, Service};
+use crate::prompt::Prompt;
+use crate::service_pace::ServicePace;
+use crate::target::Target;
+
+/// Requests that wait at a plain target beyond its slots, as a multiple of them; above it they wait at the host, where
+/// they can still go elsewhere.
+const PLAIN_QUEUE: f64 = 2.0;
+/// Requests that wait at an engine beyond its slots, as a multiple of them.
+const ENGINE_QUEUE: f64 = 0.1;
+/// The part of an engine's memory that running requests may fill; above it the engine preempts.
+const MEMORY_SHARE: f64 = 0.9;
+/// How much the prefill of a request counts beyond its own wait: it delays every other request of the engine.
+const PREFILL_WEIGHT: f64 = 2.0;
+/// What each running request of a full engine adds to the score, in milliseconds: tokens come more slowly.
+const FULL_BATCH_MS: f64 = 250.0;
+/// What a target that fails every request would add to the score, in milliseconds.
+const FAILURE_MS: f64 = 3_000.0;
+
+/// What a choice depends on.
+#[derive(Clone, Copy, Debug)]
+pub struct ChoiceQuery<'a> {
+    /// The region of the host.
+    pub region: &'a str,
+    /// The service.
+    pub service: ServiceKey,
+    /// The prompt; empty for a plain service.
+    pub prompt: &'a Prompt,
+    /// Incarnations that were tried already.
+    pub tried: &'a [u32],
+    /// Times of the service.
+    pub pace: ServicePace,
+}
+
+/// A chosen target.
+#[derive(Clone, Debug)]
+pub struct Chosen {
+    /// The target.
+    pub target: Target,
+    /// The prefill work of the request there, in milliseconds.
+    pub prefill_ms: f64,
+    /// The tokens that it has to read.
+    pub new_tokens: u64,
+    /// The time that it has to expect until its first event or its answer, in milliseconds.
+    pub expected_ms: f64,
+    /// The target had no prefill work before.
+    pub idle: bool,
+    /// The target is cold, and the request counts towards its pace.
+    pub cold: bool,
+}
+
+/// Why there is no target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoTarget {
+    /// The service has no target in the region that takes work.
+    Absent,
+    /// All targets are full.
+    Full,
+}
+
+/// How targets in their cold time may be used.
+pub struct ColdRules<'a> {
+    /// Returns this host's part of the limit of a cold target, or `None` when this host must not use it.
+    pub limit: &'a dyn Fn(&Service, &Target) -> Option<ColdLimit>,
+}
+
+/// Chooses the target with the least expected cost.
+///
+/// # Errors
+///
+/// Returns why no target can take the request.
+pub fn choose(
+    plan: &Plan,
+    query: &ChoiceQuery<'_>,
+    now: MonoMs,
+    cold: &ColdRules<'_>,
+) -> Result<Chosen, NoTarget> {
+    let service = &plan.services[query.service];
+    let mut best: Option<(f64, Chosen)> = None;
+    let mut last_resort: Option<(f64, Chosen)> = None;
+    let mut is_present = false;
+    for target in plan.targets_of(query.service) {
+        if *target.region != *query.region || !plan.is_open(target) {
+            continue;
+        }
+        is_present = true;
+        if query.tried.contains(&target.hash) {
+            continue;
+        }
+        let load = target.load.borrow();
+        let is_cold = now < load.cold_until && service.cold_per_s > 0.0;
+        if is_cold {
+            let limit = (cold.limit)(service, target);
+            if !limit.is_some_and(|limit| load.cold_pace.may_send(now, limit)) {
+                continue;
+            }
+        }
+        let used = load.whole_use(now);
+        if is_full(service, target, used.running, used.tokens, query.prompt) {
+            continue;
+        }
+        let cached = load.cache.cached_tokens(&query.prompt.parts);
+        let new_tokens = query.prompt.input_tokens.saturating_sub(cached);
+        let prefill_ms = new_tokens as f64 * query.pace.token_ms;
+        let slots = f64::from(target.slots.max(1));
+        let use_ratio = f64::from(used.running) / slots;
+        let expected_ms = match service.engine {
+            Some(_) => used.backlog_ms + prefill_ms,
+            None => query.pace.answer_ms * (1.0 + (use_ratio - 0.8).max(0.0)),
+        };
+        let score = match service.engine {
+            Some(_) => used.backlog_ms + PREFILL_WEIGHT * prefill_ms + FULL_BATCH_MS * use_ratio,
+            None => FULL_BATCH_MS * use_ratio,
+        } + FAILURE_MS * load.health.failure_rate();
+        let is_suspect = load.health.is_suspect(now, query.pace.answer_ms);
+        let slot = match is_suspect {
+            true => &mut last_resort,
+            false => &mut best,
+        };
+        if slot.as_ref().is_none_or(|(other, _)| score < *other) {
+            let chosen = Chosen {
+                target: target.clone(),
+                prefill_ms,
+                new_tokens,
+                expected_ms,
+                idle: used.backlog_ms < 1.0,
+                cold: is_cold,
+            };
+            *slot = Some((score, chosen));
+        }
+    }
+    match (best.or(last_resort), is_present) {
+        (Some((_, chosen)), _) => Ok(chosen),
+        (None, true) => Err(NoTarget::Full),
+        (None, false) => Err(NoTarget::Absent),
+    }
+}
+
+fn is_full(service: &Service, target: &Target, running: u32, tokens: u64, prompt: &Prompt) -> bool {
+    let slots = f64::from(target.slots.max(1));
+    let queue = match service.engine {
+        Some(_) => ENGINE_QUEUE,
+        None => PLAIN_QUEUE,
+    };
+    if f64::from(running) >= slots * (1.0 + queue) {
+        return true;
+    }
+    let Some(engine) = service.engine else {
+        return false;
+    };
+    // An engine without other work takes a request of any size that its memory holds.
+    running > 0
+        && (tokens + prompt.all_tokens()) as f64 > engine.memory_tokens as f64 * MEMORY_SHARE
+}
--- /dev/null
+++ b/crates/relay/src/in_flight.rs
@@ -0,0 +1,81 @@
+//! The accounts of one attempt at a target.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use lw_base::prelude::*;
+
+use crate::clock::HostClock;
+use crate::target_health::AttemptEnd;
+use crate::target_load::TargetLoad;
+
+/// Holds the place of a request at a target until it is dropped.
+pub(crate) struct InFlight {
+    load: Rc<RefCell<TargetLoad>>,
+    clock: HostClock,
+    freed: Rc<tokio::sync::Notify>,
+    tokens: u64,
+    prefill_ms: f64,
+    is_answered: bool,
+}
+
+impl InFlight {
+    /// Takes a place.
+    pub(crate) fn begin(
+        load: &Rc<RefCell<TargetLoad>>,
+        clock: HostClock,
+        freed: Rc<tokio::sync::Notify>,
+        tokens: u64,
+        prefill_ms: f64,
+    ) -> Self {
+        let now = clock.now();
+        let mut state = load.borrow_mut();
+        state.running += 1;
+        state.tokens += tokens;
+        state.add_backlog(now, prefill_ms);
+        state.health.sent(now);
+        drop(state);
+        Self {
+            load: load.clone(),
+            clock,
+            freed,
+            tokens,
+            prefill_ms,
+            is_answered: false,
+        }
+    }
+
+    /// Notes the first bytes of an answer, or that none will come.
+    pub(crate) fn answered(&mut self, end: AttemptEnd) {
+        if std::mem::replace(&mut self.is_answered, true) {
+            return;
+        }
+        let now = self.clock.now();
+        let mut load = self.load.borrow_mut();
+        load.health.answered(now, end);
+        if matches!(end, AttemptEnd::Failed | AttemptEnd::Unreachable) {
+            // The prefill was not done.
+            let back = load
+                .prefill_done_at
+                .0
+                .saturating_sub(self.prefill_ms as u64);
+            load.prefill_done_at = MonoMs(back);
+        }
+    }
+
+    /// Notes that the target sent bytes.
+    pub(crate) fn heard(&self) {
+        self.load.borrow_mut().health.heard(self.clock.now());
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.answered(AttemptEnd::Neutral);
+        let mut load = self.load.borrow_mut();
+        load.running = load.running.saturating_sub(1);
+        load.tokens = load.tokens.saturating_sub(self.tokens);
+        drop(load);
+        self.freed.notify_waiters();
+    }
+}
--- /dev/null
+++ b/crates/relay/src/incoming.rs
@@ -0,0 +1,32 @@
+//! A request as the server hands it on.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+use lw_base::prelude::*;
+
+use crate::plan::Plan;
+use crate::prompt::Prompt;
+use crate::route::Route;
+
+/// A request whose body has been read.
+pub(crate) struct Incoming {
+    /// The id of the caller's attempt, for logs.
+    pub(crate) id: Arc<str>,
+    pub(crate) method: Method,
+    /// Path and query as they were sent.
+    pub(crate) path: Arc<str>,
+    /// The headers that travel on.
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) received_at: MonoMs,
+    /// When the caller stops waiting, or the route's time is over.
+    pub(crate) deadline: MonoMs,
+    /// The request came from another host.
+    pub(crate) is_hop: bool,
+    pub(crate) route: Arc<Route>,
+    pub(crate) plan: std::rc::Rc<Plan>,
+    pub(crate) service: ServiceKey,
+    pub(crate) prompt: Prompt,
+}
--- /dev/null
+++ b/crates/relay/src/metrics.rs
@@ -0,0 +1,123 @@
+//! Counters and histograms of a host.
+
+use http::StatusCode;
+use lw_flow::AttemptFailure;
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+
+/// The upper bounds of the latency buckets, in seconds: from a plain answer to the longest deadline.
+const LATENCY_BUCKETS_S: [f64; 10] = [0.025, 0.05, 0.1, 0.2, 0.4, 1.0, 1.5, 3.0, 5.0, 8.0];
+
+/// Counters and histograms of a host.
+pub struct HostMetrics {
+    registry: Registry,
+    ends: IntCounterVec,
+    failures: IntCounterVec,
+    took_s: Histogram,
+    requests: IntGauge,
+    connections: IntGauge,
+    /// Calls to the platform by kind and result.
+    pub platform_calls: IntCounterVec,
+}
+
+impl HostMetrics {
+    /// Creates and registers the metrics.
+    ///
+    /// # Panics
+    ///
+    /// Panics when two metrics have the same name, which is a fault of this function.
+    #[must_use]
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let counters = IntCounterVec::new(Opts::new(name, help), labels);
+            let counters = counters.expect("the names are valid");
+            registry
+                .register(Box::new(counters.clone()))
+                .expect("each name is used once");
+            counters
+        };
+        let ends = counters(
+            "lacewingstile_relay_ends_total",
+            "Ends of requests",
+            &["status"],
+        );
+        let failures = counters(
+            "lacewingstile_relay_attempt_failures_total",
+            "Attempts without an answer",
+            &["failure"],
+        );
+        let platform_calls = counters(
+            "lacewingstile_relay_platform_calls_total",
+            "Calls to the platform",
+            &["call", "result"],
+        );
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help).expect("the names are valid");
+            registry
+                .register(Box::new(gauge.clone()))
+                .expect("each name is used once");
+            gauge
+        };
+        let requests = gauge("lacewingstile_relay_requests", "Requests being served");
+        let connections = gauge("lacewingstile_relay_connections", "Open connections");
+        let options = HistogramOpts::new(
+            "lacewingstile_relay_request_seconds",
+            "Time from the arrival of a request to its end",
+        );
+        let options = options.buckets(LATENCY_BUCKETS_S.to_vec());
+        let took_s = Histogram::with_opts(options).expect("the buckets rise");
+        registry
+            .register(Box::new(took_s.clone()))
+            .expect("each name is used once");
+        Self {
+            registry,
+            ends,
+            failures,
+            took_s,
+            requests,
+            connections,
+            platform_calls,
+        }
+    }
+
+    /// Returns the metrics as text.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut bytes = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut bytes) {
+            log::warn!(reason = error.to_string().as_str(); "the metrics cannot be written");
+        }
+        String::from_utf8(bytes).unwrap_or_default()
+    }
+
+    pub(crate) fn ended(&self, status: StatusCode, took_ms: u64) {
+        self.ends.with_label_values(&[status.as_str()]).inc();
+        self.took_s.observe(took_ms as f64 / 1_000.0);
+    }
+
+    pub(crate) fn attempt_failed(&self, failure: AttemptFailure) {
+        let name = match failure {
+            AttemptFailure::ConnectFailed => "connect",
+            AttemptFailure::TargetRefused => "refused",
+            AttemptFailure::AnswerLost => "lost",
+            AttemptFailure::AnswerIncomplete => "incomplete",
+            AttemptFailure::CrossedAnswer => "crossed",
+            AttemptFailure::DeadlineAfterSend => "deadline",
+            AttemptFailure::Reported { .. } => "reported",
+        };
+        self.failures.with_label_values(&[name]).inc();
+    }
+
+    pub(crate) fn set_load(&self, requests: u32, connections: u32) {
+        self.requests.set(i64::from(requests));
+        self.connections.set(i64::from(connections));
+    }
+}
+
+impl Default for HostMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/relay/src/own_pages.rs
@@ -0,0 +1,61 @@
+//! The host's own pages: readiness, directory and metrics.
+
+use http::{Request, StatusCode};
+
+use crate::directory::entry_hosts;
+use crate::host::Host;
+use crate::reply::{Reply, ReplyBody, json_reply};
+use crate::server::Door;
+use lw_mesh::Stage;
+
+/// The time for which callers use an answer of the directory. A host that leaves goes on serving for longer than this.
+const DIRECTORY_TTL_S: u64 = 2;
+
+pub(crate) fn handle<B>(host: &Host, request: &Request<B>, door: Door) -> Reply {
+    let path = request.uri().path();
+    match door {
+        Door::Ready if path == host.paths.ready => ready(host),
+        Door::Directory if path == host.paths.directory => {
+            directory(host, request.uri().query().unwrap_or_default())
+        }
+        Door::Metrics if path == "/metrics" => metrics(host),
+        _ => json_reply(
+            StatusCode::NOT_FOUND,
+            r#"{"error":"no such page"}"#.to_owned(),
+        ),
+    }
+}
+
+fn ready(host: &Host) -> Reply {
+    match host.stage() {
+        Stage::Ready => json_reply(StatusCode::OK, "{}".to_owned()),
+        Stage::Starting | Stage::Leaving => {
+            json_reply(StatusCode::SERVICE_UNAVAILABLE, "{}".to_owned())
+        }
+    }
+}
+
+fn directory(host: &Host, query: &str) -> Reply {
+    let region = query_value(query, "region");
+    let addresses = entry_hosts(host, region.unwrap_or(&host.settings.region));
+    if addresses.is_empty() {
+        return json_reply(StatusCode::SERVICE_UNAVAILABLE, "{}".to_owned());
+    }
+    let ttl_s = DIRECTORY_TTL_S.min(host.bounds.get().directory_ttl_s);
+    let body = serde_json::json!({ "addresses": addresses, "ttl_s": ttl_s });
+    json_reply(StatusCode::OK, body.to_string())
+}
+
+fn metrics(host: &Host) -> Reply {
+    host.metrics.set_load(host.requests(), host.connections());
+    let mut reply = http::Response::new(ReplyBody::whole(host.metrics.text()));
+    let text = http::HeaderValue::from_static("text/plain; version=0.0.4");
+    reply.headers_mut().insert(http::header::CONTENT_TYPE, text);
+    reply
+}
+
+/// Returns the value of a query parameter; the names of regions need no decoding.
+fn query_value<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+}
--- /dev/null
+++ b/crates/relay/src/peer_beats.rs
@@ -0,0 +1,230 @@
+//! Beats between hosts, as datagrams.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use lw_base::prelude::*;
+use lw_base::stable_hash;
+use lw_mesh::{Beat, RegionUse, TargetUse};
+use tokio::net::UdpSocket;
+
+use crate::choose::{ChoiceQuery, ColdRules, choose};
+use crate::host::Host;
+use crate::prompt::{Prompt, PromptPart};
+use crate::target_load::UseByHost;
+
+/// How often a host speaks. Load that is half a second old still tells a busy engine from a free one, and a lost host
+/// is noticed within the time that callers keep an answer of the directory.
+const BEAT_PERIOD: Duration = Duration::from_millis(400);
+/// The largest datagram that travels unfragmented on common paths.
+const MOST_BYTES: usize = 1_400;
+/// The placed parts of one beat; the rest is not told.
+const MOST_PLACED: usize = 24;
+/// A host that hears of a newer state waits this long for its own watch before it asks, in milliseconds.
+const WATCH_FIRST_MS: u64 = 250;
+
+/// Sends and receives beats until the process ends.
+///
+/// # Errors
+///
+/// Returns an error when the socket cannot be bound.
+pub async fn run_beats(host: Rc<Host>) -> std::io::Result<()> {
+    let address = SocketAddr::from((host.settings.ip, host.settings.peer_port));
+    let socket = UdpSocket::bind(address).await?;
+    tokio::task::spawn_local(beat_loop(host, socket));
+    Ok(())
+}
+
+async fn beat_loop(host: Rc<Host>, socket: UdpSocket) {
+    let mut period = tokio::time::interval(BEAT_PERIOD);
+    period.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut stop = host.stop.subscribe();
+    let mut bytes = [0; 2_048];
+    let mut behind_since: Option<MonoMs> = None;
+    loop {
+        tokio::select! {
+            received = socket.recv_from(&mut bytes) => match received {
+                Ok((length, from)) => hear(&host, &bytes[..length], from.ip()),
+                Err(error) => log::debug!(reason = error.to_string().as_str(); "no beat was received"),
+            },
+            _ = period.tick() => {
+                speak(&host, &socket).await;
+                behind_since = catch_up(&host, behind_since);
+            }
+            changed = stop.changed() => {
+                if changed.is_ok() {
+                    speak(&host, &socket).await;
+                }
+            }
+        }
+    }
+}
+
+/// Asks a host that knows a newer state of the platform, once the own watch had its time.
+fn catch_up(host: &Rc<Host>, behind_since: Option<MonoMs>) -> Option<MonoMs> {
+    let now = host.clock.now();
+    let as_of = host.mirror.borrow().as_of();
+    let ahead = host.hosts.borrow();
+    let ahead = ahead.ahead_of(now, as_of)?;
+    let since = behind_since.unwrap_or(now);
+    if now.since_ms(since) >= WATCH_FIRST_MS {
+        let address = SocketAddr::from((ahead.address.ip, host.settings.peer_port));
+        tokio::task::spawn_local(crate::peer_mirror::fetch(host.clone(), address));
+    }
+    Some(since)
+}
+
+fn hear(host: &Rc<Host>, bytes: &[u8], from: IpAddr) {
+    let beat = match Beat::decode(bytes) {
+        Ok(beat) => beat,
+        Err(error) => {
+            log::debug!(from = from.to_string().as_str(), reason = error.to_string().as_str(); "a datagram was dropped");
+            return;
+        }
+    };
+    if from != IpAddr::V4(beat.ip) {
+        return;
+    }
+    let now = host.clock.now();
+    if !host.hosts.borrow_mut().heard(now, &beat) {
+        return;
+    }
+    if beat.targets.is_empty() && beat.placed.is_empty() {
+        return;
+    }
+    let sender = stable_hash(beat.host.as_bytes());
+    let plan = host.plan();
+    for (service, targets) in plan.targets.iter().enumerate() {
+        let memory = plan.services[ServiceKey::from_index(service)].engine;
+        for target in targets {
+            let used = beat.targets.iter().find(|used| used.target == target.hash);
+            let mut load = target.load.borrow_mut();
+            if let Some(used) = used {
+                let used = UseByHost {
+                    running: u32::from(used.running),
+                    backlog_ms: f64::from(used.backlog_ms),
+                    tokens: u64::from(used.kilotokens) * 1_000,
+                };
+                load.remote_use(now, sender, used);
+            }
+            let Some(engine) = memory else {
+                continue;
+            };
+            for placed in beat.placed.iter().filter(|part| part.target == target.hash) {
+                let part = PromptPart {
+                    chain: placed.part,
+                    tokens: placed.tokens,
+                };
+                load.cache.note(now, part, engine.memory_tokens);
+            }
+        }
+    }
+}
+
+async fn speak(host: &Rc<Host>, socket: &UdpSocket) {
+    let now = host.clock.now();
+    host.hosts.borrow_mut().prune(now);
+    let recipients = host.hosts.borrow_mut().recipients();
+    let far = beat_of(host, now);
+    let mut near = far.clone();
+    near.targets = target_uses(host, now);
+    let mut placed = host.placed.take();
+    placed.truncate(MOST_PLACED);
+    near.placed = placed;
+    send(host, socket, &near, &recipients.near).await;
+    send(host, socket, &far, &recipients.far).await;
+}
+
+async fn send(host: &Host, socket: &UdpSocket, beat: &Beat, to: &[Ipv4Addr]) {
+    let bytes = match beat.encode() {
+        Ok(bytes) if bytes.len() <= MOST_BYTES => bytes,
+        Ok(bytes) => {
+            log::warn!(bytes = bytes.len(); "a beat is too large");
+            return;
+        }
+        Err(error) => {
+            log::warn!(reason = error.to_string().as_str(); "a beat cannot be written");
+            return;
+        }
+    };
+    for ip in to {
+        let sent = socket.send_to(&bytes, (*ip, host.settings.peer_port)).await;
+        if let Err(error) = sent {
+            log::debug!(to = ip.to_string().as_str(), reason = error.to_string().as_str(); "a beat was not sent");
+        }
+    }
+}
+
+fn beat_of(host: &Host, now: MonoMs) -> Beat {
+    Beat {
+        host: host.settings.host.clone(),
+        ip: host.settings.ip,
+        zone: host.settings.zone.clone(),
+        region: host.settings.region.clone(),
+        started_ms: host.started_ms,
+        stage: host.stage(),
+        as_of: host.mirror.borrow().as_of(),
+        requests: u16::try_from(host.requests()).unwrap_or(u16::MAX),
+        services: region_uses(host, now),
+        targets: Vec::new(),
+        placed: Vec::new(),
+    }
+}
+
+/// Returns the use that this host makes of the targets of its region.
+fn target_uses(host: &Host, now: MonoMs) -> Vec<TargetUse> {
+    let plan = host.plan();
+    let targets = plan.targets.iter().flatten();
+    let near = targets.filter(|target| target.region == host.settings.region);
+    let used = near.filter_map(|target| {
+        let used = target.load.borrow().own_use(now);
+        (used.running > 0 || used.backlog_ms > 0.0).then(|| TargetUse {
+            target: target.hash,
+            running: u16::try_from(used.running).unwrap_or(u16::MAX),
+            backlog_ms: used.backlog_ms.min(f64::from(u16::MAX)) as u16,
+            kilotokens: u16::try_from(used.tokens / 1_000).unwrap_or(u16::MAX),
+        })
+    });
+    used.collect()
+}
+
+/// Returns how busy the services of this region are.
+fn region_uses(host: &Host, now: MonoMs) -> Vec<RegionUse> {
+    let plan = host.plan();
+    let prompt = Prompt::default();
+    let limit = |service: &_, target: &_| host.cold_limit(service, target);
+    let cold = ColdRules { limit: &limit };
+    let uses = plan.services.keys().map(|key| {
+        let service = &plan.services[key];
+        let query = ChoiceQuery {
+            region: &host.settings.region,
+            service: key,
+            prompt: &prompt,
+            tried: &[],
+            pace: host.pace(service),
+        };
+        let chosen = choose(&plan, &query, now, &cold);
+        let near = plan.targets_of(key).iter();
+        let near =
+            near.filter(|target| target.region == host.settings.region && plan.is_open(target));
+        let (mut targets, mut free_slots) = (0, 0);
+        for target in near {
+            targets += 1;
+            let running = target.load.borrow().whole_use(now).running;
+            free_slots += target.slots.saturating_sub(running);
+        }
+        RegionUse {
+            service: service.hash,
+            wait_ms: chosen
+                .as_ref()
+                .map_or(u16::MAX, |chosen| chosen.expected_ms as u16),
+            targets: match chosen {
+                Ok(_) => targets,
+                Err(_) => 0,
+            },
+            free_slots: u16::try_from(free_slots).unwrap_or(u16::MAX),
+        }
+    });
+    uses.collect()
+}
--- /dev/null
+++ b/crates/relay/src/plan.rs
@@ -0,0 +1,88 @@
+//! The state that decides on requests: configuration, targets and evacuations.
+
+use std::sync::Arc;
+
+use lw_base::prelude::*;
+
+use crate::route::RouteTable;
+use crate::target::Target;
+
+/// Facts about the engines of a service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineFacts {
+    /// The tokens that the memory of an engine holds.
+    pub memory_tokens: u64,
+}
+
+/// A service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    /// Its name.
+    pub name: Arc<str>,
+    /// The low half of the stable hash of the name.
+    pub hash: u32,
+    /// The connections that a target accepts from all hosts together.
+    pub max_connections: u32,
+    /// How long a target stays cold after its start, in milliseconds.
+    pub cold_ms: u64,
+    /// The requests that a cold target takes in a second; zero when cold targets are not limited.
+    pub cold_per_s: f64,
+    /// Facts about its engines; `None` for a plain service.
+    pub engine: Option<EngineFacts>,
+}
+
+/// Limits on what a caller may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// The sum of header names and values.
+    pub header_bytes: usize,
+    /// The body.
+    pub body_bytes: usize,
+    /// The time for the head of a request, in milliseconds.
+    pub header_timeout_ms: u64,
+    /// The time for which a connection may stay idle, in milliseconds.
+    pub idle_timeout_ms: u64,
+}
+
+impl Default for CallerLimits {
+    /// Returns the limits that hold before the first configuration.
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 * 1024,
+            body_bytes: 4 * 1024 * 1024,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        }
+    }
+}
+
+/// One version of everything that decides on requests.
+#[derive(Clone, Debug, Default)]
+pub struct Plan {
+    /// The version of the configuration; zero when there is none yet.
+    pub version: u64,
+    /// The routes.
+    pub routes: RouteTable,
+    /// The services.
+    pub services: NamedArena<ServiceKey, Service>,
+    /// The limits on callers.
+    pub limits: CallerLimits,
+    /// The targets of each service, by the index of its key, in all regions.
+    pub targets: Vec<Vec<Target>>,
+    /// The availability zones that are evacuated.
+    pub evacuated: FastSet<Arc<str>>,
+}
+
+impl Plan {
+    /// Returns the targets of a service.
+    #[must_use]
+    pub fn targets_of(&self, service: ServiceKey) -> &[Target] {
+        self.targets.get(service.index()).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns whether a target may receive new requests.
+    #[must_use]
+    pub fn is_open(&self, target: &Target) -> bool {
+        target.takes_work && !self.evacuated.contains(&target.zone)
+    }
+}
--- /dev/null
+++ b/crates/relay/src/prompt.rs
@@ -0,0 +1,61 @@
+//! The prompt of a request, as its caller describes it.
+
+use lw_base::stable_hash_pair;
+
+/// The most parts that are looked at; the parts of a request in front matter most.
+const MAX_PARTS: usize = 16;
+
+/// One part of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PromptPart {
+    /// The hash of this part and all parts before it: a cached part only helps after the parts before it.
+    pub chain: u64,
+    /// Its size.
+    pub tokens: u32,
+}
+
+/// The prompt and the size of a request to an engine.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// The parts in order.
+    pub parts: Vec<PromptPart>,
+    /// The tokens of the prompt.
+    pub input_tokens: u64,
+    /// The most tokens that are generated.
+    pub output_tokens: u64,
+}
+
+impl Prompt {
+    /// Reads the counts `INPUT,OUTPUT` and the parts `ID:TOKENS,...`; what cannot be read counts as absent.
+    #[must_use]
+    pub fn parse(counts: Option<&str>, parts: Option<&str>) -> Self {
+        let (input, output) = counts
+            .and_then(|text| text.split_once(','))
+            .unwrap_or_default();
+        let mut prompt = Self {
+            parts: Vec::new(),
+            input_tokens: input.trim().parse().unwrap_or_default(),
+            output_tokens: output.trim().parse().unwrap_or_default(),
+        };
+        let mut chain = 0;
+        for part in parts.unwrap_or_default().split(',').take(MAX_PARTS) {
+            let Some((id, tokens)) = part.trim().split_once(':') else {
+                break;
+            };
+            let Ok(tokens) = tokens.parse() else {
+                break;
+            };
+            chain = stable_hash_pair(chain, id.as_bytes());
+            prompt.parts.push(PromptPart { chain, tokens });
+        }
+        let named: u64 = prompt.parts.iter().map(|part| u64::from(part.tokens)).sum();
+        prompt.input_tokens = prompt.input_tokens.max(named);
+        prompt
+    }
+
+    /// Returns the tokens that the request holds in an engine's memory when it is done.
+    #[must_use]
+    pub fn all_tokens(&self) -> u64 {
+        self.input_tokens + self.output_tokens
+    }
+}
--- /dev/null
+++ b/crates/relay/src/reply.rs
@@ -0,0 +1,71 @@
+//! Bodies that the server sends.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use futures_util::Stream;
+use http::{HeaderValue, Response, StatusCode};
+use http_body::{Body, Frame, SizeHint};
+
+/// A stream of parts; an error cuts the connection off, so that a cut body never looks whole.
+pub(crate) type Parts = Pin<Box<dyn Stream<Item = io::Result<Bytes>>>>;
+
+/// A body.
+pub(crate) enum ReplyBody {
+    /// Known as a whole.
+    Whole(Option<Bytes>),
+    /// Passed on as it arrives.
+    Parts(Parts),
+}
+
+/// A response to a caller or to another host.
+pub(crate) type Reply = Response<ReplyBody>;
+
+impl ReplyBody {
+    pub(crate) fn whole(bytes: impl Into<Bytes>) -> Self {
+        let bytes = bytes.into();
+        Self::Whole((!bytes.is_empty()).then_some(bytes))
+    }
+}
+
+/// Builds a response with a JSON body.
+pub(crate) fn json_reply(status: StatusCode, body: String) -> Reply {
+    let mut reply = Response::new(ReplyBody::whole(body));
+    *reply.status_mut() = status;
+    let json = HeaderValue::from_static("application/json");
+    reply.headers_mut().insert(http::header::CONTENT_TYPE, json);
+    reply
+}
+
+impl Body for ReplyBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Parts(parts) => {
+                let part = parts.as_mut().poll_next(context);
+                part.map(|part| part.map(|part| part.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            Self::Parts(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/target_load.rs
@@ -0,0 +1,81 @@
+//! What a host knows of the load of one target.
+
+use lw_admit::ColdPace;
+use lw_base::prelude::*;
+
+use crate::part_cache::PartCache;
+use crate::target_health::TargetHealth;
+
+/// The use by another host counts for this long after its last word; hosts speak every 400 ms.
+const REMOTE_USE_MS: u64 = 1_800;
+
+/// The use that a host makes of a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct UseByHost {
+    /// Requests that run or wait there.
+    pub running: u32,
+    /// Prefill work that is not done yet, in milliseconds.
+    pub backlog_ms: f64,
+    /// Tokens of the running requests.
+    pub tokens: u64,
+}
+
+/// The load of a target.
+#[derive(Clone, Debug, Default)]
+pub struct TargetLoad {
+    /// Requests of this host that run or wait there.
+    pub running: u32,
+    /// Tokens of these requests.
+    pub tokens: u64,
+    /// When the prefill work that this host has given it is done.
+    pub prefill_done_at: MonoMs,
+    /// What it probably keeps of prompts.
+    pub cache: PartCache,
+    /// Whether it answers.
+    pub health: TargetHealth,
+    /// The pace while it is cold.
+    pub cold_pace: ColdPace,
+    /// Until when it is cold.
+    pub cold_until: MonoMs,
+    remote: FastMap<u64, (MonoMs, UseByHost)>,
+}
+
+impl TargetLoad {
+    /// Takes the word of another host.
+    pub fn remote_use(&mut self, now: MonoMs, host: u64, used: UseByHost) {
+        self.remote.insert(host, (now, used));
+        self.remote
+            .retain(|_, (at, _)| now.since_ms(*at) < REMOTE_USE_MS);
+    }
+
+    /// Returns the use by this host.
+    #[must_use]
+    pub fn own_use(&self, now: MonoMs) -> UseByHost {
+        UseByHost {
+            running: self.running,
+            backlog_ms: self.prefill_done_at.since_ms(now) as f64,
+            tokens: self.tokens,
+        }
+    }
+
+    /// Returns the use by all hosts.
+    #[must_use]
+    pub fn whole_use(&self, now: MonoMs) -> UseByHost {
+        let mut sum = self.own_use(now);
+        for (at, used) in self.remote.values() {
+            let age_ms = now.since_ms(*at);
+            if age_ms >= REMOTE_USE_MS {
+                continue;
+            }
+            sum.running += used.running;
+            sum.backlog_ms += (used.backlog_ms - age_ms as f64).max(0.0);
+            sum.tokens += used.tokens;
+        }
+        sum
+    }
+
+    /// Adds prefill work.
+    pub fn add_backlog(&mut self, now: MonoMs, work_ms: f64) {
+        self.prefill_done_at = self.prefill_done_at.max(now).plus_ms(work_ms as u64);
+    }
+}
