relay: let a planned stop end, and keep requests until their streams end

Cause: (1) a task held the reference that the stop channel returns, and with it the channel's lock, so the next step of a planned stop waited for ever; 5 of 7 processes were killed at the end of the grace time. (2) A request counted as ended when its head was answered, so a stop cut streams. (3) A host that was asked by another one ran a request twice, beyond the route's limit. (4) The directory sent callers of a region without ready hosts to regions that are no home of their routes. Ruled out: log flush, hyper's graceful shutdown (logs showed no line after the second step of the stop). Change: the reference is dropped, the count lives as long as the body, a hop runs once at most, the directory prefers home regions.

--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -9,33 +9,37 @@
 /// The most addresses of an answer; callers use no more.
 const MOST_ADDRESSES: usize = 64;
 
-/// Returns the addresses of the entry hosts for callers of a region.
+/// Returns the addresses of the entry hosts for callers of a region who ask for the host `name`.
 ///
-/// Hosts of the region come first; only when none of them is up, hosts of other regions take its callers.
+/// Hosts of the region come first. Only when none of them takes requests, hosts of other regions take its callers:
+/// those whose region may serve every route of `name`, if there are any, because a body must not pass through other
+/// regions needlessly.
 #[must_use]
-pub fn entry_hosts(host: &Host, region: &str) -> Vec<SocketAddr> {
+pub fn entry_hosts(host: &Host, name: &str, region: &str) -> Vec<SocketAddr> {
     let now = host.clock.now();
     let port = host.settings.caller_address.port();
     let hosts = host.hosts.borrow();
-    let mut near = Vec::new();
-    let mut far = Vec::new();
-    for entry in hosts.ready(now) {
-        let address = SocketAddr::from((entry.address.ip, port));
-        match *entry.address.region == *region {
-            true => near.push(address),
-            false => far.push(address),
-        }
-    }
+    let ready = hosts.ready(now);
+    let mut all: Vec<(&str, SocketAddr)> = ready
+        .map(|entry| {
+            let address = SocketAddr::from((entry.address.ip, port));
+            (&*entry.address.region, address)
+        })
+        .collect();
     if host.stage() == Stage::Ready {
-        match *host.settings.region == *region {
-            true => near.push(host.settings.caller_address),
-            false => far.push(host.settings.caller_address),
-        }
+        all.push((&host.settings.region, host.settings.caller_address));
     }
-    let mut addresses = match near.is_empty() {
-        true => far,
-        false => near,
+    let plan = host.plan();
+    let is_home = |region: &str| plan.routes.of_host(name).all(|route| route.allows(region));
+    let near = |(of, _): &&(&str, SocketAddr)| *of == region;
+    let home = |(of, _): &&(&str, SocketAddr)| is_home(of);
+    let chosen: Vec<_> = if all.iter().any(|entry| near(&entry)) {
+        all.iter().filter(near).collect()
+    } else if all.iter().any(|entry| home(&entry)) {
+        all.iter().filter(home).collect()
+    } else {
+        all.iter().collect()
     };
-    addresses.truncate(MOST_ADDRESSES);
-    addresses
+    let addresses = chosen.into_iter().map(|(_, address)| *address);
+    addresses.take(MOST_ADDRESSES).collect()
 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -13,7 +13,8 @@
 use crate::decide::{Destination, Tried, come_back_ms};
 use crate::end::OwnEnd;
 use crate::event_relay::{EventRelay, FirstEvents};
-use crate::headers::{HOP, text};
+use crate::forward::Served;
+use crate::headers::text;
 use crate::host::Host;
 use crate::incoming::Incoming;
 use crate::reply::{Reply, ReplyBody};
@@ -35,6 +36,7 @@
     pub(crate) runs: u32,
     /// Where the last attempt went, for the log.
     pub(crate) last_peer: String,
+    _served: Served,
 }
 
 /// An answer that is passed on event by event, with its first events.
@@ -55,7 +57,7 @@
 }
 
 impl Exchange {
-    pub(crate) fn new(host: Rc<Host>, incoming: Incoming) -> Self {
+    pub(crate) fn new(host: Rc<Host>, incoming: Incoming, served: Served) -> Self {
         Self {
             host,
             incoming,
@@ -63,6 +65,7 @@
             sends: 0,
             runs: 0,
             last_peer: String::new(),
+            _served: served,
         }
     }
 
@@ -100,7 +103,6 @@
         last: Option<AttemptFailure>,
         has_answer: bool,
     ) -> Result<Destination, OwnEnd> {
-        let route = self.incoming.route.clone();
         let now = self.host.clock.now();
         let left_ms = self.incoming.deadline.since_ms(now);
         let ended = match last {
@@ -115,7 +117,7 @@
         };
         if let Some(ended) = ended {
             let may_run = ended.outcome == Outcome::NotRun || self.may_repeat();
-            let is_last = self.runs >= route.max_runs || self.sends >= MOST_SENDS;
+            let is_last = self.runs >= self.incoming.max_runs || self.sends >= MOST_SENDS;
             if !may_run || is_last || left_ms < LEAST_LEFT_MS {
                 return Err(ended);
             }
@@ -149,7 +151,7 @@
     /// Makes one attempt and reads what has to be read before the caller gets an answer.
     pub(crate) async fn attempt(&mut self, destination: &Destination, after: Option<u64>) -> Step {
         self.sends += 1;
-        let left_runs = self.incoming.route.max_runs.saturating_sub(self.runs);
+        let left_runs = self.incoming.max_runs.saturating_sub(self.runs);
         let plan = AttemptPlan {
             last_event_id: after,
             may_leave: self.may_repeat() && left_runs > 1,
@@ -277,7 +279,6 @@
     let mut reply = Response::new(body);
     *reply.status_mut() = status;
     *reply.headers_mut() = headers;
-    reply.headers_mut().remove(HOP);
     if host.stage.get() == lw_mesh::Stage::Leaving {
         let close = HeaderValue::from_static("close");
         reply.headers_mut().insert(http::header::CONNECTION, close);
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -28,8 +28,8 @@
 /// When a caller should ask a host again that has no configuration yet, in milliseconds.
 const NO_PLAN_MS: u64 = 500;
 
-/// Counts a request while it is served.
-struct Served(Rc<Host>);
+/// Counts a request until its answer has been passed on to the end.
+pub(crate) struct Served(Rc<Host>);
 
 impl Served {
     fn begin(host: &Rc<Host>) -> Self {
@@ -49,10 +49,10 @@
     if door == Door::Peers && request.headers().contains_key(MIRROR) {
         return crate::peer_mirror::listing_reply(&host, request.headers());
     }
-    let _served = Served::begin(&host);
+    let served = Served::begin(&host);
     let (head, body) = request.into_parts();
     match read(&host, head, body, door).await {
-        Ok(incoming) => Exchange::new(host, incoming).run().await,
+        Ok(incoming) => Exchange::new(host, incoming, served).run().await,
         Err((id, end)) => {
             log::info!(id = id.as_str(), status = end.status.as_u16(); "{}", end.reason);
             host.metrics.ended(end.status, 0);
@@ -79,6 +79,11 @@
         true => number(&head.headers, &HOP),
         false => number(&head.headers, &host.names.remaining_ms),
     };
+    let max_runs = match is_hop {
+        // The first host counts the runs, so a host that it asks makes one at most.
+        true => 1,
+        false => route.max_runs,
+    };
     let kept_ms = left_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
     let limit_bytes = plan.limits.body_bytes;
     let body = read_body(body, limit_bytes).await.map_err(refuse)?;
@@ -99,6 +104,7 @@
         received_at,
         deadline: received_at.plus_ms(kept_ms),
         is_hop,
+        max_runs,
         route,
         plan,
         service,
--- a/crates/relay/src/incoming.rs
+++ b/crates/relay/src/incoming.rs
@@ -25,6 +25,8 @@
     pub(crate) deadline: MonoMs,
     /// The request came from another host.
     pub(crate) is_hop: bool,
+    /// The most targets on which the request may run here.
+    pub(crate) max_runs: u32,
     pub(crate) route: Arc<Route>,
     pub(crate) plan: std::rc::Rc<Plan>,
     pub(crate) service: ServiceKey,
--- a/crates/relay/src/own_pages.rs
+++ b/crates/relay/src/own_pages.rs
@@ -37,7 +37,8 @@
 
 fn directory(host: &Host, query: &str) -> Reply {
     let region = query_value(query, "region");
-    let addresses = entry_hosts(host, region.unwrap_or(&host.settings.region));
+    let name = query_value(query, "name").unwrap_or_default();
+    let addresses = entry_hosts(host, name, region.unwrap_or(&host.settings.region));
     if addresses.is_empty() {
         return json_reply(StatusCode::SERVICE_UNAVAILABLE, "{}".to_owned());
     }
--- a/crates/relay/src/route.rs
+++ b/crates/relay/src/route.rs
@@ -104,6 +104,11 @@
         Self { by_host }
     }
 
+    /// Returns the routes of a host.
+    pub fn of_host(&self, host: &str) -> impl Iterator<Item = &Arc<Route>> {
+        self.by_host.get(host).into_iter().flatten()
+    }
+
     /// Returns the route with the longest prefix that begins `path`.
     #[must_use]
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -10,6 +10,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 
 use crate::host::Host;
 use crate::reply::Reply;
@@ -56,7 +57,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|step| closes_listener(*step, door)) => {
+            () = reached(&mut stop, |step| closes_listener(step, door)) => {
                 log::info!(door = format!("{door:?}").as_str(); "the listener is closed");
                 return;
             }
@@ -73,6 +74,17 @@
     }
 }
 
+/// Returns when the planned stop has reached a step.
+///
+/// The reference that the channel returns holds its lock, so it must not live on in the caller: with it, the next step
+/// waited for ever.
+async fn reached(stop: &mut watch::Receiver<StopStep>, is_reached: impl Fn(StopStep) -> bool) {
+    if stop.wait_for(|step| is_reached(*step)).await.is_err() {
+        // The host outlives its listeners, so the channel closes only with the process.
+        std::future::pending::<()>().await;
+    }
+}
+
 fn closes_listener(step: StopStep, door: Door) -> bool {
     matches!(door, Door::Callers | Door::Peers) && step >= StopStep::CloseListener
 }
@@ -104,7 +116,7 @@
     let mut serving = std::pin::pin!(serving);
     let ended = tokio::select! {
         ended = &mut serving => ended,
-        _ = stop.wait_for(|step| closes_idle(*step, door)) => {
+        () = reached(&mut stop, |step| closes_idle(step, door)) => {
             serving.as_mut().graceful_shutdown();
             serving.await
         }
