relay: name entry hosts of the region that may serve the most routes

Cause: while both hosts of a region leave, the directory named all other regions, because no region may serve every route of a host name. Ruled out: answers kept by callers (the log of look-ups shows the addresses). Change: regions are ranked by the routes of the name that they may serve.

--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -12,8 +12,8 @@
 /// Returns the addresses of the entry hosts for callers of a region who ask for the host `name`.
 ///
 /// Hosts of the region come first. Only when none of them takes requests, hosts of other regions take its callers:
-/// those whose region may serve every route of `name`, if there are any, because a body must not pass through other
-/// regions needlessly.
+/// those whose region may serve the most routes of `name`, because a body must not pass through other regions
+/// needlessly.
 #[must_use]
 pub fn entry_hosts(host: &Host, name: &str, region: &str) -> Vec<SocketAddr> {
     let now = host.clock.now();
@@ -30,16 +30,16 @@
         all.push((&host.settings.region, host.settings.caller_address));
     }
     let plan = host.plan();
-    let is_home = |region: &str| plan.routes.of_host(name).all(|route| route.allows(region));
-    let near = |(of, _): &&(&str, SocketAddr)| *of == region;
-    let home = |(of, _): &&(&str, SocketAddr)| is_home(of);
-    let chosen: Vec<_> = if all.iter().any(|entry| near(&entry)) {
-        all.iter().filter(near).collect()
-    } else if all.iter().any(|entry| home(&entry)) {
-        all.iter().filter(home).collect()
-    } else {
-        all.iter().collect()
+    let served_routes = |region: &str| {
+        let routes = plan.routes.of_host(name);
+        routes.filter(|route| route.allows(region)).count()
     };
-    let addresses = chosen.into_iter().map(|(_, address)| *address);
+    let rank = |of: &str| match of == region {
+        true => usize::MAX,
+        false => served_routes(of),
+    };
+    let best = all.iter().map(|(of, _)| rank(of)).max();
+    let chosen = all.iter().filter(|(of, _)| Some(rank(of)) == best);
+    let addresses = chosen.map(|(_, address)| *address);
     addresses.take(MOST_ADDRESSES).collect()
 }
