relay: home targets for long beginnings, and prefill share in the choice of a target

Cause: prompts are read between the tokens of other requests. Traces showed short queries that ran at once and were still unfinished after 5 s, because engines read the same beginnings again and again (6.2 M of 13.2 M tokens). Ruled out: queueing before the first event (p50 to it is 0.2 s). Change: a long beginning has a home by rendezvous hashing, other targets pay for a new copy, and a target's share of prefill work stretches the answer that is expected of it; hosts tell one another that share.

--- a/crates/mesh/src/beat.rs
+++ b/crates/mesh/src/beat.rs
@@ -17,6 +17,8 @@
     pub running: u16,
     /// Prefill work that the sender has given it and that is not done yet, in milliseconds.
     pub backlog_ms: u16,
+    /// The share of the target's time that this prefill work has taken lately, in thousandths.
+    pub prefill_permille: u16,
     /// Thousands of tokens of the sender's requests that its memory holds.
     pub kilotokens: u16,
 }
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -2,6 +2,7 @@
 
 use lw_admit::ColdLimit;
 use lw_base::prelude::*;
+use lw_base::stable_hash_pair;
 
 use crate::plan::{Plan, Service};
 use crate::prompt::Prompt;
@@ -17,6 +18,13 @@
 const MEMORY_SHARE: f64 = 0.9;
 /// How much the prefill of a request counts beyond its own wait: it delays every other request of the engine.
 const PREFILL_WEIGHT: f64 = 2.0;
+/// The time of one output token in a batch of usual size, in milliseconds.
+const OUTPUT_TOKEN_MS: f64 = 9.0;
+/// The largest share of prefill work that is believed; above it nothing but prefill runs.
+const MOST_PREFILL_SHARE: f64 = 0.92;
+/// What a target that is not the home of a long beginning adds when it does not keep it, as a part of its prefill:
+/// each further copy takes memory from other beginnings.
+const NEW_COPY_WEIGHT: f64 = 1.0;
 /// What each running request of a full engine adds to the score, in milliseconds: tokens come more slowly.
 const FULL_BATCH_MS: f64 = 250.0;
 /// What a target that fails every request would add to the score, in milliseconds.
@@ -81,6 +89,7 @@
     cold: &ColdRules<'_>,
 ) -> Result<Chosen, NoTarget> {
     let service = &plan.services[query.service];
+    let home = home_of(plan, query);
     let mut best: Option<(f64, Chosen)> = None;
     let mut last_resort: Option<(f64, Chosen)> = None;
     let mut is_present = false;
@@ -109,12 +118,26 @@
         let prefill_ms = new_tokens as f64 * query.pace.token_ms;
         let slots = f64::from(target.slots.max(1));
         let use_ratio = f64::from(used.running) / slots;
+        let share = used.prefill_share.min(MOST_PREFILL_SHARE);
+        // Prompts are read between the tokens of other requests, so prefill work stretches every answer.
+        let stretch_ms =
+            query.prompt.output_tokens as f64 * OUTPUT_TOKEN_MS * share / (1.0 - share);
+        let copy_ms = match home {
+            Some(home) if home != target.hash && cached == 0 => NEW_COPY_WEIGHT * prefill_ms,
+            _ => 0.0,
+        };
         let expected_ms = match service.engine {
-            Some(_) => used.backlog_ms + prefill_ms,
+            Some(_) => used.backlog_ms + prefill_ms + stretch_ms,
             None => query.pace.answer_ms * (1.0 + (use_ratio - 0.8).max(0.0)),
         };
         let score = match service.engine {
-            Some(_) => used.backlog_ms + PREFILL_WEIGHT * prefill_ms + FULL_BATCH_MS * use_ratio,
+            Some(_) => {
+                used.backlog_ms
+                    + PREFILL_WEIGHT * prefill_ms
+                    + copy_ms
+                    + stretch_ms
+                    + FULL_BATCH_MS * use_ratio
+            }
             None => FULL_BATCH_MS * use_ratio,
         } + FAILURE_MS * load.health.failure_rate();
         let is_suspect = load.health.is_suspect(now, query.pace.answer_ms);
@@ -141,6 +164,15 @@
     }
 }
 
+/// Returns the target where the shared beginning of a long prompt is kept, the same on every host of the region.
+fn home_of(plan: &Plan, query: &ChoiceQuery<'_>) -> Option<u32> {
+    let beginning = query.prompt.shared_beginning()?;
+    let targets = plan.targets_of(query.service).iter();
+    let open = targets.filter(|target| *target.region == *query.region && plan.is_open(target));
+    let hash = |target: &&Target| stable_hash_pair(beginning, target.incarnation.as_bytes());
+    open.max_by_key(hash).map(|target| target.hash)
+}
+
 fn is_full(service: &Service, target: &Target, running: u32, tokens: u64, prompt: &Prompt) -> bool {
     let slots = f64::from(target.slots.max(1));
     let queue = match service.engine {
--- a/crates/relay/src/peer_beats.rs
+++ b/crates/relay/src/peer_beats.rs
@@ -21,6 +21,8 @@
 const MOST_BYTES: usize = 1_400;
 /// The placed parts of one beat; the rest is not told.
 const MOST_PLACED: usize = 24;
+/// The answer that the offer to other regions is computed for, in tokens: a short one.
+const OFFER_TOKENS: u64 = 60;
 /// A host that hears of a newer state waits this long for its own watch before it asks, in milliseconds.
 const WATCH_FIRST_MS: u64 = 250;
 
@@ -104,6 +106,7 @@
                 let used = UseByHost {
                     running: u32::from(used.running),
                     backlog_ms: f64::from(used.backlog_ms),
+                    prefill_share: f64::from(used.prefill_permille) / 1_000.0,
                     tokens: u64::from(used.kilotokens) * 1_000,
                 };
                 load.remote_use(now, sender, used);
@@ -179,10 +182,11 @@
     let near = targets.filter(|target| target.region == host.settings.region);
     let used = near.filter_map(|target| {
         let used = target.load.borrow().own_use(now);
-        (used.running > 0 || used.backlog_ms > 0.0).then(|| TargetUse {
+        (used.running > 0 || used.prefill_share > 0.01).then(|| TargetUse {
             target: target.hash,
             running: u16::try_from(used.running).unwrap_or(u16::MAX),
             backlog_ms: used.backlog_ms.min(f64::from(u16::MAX)) as u16,
+            prefill_permille: (used.prefill_share * 1_000.0) as u16,
             kilotokens: u16::try_from(used.tokens / 1_000).unwrap_or(u16::MAX),
         })
     });
@@ -192,7 +196,10 @@
 /// Returns how busy the services of this region are.
 fn region_uses(host: &Host, now: MonoMs) -> Vec<RegionUse> {
     let plan = host.plan();
-    let prompt = Prompt::default();
+    let prompt = Prompt {
+        output_tokens: OFFER_TOKENS,
+        ..Prompt::default()
+    };
     let limit = |service: &_, target: &_| host.cold_limit(service, target);
     let cold = ColdRules { limit: &limit };
     let uses = plan.services.keys().map(|key| {
--- a/crates/relay/src/prompt.rs
+++ b/crates/relay/src/prompt.rs
@@ -5,6 +5,9 @@
 /// The most parts that are looked at; the parts of a request in front matter most.
 const MAX_PARTS: usize = 16;
 
+/// A shared beginning of this size is worth a home: reading it again takes some tens of milliseconds.
+const LONG_TOKENS: u32 = 1_024;
+
 /// One part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
@@ -53,6 +56,16 @@
         prompt
     }
 
+    /// Returns a number for the shared beginning of a long prompt, and `None` for a short one.
+    ///
+    /// The last part belongs to the request itself.
+    #[must_use]
+    pub fn shared_beginning(&self) -> Option<u64> {
+        let shared = self.parts.split_last()?.1;
+        let tokens: u32 = shared.iter().map(|part| part.tokens).sum();
+        (tokens >= LONG_TOKENS).then_some(shared.last()?.chain)
+    }
+
     /// Returns the tokens that the request holds in an engine's memory when it is done.
     #[must_use]
     pub fn all_tokens(&self) -> u64 {
--- a/crates/relay/src/target_load.rs
+++ b/crates/relay/src/target_load.rs
@@ -16,6 +16,8 @@
     pub running: u32,
     /// Prefill work that is not done yet, in milliseconds.
     pub backlog_ms: f64,
+    /// The share of the time that prefill work has taken lately.
+    pub prefill_share: f64,
     /// Tokens of the running requests.
     pub tokens: u64,
 }
@@ -37,9 +39,14 @@
     pub cold_pace: ColdPace,
     /// Until when it is cold.
     pub cold_until: MonoMs,
+    prefill_share: f64,
+    prefill_share_at: MonoMs,
     remote: FastMap<u64, (MonoMs, UseByHost)>,
 }
 
+/// The time in which the share of prefill work fades; it spans some prompts of a busy second.
+const PREFILL_FADE_MS: f64 = 1_500.0;
+
 impl TargetLoad {
     /// Takes the word of another host.
     pub fn remote_use(&mut self, now: MonoMs, host: u64, used: UseByHost) {
@@ -54,6 +61,7 @@
         UseByHost {
             running: self.running,
             backlog_ms: self.prefill_done_at.since_ms(now) as f64,
+            prefill_share: self.faded_share(now),
             tokens: self.tokens,
         }
     }
@@ -69,6 +77,7 @@
             }
             sum.running += used.running;
             sum.backlog_ms += (used.backlog_ms - age_ms as f64).max(0.0);
+            sum.prefill_share += used.prefill_share * (-(age_ms as f64) / PREFILL_FADE_MS).exp();
             sum.tokens += used.tokens;
         }
         sum
@@ -77,5 +86,12 @@
     /// Adds prefill work.
     pub fn add_backlog(&mut self, now: MonoMs, work_ms: f64) {
         self.prefill_done_at = self.prefill_done_at.max(now).plus_ms(work_ms as u64);
+        self.prefill_share = self.faded_share(now) + work_ms / PREFILL_FADE_MS;
+        self.prefill_share_at = now;
+    }
+
+    fn faded_share(&self, now: MonoMs) -> f64 {
+        let age_ms = now.since_ms(self.prefill_share_at) as f64;
+        self.prefill_share * (-age_ms / PREFILL_FADE_MS).exp()
     }
 }
