relay: one home over all regions for a long beginning; wait for the first configuration

Cause: three regions each read the same 66 beginnings (878 thousand tokens); a read again costs about seven times the way between regions. After an outage callers were refused for the 0.3 s until the first configuration. Ruled out: smaller beginnings (92 tokens) matter little in the price. Change: the home is chosen over all regions that may serve the request, and the region's choice compares costs with the home's cache; a request waits up to 0.9 s for the first plan.

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -17,7 +17,7 @@
 /// The part of an engine's memory that running requests may fill; above it the engine preempts.
 const MEMORY_SHARE: f64 = 0.9;
 /// How much the prefill of a request counts beyond its own wait: it delays every other request of the engine.
-const PREFILL_WEIGHT: f64 = 2.0;
+pub(crate) const PREFILL_WEIGHT: f64 = 2.0;
 /// The time of one output token in a batch of usual size, in milliseconds.
 const OUTPUT_TOKEN_MS: f64 = 9.0;
 /// The largest share of prefill work that is believed; above it nothing but prefill runs.
@@ -39,6 +39,8 @@
     pub service: ServiceKey,
     /// The prompt; empty for a plain service.
     pub prompt: &'a Prompt,
+    /// The home of its beginning.
+    pub home: Option<u32>,
     /// Incarnations that were tried already.
     pub tried: &'a [u32],
     /// Times of the service.
@@ -56,6 +58,8 @@
     pub new_tokens: u64,
     /// The time that it has to expect until its first event or its answer, in milliseconds.
     pub expected_ms: f64,
+    /// What the request costs there, with what it costs the other requests, in milliseconds.
+    pub cost_ms: f64,
     /// The target had no prefill work before.
     pub idle: bool,
     /// The target is cold, and the request counts towards its pace.
@@ -89,7 +93,6 @@
     cold: &ColdRules<'_>,
 ) -> Result<Chosen, NoTarget> {
     let service = &plan.services[query.service];
-    let home = home_of(plan, query);
     let mut best: Option<(f64, Chosen)> = None;
     let mut last_resort: Option<(f64, Chosen)> = None;
     let mut is_present = false;
@@ -122,7 +125,7 @@
         // Prompts are read between the tokens of other requests, so prefill work stretches every answer.
         let stretch_ms =
             query.prompt.output_tokens as f64 * OUTPUT_TOKEN_MS * share / (1.0 - share);
-        let copy_ms = match home {
+        let copy_ms = match query.home {
             Some(home) if home != target.hash && cached == 0 => NEW_COPY_WEIGHT * prefill_ms,
             _ => 0.0,
         };
@@ -151,6 +154,7 @@
                 prefill_ms,
                 new_tokens,
                 expected_ms,
+                cost_ms: score,
                 idle: used.backlog_ms < 1.0,
                 cold: is_cold,
             };
@@ -164,13 +168,21 @@
     }
 }
 
-/// Returns the target where the shared beginning of a long prompt is kept, the same on every host of the region.
-fn home_of(plan: &Plan, query: &ChoiceQuery<'_>) -> Option<u32> {
-    let beginning = query.prompt.shared_beginning()?;
-    let targets = plan.targets_of(query.service).iter();
-    let open = targets.filter(|target| *target.region == *query.region && plan.is_open(target));
-    let hash = |target: &&Target| stable_hash_pair(beginning, target.incarnation.as_bytes());
-    open.max_by_key(hash).map(|target| target.hash)
+/// Returns the target where the shared beginning of a long prompt is kept, the same on every host.
+///
+/// There is one home over all regions that may serve the request: a beginning that each region reads for itself costs
+/// several times the way to another region.
+#[must_use]
+pub fn home_of<'a>(
+    plan: &'a Plan,
+    service: ServiceKey,
+    prompt: &Prompt,
+    allows: impl Fn(&str) -> bool,
+) -> Option<&'a Target> {
+    let beginning = prompt.shared_beginning()?;
+    let targets = plan.targets_of(service).iter();
+    let open = targets.filter(|target| allows(&target.region) && plan.is_open(target));
+    open.max_by_key(|target| stable_hash_pair(beginning, target.incarnation.as_bytes()))
 }
 
 fn is_full(service: &Service, target: &Target, running: u32, tokens: u64, prompt: &Prompt) -> bool {
--- a/crates/relay/src/decide.rs
+++ b/crates/relay/src/decide.rs
@@ -7,7 +7,7 @@
 use lw_base::prelude::*;
 use rand::Rng;
 
-use crate::choose::{ChoiceQuery, Chosen, ColdRules, NoTarget, choose};
+use crate::choose::{ChoiceQuery, Chosen, ColdRules, NoTarget, choose, home_of};
 use crate::end::OwnEnd;
 use crate::host::Host;
 use crate::incoming::Incoming;
@@ -77,7 +77,10 @@
         let service = &plan.services[incoming.service];
         let pace = self.pace(service);
         let may_stay = incoming.route.allows(&self.settings.region);
+        let allows = |region: &str| incoming.route.allows(region);
+        let home = home_of(plan, incoming.service, &incoming.prompt, allows);
         let query = ChoiceQuery {
+            home: home.map(|home| home.hash),
             region: &self.settings.region,
             service: incoming.service,
             prompt: &incoming.prompt,
@@ -94,8 +97,12 @@
             return local.map(Destination::Target);
         }
         let spill = SpillQuery {
-            local_ms: local.as_ref().ok().map(|chosen| chosen.expected_ms),
+            local_ms: local.as_ref().ok().map(|chosen| chosen.cost_ms),
             prefill_ms: incoming.prompt.input_tokens as f64 * pace.token_ms,
+            home: home.map(|home| {
+                let own_tokens = incoming.prompt.own_tokens() as f64;
+                (home.region.clone(), own_tokens * pace.token_ms)
+            }),
             offers: self.offers(now, incoming, tried),
         };
         if let Some(offer) = choose_region(&spill)
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -25,6 +25,8 @@
 
 /// The time for a body; callers of slow links send some megabytes in it.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long a request waits for the first configuration: the first calls to the platform take some round trips.
+const FIRST_PLAN: Duration = Duration::from_millis(900);
 /// When a caller should ask a host again that has no configuration yet, in milliseconds.
 const NO_PLAN_MS: u64 = 500;
 
@@ -69,7 +71,7 @@
     door: Door,
 ) -> Result<Incoming, (String, OwnEnd)> {
     let received_at = host.clock.now();
-    let plan = host.plan();
+    let plan = first_plan(host).await;
     let id = text(&head.headers, &host.names.attempt_id).unwrap_or("-");
     let id: Arc<str> = id.into();
     let refuse = |end: OwnEnd| (id.to_string(), end);
@@ -111,6 +113,20 @@
     })
 }
 
+/// Returns the plan; right after a start, a request waits for the first one.
+///
+/// Callers return together after an outage, and a refusal would cost each of them a pause.
+async fn first_plan(host: &Host) -> Rc<Plan> {
+    let until = tokio::time::Instant::now() + FIRST_PLAN;
+    loop {
+        let changed = host.freed.notified();
+        let plan = host.plan();
+        if plan.version > 0 || tokio::time::timeout_at(until, changed).await.is_err() {
+            return plan;
+        }
+    }
+}
+
 /// Checks a head against the limits and finds its route.
 fn check(plan: &Plan, head: &request::Parts) -> Result<(Arc<Route>, Arc<str>), OwnEnd> {
     if plan.version == 0 {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -42,7 +42,7 @@
 mod target_load;
 mod verdict;
 
-pub use choose::{ChoiceQuery, Chosen, ColdRules, NoTarget, choose};
+pub use choose::{ChoiceQuery, Chosen, ColdRules, NoTarget, choose, home_of};
 pub use clock::HostClock;
 pub use configuration::{Configuration, ListedTarget, PlatformWord};
 pub use directory::entry_hosts;
--- a/crates/relay/src/peer_beats.rs
+++ b/crates/relay/src/peer_beats.rs
@@ -208,6 +208,7 @@
             region: &host.settings.region,
             service: key,
             prompt: &prompt,
+            home: None,
             tried: &[],
             pace: host.pace(service),
         };
--- a/crates/relay/src/prompt.rs
+++ b/crates/relay/src/prompt.rs
@@ -66,6 +66,14 @@
         (tokens >= LONG_TOKENS).then_some(shared.last()?.chain)
     }
 
+    /// Returns the tokens that no other request shares.
+    #[must_use]
+    pub fn own_tokens(&self) -> u64 {
+        let shared = self.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        let shared: u64 = shared.iter().map(|part| u64::from(part.tokens)).sum();
+        self.input_tokens.saturating_sub(shared)
+    }
+
     /// Returns the tokens that the request holds in an engine's memory when it is done.
     #[must_use]
     pub fn all_tokens(&self) -> u64 {
--- a/crates/relay/src/spill.rs
+++ b/crates/relay/src/spill.rs
@@ -4,12 +4,14 @@
 
 use lw_base::prelude::*;
 
+use crate::choose::PREFILL_WEIGHT;
+
 /// The way to another region and back, with the work of the second host, in milliseconds.
 const AWAY_MS: f64 = 130.0;
-/// Another region must promise this part of the local wait, so that small differences move nothing.
+/// Another region must cost this part of the own one, so that small differences move nothing.
 const CLEARLY_LESS: f64 = 0.6;
-/// Requests wait this long at home before another region is considered, in milliseconds.
-const LOCAL_WAIT_MS: f64 = 250.0;
+/// Up to this cost at home, only a request whose beginning another region keeps goes there, in milliseconds.
+const LOCAL_COST_MS: f64 = 250.0;
 /// A region's word does not yet count the requests that were sent there within this time.
 const WORD_DELAY_MS: u64 = 900;
 
@@ -29,10 +31,12 @@
 /// What the choice of a region depends on.
 #[derive(Clone, Debug)]
 pub struct SpillQuery {
-    /// The expected time at home, in milliseconds; `None` when no target at home takes the request.
+    /// The cost at home, in milliseconds; `None` when no target at home takes the request.
     pub local_ms: Option<f64>,
     /// The prefill of the whole prompt, in milliseconds: caches of other regions count as cold.
     pub prefill_ms: f64,
+    /// The region that keeps the beginning of the prompt, and the prefill of the rest, in milliseconds.
+    pub home: Option<(Arc<str>, f64)>,
     /// The offers of the regions that may serve the request.
     pub offers: Vec<RegionOffer>,
 }
@@ -40,17 +44,28 @@
 /// Chooses another region, or `None` for the own one.
 #[must_use]
 pub fn choose_region(query: &SpillQuery) -> Option<&RegionOffer> {
+    let prefill = |offer: &RegionOffer| match &query.home {
+        Some((region, prefill_ms)) if *region == offer.region => *prefill_ms,
+        _ => query.prefill_ms,
+    };
     let expected = |offer: &RegionOffer| {
-        let queued = f64::from(offer.sent_since) * query.prefill_ms;
-        offer.wait_ms + AWAY_MS + query.prefill_ms + queued / f64::from(offer.targets.max(1))
+        let queued = f64::from(offer.sent_since) * prefill(offer) / f64::from(offer.targets.max(1));
+        offer.wait_ms + AWAY_MS + PREFILL_WEIGHT * prefill(offer) + queued
     };
     let offers = query.offers.iter().filter(|offer| offer.targets > 0);
     let best = offers.min_by(|a, b| expected(a).total_cmp(&expected(b)))?;
-    match query.local_ms {
-        None => Some(best),
-        Some(local_ms) if local_ms < LOCAL_WAIT_MS => None,
-        Some(local_ms) => (expected(best) < local_ms * CLEARLY_LESS).then_some(best),
-    }
+    let is_home = query
+        .home
+        .as_ref()
+        .is_some_and(|(region, _)| *region == best.region);
+    let Some(local_ms) = query.local_ms else {
+        return Some(best);
+    };
+    let goes = match is_home {
+        true => expected(best) < local_ms,
+        false => local_ms > LOCAL_COST_MS && expected(best) < local_ms * CLEARLY_LESS,
+    };
+    goes.then_some(best)
 }
 
 /// The requests that this host has sent to other regions lately.
