relay: a new copy of a beginning costs three prefills; usual failures move nothing

Ruled out: full targets (use ratio below 0.3 in the logs). Change: weight of a new copy 1 to 3; failures up to a share of 0.25 are free.

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -24,11 +24,14 @@
 const MOST_PREFILL_SHARE: f64 = 0.92;
 /// What a target that is not the home of a long beginning adds when it does not keep it, as a part of its prefill:
 /// each further copy takes memory from other beginnings.
-const NEW_COPY_WEIGHT: f64 = 1.0;
+const NEW_COPY_WEIGHT: f64 = 3.0;
 /// What each running request of a full engine adds to the score, in milliseconds: tokens come more slowly.
 const FULL_BATCH_MS: f64 = 250.0;
 /// What a target that fails every request would add to the score, in milliseconds.
 const FAILURE_MS: f64 = 3_000.0;
+/// A share of failures up to this belongs to the requests, as far as a host can tell, and moves nothing: services
+/// answer some of their requests with a failure on every target.
+const USUAL_FAILURES: f64 = 0.25;
 
 /// What a choice depends on.
 #[derive(Clone, Copy, Debug)]
@@ -142,7 +145,7 @@
                     + FULL_BATCH_MS * use_ratio
             }
             None => FULL_BATCH_MS * use_ratio,
-        } + FAILURE_MS * load.health.failure_rate();
+        } + FAILURE_MS * (load.health.failure_rate() - USUAL_FAILURES).max(0.0);
         let is_suspect = load.health.is_suspect(now, query.pace.answer_ms);
         let slot = match is_suspect {
             true => &mut last_resort,
--- a/crates/relay/src/prompt.rs
+++ b/crates/relay/src/prompt.rs
@@ -69,7 +69,10 @@
     /// Returns the tokens that no other request shares.
     #[must_use]
     pub fn own_tokens(&self) -> u64 {
-        let shared = self.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        let shared = self
+            .parts
+            .split_last()
+            .map_or(&[][..], |(_, shared)| shared);
         let shared: u64 = shared.iter().map(|part| u64::from(part.tokens)).sum();
         self.input_tokens.saturating_sub(shared)
     }
