--- /dev/null
+++ b/crates/admit/tests/shared.rs
@@ -0,0 +1,83 @@
+//! Limits that hosts hold together without a common counter.
+
+use lw_admit::{BudgetShare, ColdLimit, ColdPace, SharedBudget};
+use lw_base::prelude::*;
+use test_case::test_case;
+
+struct ColdCase {
+    per_s: f64,
+    sharers: usize,
+}
+
+// Guards against a cold target that crashes because all hosts together send too much in some second.
+#[test_case(&ColdCase { per_s: 9.75, sharers: 3 }; "a region of three hosts")]
+#[test_case(&ColdCase { per_s: 9.75, sharers: 13 }; "a region of thirteen hosts")]
+#[test_case(&ColdCase { per_s: 1.5, sharers: 40 }; "a slow target in a large region")]
+fn hosts_together_keep_the_cold_limit(case: &ColdCase) {
+    let hosts = ColdPace::hosts_for(case.per_s, case.sharers);
+    let limit = ColdLimit {
+        per_s: case.per_s,
+        hosts,
+    };
+    let mut paces = vec![ColdPace::default(); hosts];
+    let mut sent = Vec::new();
+    for step in 0..8_000 {
+        let now = MonoMs(100_000 + step);
+        for pace in &mut paces {
+            if pace.try_send(now, limit) {
+                sent.push(now.0);
+            }
+        }
+    }
+    assert!(!sent.is_empty());
+    for first in &sent {
+        let in_second = sent
+            .iter()
+            .filter(|at| (*first..first + 1_000).contains(at));
+        assert!(in_second.count() as f64 <= case.per_s);
+    }
+}
+
+struct BudgetCase {
+    hosts: usize,
+    requests_per_s: u64,
+    ratio: f64,
+    extra: f64,
+}
+
+// Guards against retries that multiply an overload: every host repeats whenever its share allows it.
+#[test_case(&BudgetCase { hosts: 8, requests_per_s: 40, ratio: 0.2, extra: 54.0 }; "a small deployment")]
+#[test_case(&BudgetCase { hosts: 77, requests_per_s: 5, ratio: 0.2, extra: 194.0 }; "a large deployment")]
+#[test_case(&BudgetCase { hosts: 8, requests_per_s: 0, ratio: 0.2, extra: 54.0 }; "no requests")]
+fn hosts_together_keep_the_retry_budget(case: &BudgetCase) {
+    let share = BudgetShare {
+        ratio: case.ratio,
+        extra: case.extra,
+        window_ms: 10_000,
+        sharers: case.hosts,
+    };
+    let mut budgets = vec![SharedBudget::default(); case.hosts];
+    let mut repeats = Vec::new();
+    for step in 0..400_u64 {
+        let now = MonoMs(100_000 + step * 100);
+        for budget in &mut budgets {
+            if case.requests_per_s > 0 && step % (10 / case.requests_per_s.min(10)) == 0 {
+                for _ in 0..case.requests_per_s.div_ceil(10) {
+                    budget.request(now);
+                }
+            }
+            while budget.try_repeat(now, share) {
+                repeats.push(now.0);
+            }
+        }
+    }
+    let per_window = case.hosts as f64 * (case.requests_per_s * 10) as f64;
+    let limit = case.ratio * per_window + case.extra;
+    for first in &repeats {
+        let in_window = repeats
+            .iter()
+            .filter(|at| (*first..first + 10_000).contains(at));
+        let count = in_window.count() as f64;
+        assert!(count <= limit, "{count} repeats, {limit} allowed");
+    }
+}
--- /dev/null
+++ b/crates/mesh/tests/hosts.rs
@@ -0,0 +1,138 @@
+//! What a host believes of the others from their beats.
+
+use std::net::Ipv4Addr;
+
+use lw_base::prelude::*;
+use lw_mesh::{Beat, HEARD_MS, HostAddress, HostTable, Stage};
+use test_case::test_case;
+
+const NOW: MonoMs = MonoMs(100_000);
+
+fn beat(host: &str, region: &str, last: u8, started_ms: u64) -> Beat {
+    Beat {
+        host: host.into(),
+        ip: Ipv4Addr::new(10, 0, 0, last),
+        zone: "z".into(),
+        region: region.into(),
+        started_ms,
+        stage: Stage::Ready,
+        as_of: 7,
+        requests: 0,
+        services: Vec::new(),
+        targets: Vec::new(),
+        placed: Vec::new(),
+    }
+}
+
+fn table() -> HostTable {
+    HostTable::new(
+        "me".into(),
+        "north".into(),
+        vec![Ipv4Addr::new(10, 0, 0, 99)],
+    )
+}
+
+struct Case {
+    /// Beats in order, with the time of each.
+    beats: Vec<(u64, Beat)>,
+    asked_at: u64,
+    ready: usize,
+}
+
+// Guards against a directory that names a host which was killed.
+#[test_case(&Case { beats: vec![(0, beat("a", "north", 1, 1))], asked_at: HEARD_MS + 1, ready: 0 }; "a silent host is not ready")]
+#[test_case(&Case { beats: vec![(0, beat("a", "north", 1, 1))], asked_at: HEARD_MS, ready: 1 }; "a host that was heard is ready")]
+// Guards against callers who are sent to a host that has said it leaves.
+#[test_case(&Case {
+    beats: vec![(0, beat("a", "north", 1, 1)), (5, Beat { stage: Stage::Leaving, ..beat("a", "north", 1, 1) })],
+    asked_at: 10,
+    ready: 0,
+}; "a host that leaves is not ready")]
+// Guards against a late datagram of a process that has ended.
+#[test_case(&Case {
+    beats: vec![(0, Beat { stage: Stage::Starting, ..beat("a", "north", 1, 2) }), (5, beat("a", "north", 1, 1))],
+    asked_at: 10,
+    ready: 0,
+}; "a former process is not believed")]
+// Guards against a host that stays unknown because its clock went back before its restart.
+#[test_case(&Case {
+    beats: vec![(0, Beat { stage: Stage::Leaving, ..beat("a", "north", 1, 9) }), (1_500, beat("a", "north", 1, 4))],
+    asked_at: 1_600,
+    ready: 1,
+}; "a restarted host with an earlier clock is believed after a silence")]
+#[test_case(&Case { beats: vec![(0, beat("me", "north", 1, 1))], asked_at: 1, ready: 0 }; "the own beat is not counted")]
+fn hosts_are_judged_by_their_beats(case: &Case) {
+    let mut table = table();
+    for (at, beat) in &case.beats {
+        table.heard(NOW.plus_ms(*at), beat);
+    }
+    assert_eq!(table.ready(NOW.plus_ms(case.asked_at)).count(), case.ready);
+}
+
+/// Guards against more hosts at a cold target than share its limit, and against none.
+#[test]
+fn exactly_the_wanted_hosts_share_a_scarce_thing() {
+    let names = ["a", "b", "c", "d", "e"];
+    for key in ["t1", "t2", "t3"] {
+        let sharers = names.iter().filter(|name| {
+            let mut table = HostTable::new((**name).into(), "north".into(), Vec::new());
+            for (index, other) in names.iter().enumerate() {
+                table.heard(NOW, &beat(other, "north", index as u8, 1));
+            }
+            table.is_among(NOW, key, 2)
+        });
+        assert_eq!(sharers.count(), 2, "{key}");
+    }
+}
+
+/// Guards against a share that grows while hosts do not hear one another.
+#[test]
+fn the_number_of_sharers_does_not_fall() {
+    let mut table = table();
+    table.heard(NOW, &beat("a", "north", 1, 1));
+    table.heard(NOW, &beat("b", "south", 2, 1));
+    table.prune(NOW.plus_ms(120_000));
+    assert_eq!((table.sharers_near(), table.sharers_all()), (2, 3));
+}
+
+/// Guards against beats whose number grows with the region, and against hosts that never get one.
+#[test]
+fn large_regions_are_told_in_turns() {
+    let mut table = table();
+    for last in 1..=60 {
+        table.heard(NOW, &beat(&format!("h{last}"), "north", last, 1));
+    }
+    let mut told = FastSet::default();
+    for _ in 0..10 {
+        let near = table.recipients().near;
+        assert!(near.len() <= 12);
+        told.extend(near);
+    }
+    assert_eq!(told.len(), 60);
+}
+
+/// Guards against a host that finds nobody because the platform lists nobody yet.
+#[test]
+fn seeds_are_told_until_they_are_known() {
+    let mut table = table();
+    assert_eq!(table.recipients().far, vec![Ipv4Addr::new(10, 0, 0, 99)]);
+    table.listed(HostAddress {
+        host: "s".into(),
+        ip: Ipv4Addr::new(10, 0, 0, 99),
+        zone: "z".into(),
+        region: "north".into(),
+        started_ms: 1,
+    });
+    let recipients = table.recipients();
+    assert_eq!(recipients.near, vec![Ipv4Addr::new(10, 0, 0, 99)]);
+    assert!(recipients.far.is_empty());
+}
+
+/// Guards against a datagram that cannot be read again.
+#[test]
+fn beats_survive_the_wire() {
+    let sent = beat("a", "north", 1, 5);
+    let bytes = sent.encode().expect("a beat is written");
+    assert_eq!(Beat::decode(&bytes).expect("a beat is read"), sent);
+    assert!(Beat::decode(&bytes[..5]).is_err());
+}
--- a/crates/relay/src/event_relay.rs
+++ b/crates/relay/src/event_relay.rs
@@ -203,9 +203,8 @@
 }
 
 async fn next_part(answer: &mut OpenAnswer, cursor: &mut EventCursor, deadline: Instant) -> Part {
-    let frame = match tokio::time::timeout_at(deadline, answer.body.frame()).await {
-        Err(_) => return Part::Broken(AttemptFailure::DeadlineAfterSend),
-        Ok(frame) => frame,
+    let Ok(frame) = tokio::time::timeout_at(deadline, answer.body.frame()).await else {
+        return Part::Broken(AttemptFailure::DeadlineAfterSend);
     };
     match frame {
         None if cursor.is_whole() => Part::End,
--- a/crates/relay/src/headers.rs
+++ b/crates/relay/src/headers.rs
@@ -1,5 +1,7 @@
 //! Headers that travel on.
 
+use std::fmt::Display;
+
 use http::header::{
     CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, EXPECT, HeaderName, PROXY_AUTHENTICATE,
     PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
@@ -86,8 +88,8 @@
 }
 
 /// Returns the value of a number or of a name that was a header value before.
-pub(crate) fn value(text: impl ToString) -> HeaderValue {
-    HeaderValue::from_str(&text.to_string()).unwrap_or_else(|_| HeaderValue::from_static(""))
+pub(crate) fn value(text: impl Display) -> HeaderValue {
+    HeaderValue::from_str(&format!("{text}")).unwrap_or_else(|_| HeaderValue::from_static(""))
 }
 
 /// Returns how long an idle connection stays open, in milliseconds, as the other side says.
--- /dev/null
+++ b/crates/relay/tests/placing.rs
@@ -0,0 +1,173 @@
+//! Where requests go: targets, homes of beginnings, cold targets, and other regions.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use lw_admit::ColdLimit;
+use lw_base::prelude::*;
+use lw_relay::{
+    ChoiceQuery, Chosen, ColdRules, EngineFacts, NoTarget, Plan, Prompt, RegionOffer, Service,
+    ServicePace, SpillQuery, Target, TargetLoad, choose, choose_region, home_of,
+};
+use test_case::test_case;
+
+const NOW: MonoMs = MonoMs(100_000);
+const SERVICE: ServiceKey = ServiceKey(0);
+
+fn plan(targets: usize, engine: bool) -> Plan {
+    let mut plan = Plan::default();
+    plan.services.push(
+        "s",
+        Service {
+            name: "s".into(),
+            hash: 1,
+            max_connections: 100,
+            cold_ms: 3_000,
+            cold_per_s: 4.0,
+            engine: engine.then_some(EngineFacts {
+                memory_tokens: 300_000,
+            }),
+        },
+    );
+    let target = |index: usize| Target {
+        id: format!("t{index}").into(),
+        incarnation: format!("t{index}#0").into(),
+        hash: index as u32,
+        service: SERVICE,
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: "z".into(),
+        region: "north".into(),
+        slots: 8,
+        takes_work: true,
+        load: Rc::new(RefCell::new(TargetLoad::default())),
+    };
+    plan.targets = vec![(0..targets).map(target).collect()];
+    plan
+}
+
+fn long_prompt(beginning: &str) -> Prompt {
+    let parts = format!("{beginning}:13000,own:3700");
+    Prompt::parse(Some("16700,100"), Some(&parts))
+}
+
+fn pick(plan: &Plan, prompt: &Prompt, limit: Option<ColdLimit>) -> Result<Chosen, NoTarget> {
+    let home = home_of(plan, SERVICE, prompt, |_| true);
+    let query = ChoiceQuery {
+        region: "north",
+        service: SERVICE,
+        prompt,
+        home: home.map(|home| home.hash),
+        tried: &[],
+        pace: ServicePace::default(),
+    };
+    let limit = |_: &Service, _: &Target| limit;
+    choose(plan, &query, NOW, &ColdRules { limit: &limit })
+}
+
+/// Guards against copies of a beginning on many engines: hosts that share nothing must agree on its home.
+#[test]
+fn a_long_beginning_goes_to_its_home() {
+    let plan = plan(6, true);
+    let mut homes = FastSet::default();
+    for beginning in 0..40 {
+        let prompt = long_prompt(&format!("b{beginning}"));
+        let first = pick(&plan, &prompt, None).expect("there are targets");
+        let again = pick(&plan, &prompt, None).expect("there are targets");
+        assert_eq!(first.target.hash, again.target.hash);
+        homes.insert(first.target.hash);
+    }
+    assert_eq!(homes.len(), 6, "the homes are spread over the targets");
+}
+
+/// Guards against a home that is followed into its overload.
+#[test]
+fn a_busy_home_is_left() {
+    let plan = plan(3, true);
+    let prompt = long_prompt("b");
+    let home = pick(&plan, &prompt, None)
+        .expect("there are targets")
+        .target;
+    home.load.borrow_mut().add_backlog(NOW, 8_000.0);
+    let other = pick(&plan, &prompt, None)
+        .expect("there are targets")
+        .target;
+    assert_ne!(other.hash, home.hash);
+}
+
+/// Guards against short queries that are stretched by the prefill of long prompts, although another engine is calm.
+#[test]
+fn prefill_work_moves_short_queries_away() {
+    let plan = plan(2, true);
+    let busy = &plan.targets[0][0];
+    busy.load
+        .borrow_mut()
+        .add_backlog(MonoMs(NOW.0 - 900), 800.0);
+    let query = Prompt::parse(Some("300,60"), Some("own:300"));
+    let chosen = pick(&plan, &query, None).expect("there are targets");
+    assert_ne!(chosen.target.hash, busy.hash);
+}
+
+struct ClosedCase {
+    change: fn(&mut Plan),
+    result: Option<NoTarget>,
+}
+
+// Guards against requests to targets that leave, are evacuated, full or cold.
+#[test_case(&ClosedCase { change: |_| (), result: None }; "open")]
+#[test_case(&ClosedCase { change: |plan| plan.targets[0][0].takes_work = false, result: Some(NoTarget::Absent) }; "leaving")]
+#[test_case(&ClosedCase { change: |plan| { plan.evacuated.insert("z".into()); }, result: Some(NoTarget::Absent) }; "evacuated")]
+#[test_case(&ClosedCase { change: |plan| plan.targets[0][0].region = "south".into(), result: Some(NoTarget::Absent) }; "in another region")]
+#[test_case(&ClosedCase { change: |plan| plan.targets[0][0].load.borrow_mut().running = 24, result: Some(NoTarget::Full) }; "full")]
+#[test_case(&ClosedCase { change: |plan| plan.targets[0][0].load.borrow_mut().cold_until = NOW.plus_ms(1), result: Some(NoTarget::Full) }; "cold and not this host's to use")]
+fn closed_targets_get_nothing(case: &ClosedCase) {
+    let mut plan = plan(1, false);
+    (case.change)(&mut plan);
+    assert_eq!(pick(&plan, &Prompt::default(), None).err(), case.result);
+}
+
+/// Guards against a host that exceeds its part of a cold target's limit.
+#[test]
+fn a_cold_target_is_used_up_to_the_limit() {
+    let plan = plan(1, false);
+    let target = &plan.targets[0][0];
+    target.load.borrow_mut().cold_until = NOW.plus_ms(3_000);
+    let limit = ColdLimit {
+        per_s: 4.0,
+        hosts: 2,
+    };
+    let mut sent = 0;
+    while let Ok(chosen) = pick(&plan, &Prompt::default(), Some(limit)) {
+        assert!(chosen.cold);
+        assert!(target.load.borrow_mut().cold_pace.try_send(NOW, limit));
+        sent += 1;
+    }
+    assert_eq!(sent, 2);
+}
+
+fn offer(region: &str, wait_ms: f64) -> RegionOffer {
+    RegionOffer {
+        region: region.into(),
+        wait_ms,
+        targets: 4,
+        sent_since: 0,
+    }
+}
+
+struct SpillCase {
+    query: SpillQuery,
+    region: Option<&'static str>,
+}
+
+// Guards against oscillation between regions, and against requests that wait at home while another region is free.
+#[test_case(&SpillCase { query: SpillQuery { local_ms: Some(100.0), prefill_ms: 10.0, home: None, offers: vec![offer("east", 0.0)] }, region: None }; "a calm region keeps its requests")]
+#[test_case(&SpillCase { query: SpillQuery { local_ms: Some(900.0), prefill_ms: 10.0, home: None, offers: vec![offer("east", 0.0)] }, region: Some("east") }; "a busy region sends them away")]
+#[test_case(&SpillCase { query: SpillQuery { local_ms: Some(900.0), prefill_ms: 10.0, home: None, offers: vec![offer("east", 700.0)] }, region: None }; "small differences move nothing")]
+#[test_case(&SpillCase { query: SpillQuery { local_ms: None, prefill_ms: 10.0, home: None, offers: vec![offer("east", 700.0), offer("west", 300.0)] }, region: Some("west") }; "without a target the best other region serves")]
+#[test_case(&SpillCase { query: SpillQuery { local_ms: Some(1_200.0), prefill_ms: 400.0, home: Some(("west".into(), 100.0)), offers: vec![offer("east", 0.0), offer("west", 100.0)] }, region: Some("west") }; "the region that keeps the beginning is preferred")]
+#[test_case(&SpillCase { query: SpillQuery { local_ms: None, prefill_ms: 10.0, home: None, offers: Vec::new() }, region: None }; "no region offers anything")]
+#[test_case(&SpillCase { query: SpillQuery { local_ms: Some(900.0), prefill_ms: 200.0, home: None, offers: vec![RegionOffer { sent_since: 40, ..offer("east", 0.0) }] }, region: None }; "requests on their way count")]
+fn requests_spill_only_when_it_pays(case: &SpillCase) {
+    let chosen = choose_region(&case.query).map(|offer| Arc::clone(&offer.region));
+    assert_eq!(chosen.as_deref(), case.region);
+}
--- /dev/null
+++ b/crates/relay/tests/routing.rs
@@ -0,0 +1,119 @@
+//! Routes, verdicts on answers, and the steps of a planned stop.
+
+use http::StatusCode;
+use lw_base::prelude::*;
+use lw_flow::AttemptFailure;
+use lw_relay::{
+    AnswerForm, HeadFacts, Route, RouteTable, RunPolicy, StopStep, Verdict, WeightedService,
+    judge_head, stop_step,
+};
+use test_case::test_case;
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        services: Vec::new(),
+        run_policy: RunPolicy::Once,
+        form: AnswerForm::Whole,
+        max_runs: 1,
+        timeout_ms: 1_000,
+        aim_ms: 500,
+        rank: 0,
+        homes: Vec::new(),
+    }
+}
+
+struct RouteCase {
+    host: &'static str,
+    path: &'static str,
+    found: Option<&'static str>,
+}
+
+// Guards against requests that run at the service of a shorter prefix or of another host.
+#[test_case(&RouteCase { host: "a.example", path: "/x/1", found: Some("short") }; "a prefix")]
+#[test_case(&RouteCase { host: "a.example", path: "/x/y/1", found: Some("long") }; "the longest prefix")]
+#[test_case(&RouteCase { host: "A.Example:8080", path: "/x/1", found: Some("short") }; "host names ignore case and port")]
+#[test_case(&RouteCase { host: "a.example", path: "/x", found: None }; "a prefix ends with its slash")]
+#[test_case(&RouteCase { host: "b.example", path: "/x/1", found: Some("other") }; "another host")]
+#[test_case(&RouteCase { host: "c.example", path: "/x/1", found: None }; "an unknown host")]
+fn requests_find_their_route(case: &RouteCase) {
+    let table = RouteTable::new([
+        route("short", "a.example", "/x/"),
+        route("long", "a.example", "/x/y/"),
+        route("other", "b.example", "/x/"),
+    ]);
+    let found = table.find(case.host, case.path);
+    assert_eq!(found.map(|route| &*route.name), case.found);
+}
+
+/// Guards against a split that leaves a service out or sends it too much.
+#[test]
+fn a_split_follows_its_weights() {
+    let part = |service, weight| WeightedService {
+        service: ServiceKey(service),
+        weight,
+    };
+    let route = Route {
+        services: vec![part(0, 90.0), part(1, 10.0), part(2, 0.0)],
+        ..route("split", "a", "/")
+    };
+    let mut counts = [0; 3];
+    for step in 0..1_000 {
+        let draw = f64::from(step) / 1_000.0;
+        let service = route.service(draw).expect("there are services");
+        counts[service.index()] += 1;
+    }
+    assert_eq!(counts, [900, 100, 0]);
+}
+
+const GOOD: HeadFacts = HeadFacts {
+    status: StatusCode::OK,
+    same_attempt: Some(true),
+    sealed: true,
+    not_run: false,
+    encoded: false,
+    reused: true,
+};
+
+struct HeadCase {
+    head: HeadFacts,
+    verdict: Verdict,
+}
+
+const CROSSED: Verdict = Verdict::Failure(AttemptFailure::CrossedAnswer);
+const REFUSED: Verdict = Verdict::Failure(AttemptFailure::TargetRefused);
+
+// Guards against answers of other requests, unproved successes and "not run" without proof.
+#[test_case(&HeadCase { head: GOOD, verdict: Verdict::Answer }; "a sealed answer to the attempt")]
+#[test_case(&HeadCase { head: HeadFacts { same_attempt: Some(false), ..GOOD }, verdict: CROSSED }; "the answer to another attempt")]
+#[test_case(&HeadCase { head: HeadFacts { same_attempt: None, ..GOOD }, verdict: CROSSED }; "a success without an id")]
+#[test_case(&HeadCase { head: HeadFacts { sealed: false, ..GOOD }, verdict: CROSSED }; "a success without a seal")]
+#[test_case(&HeadCase { head: HeadFacts { encoded: true, ..GOOD }, verdict: CROSSED }; "an encoded body")]
+#[test_case(&HeadCase { head: HeadFacts { status: StatusCode::INTERNAL_SERVER_ERROR, ..GOOD }, verdict: Verdict::Failed }; "a failure of the target")]
+#[test_case(&HeadCase { head: HeadFacts { status: StatusCode::BAD_REQUEST, ..GOOD }, verdict: Verdict::Answer }; "a refusal that belongs to the caller")]
+#[test_case(&HeadCase { head: HeadFacts { status: StatusCode::SERVICE_UNAVAILABLE, not_run: true, sealed: false, same_attempt: None, ..GOOD }, verdict: REFUSED }; "a full target")]
+#[test_case(&HeadCase { head: HeadFacts { status: StatusCode::MISDIRECTED_REQUEST, sealed: false, same_attempt: Some(true), ..GOOD }, verdict: REFUSED }; "another incarnation")]
+#[test_case(&HeadCase { head: HeadFacts { status: StatusCode::MISDIRECTED_REQUEST, sealed: false, same_attempt: None, reused: false, ..GOOD }, verdict: REFUSED }; "another incarnation on a new connection")]
+#[test_case(&HeadCase { head: HeadFacts { status: StatusCode::MISDIRECTED_REQUEST, sealed: false, same_attempt: None, ..GOOD }, verdict: CROSSED }; "a rejection without an id on a used connection")]
+#[test_case(&HeadCase { head: HeadFacts { status: StatusCode::SERVICE_UNAVAILABLE, ..GOOD }, verdict: Verdict::Failed }; "a 503 without the proof may have run")]
+fn heads_prove_what_they_say(case: &HeadCase) {
+    assert_eq!(judge_head(case.head), case.verdict);
+}
+
+struct StopCase {
+    stopped_ms: u64,
+    requests: u32,
+    step: StopStep,
+}
+
+// Guards against cut requests, and against a process that is killed because it has not ended in time.
+#[test_case(&StopCase { stopped_ms: 0, requests: 0, step: StopStep::Announce }; "the directory is told first")]
+#[test_case(&StopCase { stopped_ms: 2_500, requests: 9, step: StopStep::CloseIdle }; "idle connections close next")]
+#[test_case(&StopCase { stopped_ms: 5_000, requests: 1, step: StopStep::CloseListener }; "a request is finished")]
+#[test_case(&StopCase { stopped_ms: 3_100, requests: 0, step: StopStep::Exit }; "nothing is left")]
+#[test_case(&StopCase { stopped_ms: 7_800, requests: 5, step: StopStep::Exit }; "the grace time ends")]
+fn a_planned_stop_goes_step_by_step(case: &StopCase) {
+    assert_eq!(stop_step(case.stopped_ms, 8_000, case.requests), case.step);
+}
--- /dev/null
+++ b/crates/relay/tests/support/mod.rs
@@ -0,0 +1,360 @@
+//! A host on loopback with targets that follow a script.
+
+use std::cell::{Cell, RefCell};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::HeaderName;
+use lw_base::prelude::*;
+use lw_relay::{
+    AnswerForm, Bounds, CallerLimits, Door, EngineFacts, HeaderSet, Host, HostParts, HostSettings,
+    PathSet, Plan, Route, RouteTable, RunPolicy, Service, Target, TargetLoad, WeightedService,
+    serve,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// What a target does with one request.
+#[derive(Clone, Debug)]
+pub(crate) enum Act {
+    /// Sends bytes.
+    Send(String),
+    /// Waits.
+    Wait(u64),
+    /// Closes the connection in good order.
+    Close,
+    /// Resets the connection.
+    Reset,
+}
+
+/// The answers of a target, one list for each request in order; the last one repeats.
+pub(crate) type Script = Vec<Vec<Act>>;
+
+/// A target that follows a script.
+#[derive(Clone)]
+pub(crate) struct ScriptTarget {
+    pub(crate) address: SocketAddr,
+    /// The heads of the requests that arrived.
+    pub(crate) heads: Rc<RefCell<Vec<String>>>,
+    /// The connections that callers closed while a request was being answered.
+    pub(crate) left: Rc<Cell<u32>>,
+}
+
+/// The echo of the attempt's id in scripts.
+pub(crate) const ID: &str = "{id}";
+
+/// Returns the head and body of a good whole answer.
+pub(crate) fn good(body: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nx-attempt: {ID}\r\nx-seal: s\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Returns the head of a good stream.
+pub(crate) fn stream_head() -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nx-attempt: {ID}\r\nx-seal: s\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+    )
+}
+
+/// Returns one chunk.
+pub(crate) fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// Returns the event of an id.
+pub(crate) fn event(id: u64) -> String {
+    format!("id: {id}\ndata: piece {id}\n\n")
+}
+
+impl ScriptTarget {
+    pub(crate) async fn start(script: Script) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let target = Self {
+            address: listener.local_addr().expect("a bound socket"),
+            heads: Rc::default(),
+            left: Rc::default(),
+        };
+        let running = target.clone();
+        tokio::task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::task::spawn_local(running.clone().serve(stream, script.clone()));
+            }
+        });
+        target
+    }
+
+    async fn serve(self, mut stream: TcpStream, script: Script) {
+        while let Some(head) = read_request(&mut stream).await {
+            let id = header(&head, "x-attempt").unwrap_or_default();
+            let index = self.heads.borrow().len();
+            self.heads.borrow_mut().push(head);
+            let acts = &script[index.min(script.len() - 1)];
+            for act in acts {
+                match act {
+                    Act::Send(text) => {
+                        let text = text.replace(ID, &id);
+                        if stream.write_all(text.as_bytes()).await.is_err() {
+                            return;
+                        }
+                    }
+                    Act::Wait(wait_ms) => {
+                        let mut byte = [0];
+                        let wait = Duration::from_millis(*wait_ms);
+                        let read = tokio::time::timeout(wait, stream.peek(&mut byte)).await;
+                        if matches!(read, Ok(Ok(0) | Err(_))) {
+                            self.left.set(self.left.get() + 1);
+                            return;
+                        }
+                    }
+                    Act::Close => return,
+                    Act::Reset => {
+                        let linger = Some(Duration::ZERO);
+                        let socket = socket2::SockRef::from(&stream);
+                        socket.set_linger(linger).expect("a TCP socket");
+                        return;
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Reads a request; returns its head.
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 4_096];
+    loop {
+        if let Some(end) = bytes.windows(4).position(|part| part == b"\r\n\r\n") {
+            let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
+            let length = header(&head, "content-length").and_then(|text| text.parse().ok());
+            let missing = (end + 4 + length.unwrap_or(0_usize)).saturating_sub(bytes.len());
+            let mut body = vec![0; missing];
+            stream.read_exact(&mut body).await.ok()?;
+            return Some(head);
+        }
+        let length = stream.read(&mut buffer).await.ok()?;
+        if length == 0 {
+            return None;
+        }
+        bytes.extend_from_slice(&buffer[..length]);
+    }
+}
+
+/// Returns the value of a header.
+pub(crate) fn header(head: &str, name: &str) -> Option<String> {
+    head.lines().find_map(|line| {
+        let (key, value) = line.split_once(':')?;
+        key.eq_ignore_ascii_case(name)
+            .then(|| value.trim().to_owned())
+    })
+}
+
+/// How the requests of the only route are treated.
+#[derive(Clone, Copy)]
+pub(crate) struct Kind {
+    pub(crate) run_policy: RunPolicy,
+    pub(crate) form: AnswerForm,
+    pub(crate) max_runs: u32,
+    pub(crate) timeout_ms: u64,
+}
+
+pub(crate) const ONCE: Kind = Kind {
+    run_policy: RunPolicy::Once,
+    form: AnswerForm::Whole,
+    max_runs: 1,
+    timeout_ms: 2_000,
+};
+pub(crate) const REPEATABLE: Kind = Kind {
+    run_policy: RunPolicy::Repeatable,
+    max_runs: 2,
+    ..ONCE
+};
+pub(crate) const RESUMABLE: Kind = Kind {
+    form: AnswerForm::Events { resumable: true },
+    max_runs: 2,
+    ..ONCE
+};
+pub(crate) const STREAM: Kind = Kind {
+    form: AnswerForm::Events { resumable: false },
+    ..ONCE
+};
+
+fn free_port() -> u16 {
+    let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    socket.local_addr().expect("a bound socket").port()
+}
+
+/// Starts a host with the given targets.
+pub(crate) async fn start_host(kind: Kind, targets: &[ScriptTarget]) -> Rc<Host> {
+    let address = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+    let name = HeaderName::from_static;
+    let host = Rc::new(Host::new(HostParts {
+        settings: HostSettings {
+            host: "me".into(),
+            ip: Ipv4Addr::LOCALHOST,
+            zone: "z".into(),
+            region: "north".into(),
+            zones: FastMap::default(),
+            caller_address: address(free_port()),
+            ready_address: address(free_port()),
+            directory_address: address(free_port()),
+            peer_port: free_port(),
+            seeds: Vec::new(),
+            bounds: Bounds {
+                grace_ms: 8_000,
+                retry_ratio: 0.2,
+                retry_extra: 80.0,
+                retry_window_ms: 10_000,
+                cold_factor: 1.5,
+                cold_slack: 3.0,
+                directory_ttl_s: 5,
+            },
+        },
+        names: HeaderSet {
+            attempt_id: name("x-attempt"),
+            remaining_ms: name("x-remaining"),
+            prompt_parts: name("x-parts"),
+            token_counts: name("x-tokens"),
+            last_event_id: name("last-event-id"),
+            seal: name("x-seal"),
+            pinned_target: name("x-target"),
+            not_run: name("x-not-run"),
+            retry_after: name("retry-after"),
+            urgency: name("x-urgency"),
+            reserved: vec![name("x-target"), name("x-urgency"), name("x-hold")],
+        },
+        paths: PathSet {
+            ready: "/ready",
+            directory: "/entry",
+        },
+        started_ms: 1,
+        on_changed: Box::new(|_, _| ()),
+    }));
+    for (address, door) in [
+        (host.settings.caller_address, Door::Callers),
+        (host.settings.ready_address, Door::Ready),
+        (host.settings.directory_address, Door::Directory),
+        (address(host.settings.peer_port), Door::Peers),
+    ] {
+        serve(host.clone(), address, door)
+            .await
+            .expect("a free port");
+    }
+    host.set_plan(plan_of(kind, targets));
+    host
+}
+
+/// Builds a plan with one route and one service.
+pub(crate) fn plan_of(kind: Kind, targets: &[ScriptTarget]) -> Plan {
+    let mut plan = Plan {
+        version: 1,
+        limits: CallerLimits {
+            header_bytes: 2_000,
+            body_bytes: 10_000,
+            ..CallerLimits::default()
+        },
+        ..Plan::default()
+    };
+    let service = plan.services.push(
+        "s",
+        Service {
+            name: "s".into(),
+            hash: 1,
+            max_connections: 100,
+            cold_ms: 0,
+            cold_per_s: 0.0,
+            engine: None::<EngineFacts>,
+        },
+    );
+    plan.routes = RouteTable::new([Route {
+        name: "r".into(),
+        host: "a.example".into(),
+        prefix: "/x/".into(),
+        services: vec![WeightedService {
+            service,
+            weight: 1.0,
+        }],
+        run_policy: kind.run_policy,
+        form: kind.form,
+        max_runs: kind.max_runs,
+        timeout_ms: kind.timeout_ms,
+        aim_ms: 400,
+        rank: 1,
+        homes: Vec::new(),
+    }]);
+    let target = |(index, target): (usize, &ScriptTarget)| Target {
+        id: format!("t{index}").into(),
+        incarnation: format!("t{index}#1").into(),
+        hash: index as u32 + 1,
+        service,
+        address: target.address,
+        zone: "z".into(),
+        region: "north".into(),
+        slots: 8,
+        takes_work: true,
+        load: Rc::new(RefCell::new(TargetLoad::default())),
+    };
+    plan.targets = vec![targets.iter().enumerate().map(target).collect()];
+    plan
+}
+
+/// The answer that a caller read until the connection closed or the answer was whole.
+#[derive(Debug)]
+pub(crate) struct CallerAnswer {
+    pub(crate) status: u16,
+    pub(crate) head: String,
+    pub(crate) body: String,
+    /// The body has the end that its framing promises.
+    pub(crate) whole: bool,
+}
+
+/// Sends a request and reads the answer.
+pub(crate) async fn call(address: SocketAddr, request: &str) -> CallerAnswer {
+    let mut stream = TcpStream::connect(address).await.expect("the host listens");
+    let sent = stream.write_all(request.as_bytes()).await;
+    sent.expect("the host reads");
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 4_096];
+    loop {
+        let read = tokio::time::timeout(Duration::from_secs(5), stream.read(&mut buffer)).await;
+        let length = read.expect("an answer in time").unwrap_or(0);
+        bytes.extend_from_slice(&buffer[..length]);
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        let Some((head, body)) = text.split_once("\r\n\r\n") else {
+            assert!(length > 0, "no answer: {text}");
+            continue;
+        };
+        let whole = match header(head, "content-length") {
+            Some(declared) => declared.parse() == Ok(body.len()),
+            None => body.ends_with("0\r\n\r\n"),
+        };
+        if whole || length == 0 {
+            let status = head.split(' ').nth(1).and_then(|text| text.parse().ok());
+            return CallerAnswer {
+                status: status.expect("a status line"),
+                head: head.to_owned(),
+                body: body.to_owned(),
+                whole,
+            };
+        }
+    }
+}
+
+/// Returns a request with the attempt id `id`.
+pub(crate) fn request(id: &str) -> String {
+    format!(
+        "POST /x/1?q=%20a HTTP/1.1\r\nhost: a.example\r\nx-attempt: {id}\r\nx-remaining: 1500\r\ncontent-length: 4\r\n\r\nbody"
+    )
+}
+
+/// Runs a test on one thread, as the host runs.
+pub(crate) fn on_one_thread(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
