A few hosts cover each target and watch the platform

Ruled out: processor time (at most 0.04 of a core), links. Change: rendezvous hashing gives each target a few covering hosts; a host without room, or one that does not cover the home of a beginning, asks another host of the region; three hosts a region watch, the others take the changes from them; entry hosts are named by their capacity; a fifth of the slots of an engine is for long beginnings; waits end at 0.12 of the aim.

--- a/crates/mesh/src/beat.rs
+++ b/crates/mesh/src/beat.rs
@@ -64,6 +64,10 @@
     pub stage: Stage,
     /// The revision of its mirror.
     pub as_of: u64,
+    /// The time since the platform last answered it, in milliseconds.
+    pub platform_age_ms: u16,
+    /// Thousandths of a processor core that it may use.
+    pub capacity_permille: u16,
     /// Requests that it serves now.
     pub requests: u16,
     /// The use of the services in its region.
--- a/crates/mesh/src/host_entry.rs
+++ b/crates/mesh/src/host_entry.rs
@@ -35,6 +35,10 @@
     pub stage: Stage,
     /// The revision of its mirror in its last beat.
     pub as_of: u64,
+    /// The time since the platform last answered it, at its last beat, in milliseconds.
+    pub platform_age_ms: u16,
+    /// Thousandths of a processor core that it may use.
+    pub capacity_permille: u16,
     /// Requests that it served at its last beat.
     pub requests: u16,
     /// The use of the services in its region at its last beat.
--- a/crates/mesh/src/host_table.rs
+++ b/crates/mesh/src/host_table.rs
@@ -7,6 +7,7 @@
 use lw_base::{ranked, stable_hash};
 
 use crate::beat::{Beat, RegionUse};
+use crate::coverage::{Coverage, CoveringHost};
 use crate::host_entry::{HostAddress, HostEntry};
 use crate::stage::Stage;
 
@@ -22,6 +23,12 @@
 /// Hosts of other regions that a host sends each beat to.
 const REMOTE_FAN_OUT: usize = 3;
 
+/// The hosts of a region that watch the platform; the others take its state from them. Each call is priced, and with
+/// 77 hosts every change cost 77 calls.
+pub const WATCHERS: usize = 3;
+/// The platform's answers to a host count as fresh up to this age: the time that a watch waits, and some more.
+const FRESH_PLATFORM_MS: u64 = 5_500;
+
 /// Where the next beat goes.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Recipients {
@@ -73,6 +80,8 @@
             heard_at: None,
             stage: Stage::Starting,
             as_of: 0,
+            platform_age_ms: u16::MAX,
+            capacity_permille: 0,
             requests: 0,
             services: Vec::new(),
         };
@@ -116,6 +125,8 @@
             heard_at: Some(now),
             stage: beat.stage,
             as_of: beat.as_of,
+            platform_age_ms: beat.platform_age_ms,
+            capacity_permille: beat.capacity_permille,
             requests: beat.requests,
             services: beat.services.clone(),
         };
@@ -183,16 +194,52 @@
             .any(|index| names[index] == self.name)
     }
 
-    /// Returns the use of a service in the regions of the hosts that were heard, the freshest word of each region.
-    pub fn region_uses(
+    /// Returns whether this host watches the platform: it is one of the few of its region, or none of them hears it.
+    #[must_use]
+    pub fn is_watcher(&self, now: MonoMs) -> bool {
+        if self.is_among(now, "platform watch", WATCHERS) {
+            return true;
+        }
+        let near = self.up(now);
+        let mut near = near.filter(|entry| entry.address.region == self.region);
+        !near.any(|entry| {
+            let silent_ms = entry.heard_at.map_or(u64::MAX, |at| now.since_ms(at));
+            u64::from(entry.platform_age_ms) + silent_ms < FRESH_PLATFORM_MS
+        })
+    }
+
+    /// Returns which hosts of the region cover the targets, given by service as hash and incarnation.
+    #[must_use]
+    pub fn coverage(&self, now: MonoMs, services: &[Vec<(u32, Arc<str>)>]) -> Coverage {
+        let near = self.ready(now);
+        let near = near.filter(|entry| entry.address.region == self.region);
+        let mut hosts: Vec<CoveringHost> = near
+            .map(|entry| CoveringHost {
+                name: entry.address.host.clone(),
+                ip: Some(entry.address.ip),
+            })
+            .collect();
+        hosts.push(CoveringHost {
+            name: self.name.clone(),
+            ip: None,
+        });
+        let mut coverage = Coverage::default();
+        for targets in services {
+            coverage.assign(&hosts, targets);
+        }
+        coverage
+    }
+
+    /// Returns what each ready host says of a service.
+    pub fn uses(
         &self,
         now: MonoMs,
         service: u32,
-    ) -> impl Iterator<Item = (&Arc<str>, MonoMs, RegionUse)> {
+    ) -> impl Iterator<Item = (&HostEntry, MonoMs, RegionUse)> {
         self.ready(now).filter_map(move |entry| {
             let mut uses = entry.services.iter();
             let found = uses.find(|used| used.service == service)?;
-            Some((&entry.address.region, entry.heard_at?, *found))
+            Some((entry, entry.heard_at?, *found))
         })
     }
 
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -4,13 +4,15 @@
 //! [`HostTable`] holds the hosts that a host hears of, by their [`Beat`]s.
 
 mod beat;
+mod coverage;
 mod host_entry;
 mod host_table;
 mod mirror;
 mod stage;
 
 pub use beat::{Beat, BeatError, PlacedPart, RegionUse, TargetUse};
+pub use coverage::Coverage;
 pub use host_entry::{HostAddress, HostEntry};
-pub use host_table::{HEARD_MS, HostTable, Recipients};
-pub use mirror::{Changed, Item, Listing, Mirror, Written};
+pub use host_table::{HEARD_MS, HostTable, Recipients, WATCHERS};
+pub use mirror::{Changed, Item, Listing, Mirror, MirrorUpdate, Written};
 pub use stage::Stage;
--- a/crates/mesh/src/mirror.rs
+++ b/crates/mesh/src/mirror.rs
@@ -1,6 +1,6 @@
 //! A host's copy of the platform's state.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::ops::Bound;
 use std::sync::Arc;
 
@@ -17,7 +17,7 @@
 }
 
 /// One write or removal of a key.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Written {
     /// The key.
     pub key: Arc<str>,
@@ -36,6 +36,23 @@
     pub items: BTreeMap<Arc<str>, Item>,
 }
 
+/// What a host sends another one that knows less.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MirrorUpdate {
+    /// The changes after the revision that the other host knows.
+    Changes {
+        /// The changes in order.
+        changes: Vec<Written>,
+        /// Every change up to this revision is contained.
+        as_of: u64,
+    },
+    /// Everything.
+    Listing(Listing),
+}
+
+/// The changes that are kept for other hosts; some seconds of a busy deployment.
+const MOST_RECENT: usize = 256;
+
 /// What an update changed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Changed {
@@ -49,6 +66,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Mirror {
     listing: Listing,
+    /// The last changes, without a gap after `recent_after`.
+    recent: VecDeque<Written>,
+    recent_after: u64,
 }
 
 impl Mirror {
@@ -58,10 +78,29 @@
         self.listing.as_of
     }
 
-    /// Returns the state, for another host.
+    /// Returns what a host lacks that knows everything up to `known`, or `None` when it lacks nothing.
     #[must_use]
-    pub fn listing(&self) -> &Listing {
-        &self.listing
+    pub fn update_after(&self, known: u64) -> Option<MirrorUpdate> {
+        if self.listing.as_of <= known {
+            return None;
+        }
+        if known < self.recent_after {
+            return Some(MirrorUpdate::Listing(self.listing.clone()));
+        }
+        let changes = self.recent.iter();
+        let changes = changes.filter(|change| change.revision > known);
+        Some(MirrorUpdate::Changes {
+            changes: changes.cloned().collect(),
+            as_of: self.listing.as_of,
+        })
+    }
+
+    /// Takes the update of another host, when it is newer.
+    pub fn take(&mut self, update: MirrorUpdate) -> Changed {
+        match update {
+            MirrorUpdate::Changes { changes, as_of } => self.apply(changes, as_of),
+            MirrorUpdate::Listing(listing) => self.replace(listing),
+        }
     }
 
     /// Returns an item.
@@ -120,9 +159,20 @@
             as_of: listing.as_of,
             items,
         };
+        self.recent.clear();
+        self.recent_after = self.listing.as_of;
         changed
     }
 
+    fn remember(&mut self, change: Written) {
+        if self.recent.len() == MOST_RECENT
+            && let Some(oldest) = self.recent.pop_front()
+        {
+            self.recent_after = self.recent_after.max(oldest.revision);
+        }
+        self.recent.push_back(change);
+    }
+
     fn apply_one(&mut self, change: Written, changed: &mut Changed) {
         let known = self
             .listing
@@ -132,6 +182,7 @@
         if change.revision <= self.listing.as_of || known >= Some(change.revision) {
             return;
         }
+        self.remember(change.clone());
         match change.value {
             Some(value) => {
                 let item = Item {
--- a/crates/mesh/tests/hosts.rs
+++ b/crates/mesh/tests/hosts.rs
@@ -17,6 +17,8 @@
         started_ms,
         stage: Stage::Ready,
         as_of: 7,
+        platform_age_ms: 100,
+        capacity_permille: 250,
         requests: 0,
         services: Vec::new(),
         targets: Vec::new(),
@@ -136,3 +138,48 @@
     assert_eq!(Beat::decode(&bytes).expect("a beat is read"), sent);
     assert!(Beat::decode(&bytes[..5]).is_err());
 }
+
+/// Guards against hosts that all call the platform for the same change, and against a region where nobody does.
+#[test]
+fn a_few_hosts_of_a_region_watch_the_platform() {
+    let names: Vec<String> = (0..20).map(|index| format!("h{index}")).collect();
+    let watchers = |platform_age_ms: u16| {
+        let watching = names.iter().filter(|name| {
+            let mut table = HostTable::new(name.as_str().into(), "north".into(), Vec::new());
+            for (index, other) in names.iter().enumerate() {
+                let beat = Beat {
+                    platform_age_ms,
+                    ..beat(other, "north", index as u8, 1)
+                };
+                table.heard(NOW, &beat);
+            }
+            table.is_watcher(NOW.plus_ms(300))
+        });
+        watching.count()
+    };
+    assert_eq!(watchers(100), lw_mesh::WATCHERS);
+    assert_eq!(watchers(9_000), 20, "nobody hears the platform");
+}
+
+/// Guards against targets that no host uses, and against targets that every host of a large region uses.
+#[test]
+fn each_target_is_covered_by_a_few_hosts() {
+    let names: Vec<String> = (0..25).map(|index| format!("h{index}")).collect();
+    let targets: Vec<(u32, std::sync::Arc<str>)> = (0..50)
+        .map(|index| (index, format!("t{index}").into()))
+        .collect();
+    let mut covered = vec![0; targets.len()];
+    for name in &names {
+        let mut table = HostTable::new(name.as_str().into(), "north".into(), Vec::new());
+        for (index, other) in names.iter().enumerate() {
+            table.heard(NOW, &beat(other, "north", index as u8, 1));
+        }
+        let coverage = table.coverage(NOW, std::slice::from_ref(&targets));
+        for (hash, _) in &targets {
+            let own = usize::from(coverage.is_own(*hash));
+            covered[*hash as usize] += own;
+            assert_eq!(coverage.others(*hash).len() + own, 3);
+        }
+    }
+    assert!(covered.iter().all(|hosts| *hosts == 3), "{covered:?}");
+}
--- a/crates/mesh/tests/mirror.rs
+++ b/crates/mesh/tests/mirror.rs
@@ -119,3 +119,35 @@
     let keys: Vec<&str> = mirror.with_prefix("op/").map(|(key, _)| &**key).collect();
     assert_eq!(keys, ["op/a", "op/b"]);
 }
+
+/// Guards against a host that is brought up to date with a gap, and against whole listings for single changes.
+#[test]
+fn another_host_is_brought_up_to_date() {
+    let mut source = Mirror::default();
+    source.replace(listing(5, &[("a", 4, "x")]));
+    let mut follower = source.clone();
+    source.apply(vec![put("b", 6, "y"), removed("a", 7)], 8);
+    let update = source
+        .update_after(follower.as_of())
+        .expect("a newer state");
+    assert!(matches!(update, lw_mesh::MirrorUpdate::Changes { .. }));
+    follower.take(update);
+    assert_eq!((follower.as_of(), follower.get("a")), (8, None));
+    assert!(source.update_after(8).is_none());
+    let stranger = source.update_after(2).expect("a newer state");
+    assert!(matches!(stranger, lw_mesh::MirrorUpdate::Listing(_)));
+}
+
+/// Guards against changes that fell out of the kept ones and are skipped.
+#[test]
+fn a_host_that_is_far_behind_gets_everything() {
+    let mut source = Mirror::default();
+    source.replace(listing(5, &[]));
+    for revision in 6..=400 {
+        source.apply(vec![put(&format!("k{revision}"), revision, "x")], revision);
+    }
+    let mut follower = Mirror::default();
+    follower.replace(listing(6, &[("k6", 6, "x")]));
+    follower.take(source.update_after(6).expect("a newer state"));
+    assert_eq!(follower.with_prefix("k").count(), 395);
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -14,7 +14,7 @@
 use crate::answer::OpenAnswer;
 use crate::choose::Chosen;
 use crate::connection::{Connection, connect};
-use crate::headers::{HOP, OWN_END, for_caller, is_encoded, kept_ms, text, value};
+use crate::headers::{HOP, NEAR, OWN_END, for_caller, is_encoded, kept_ms, text, value};
 use crate::host::{Host, short_hash};
 use crate::in_flight::InFlight;
 use crate::incoming::Incoming;
@@ -114,19 +114,29 @@
         self.open(response, connection, key, verdict, Some(in_flight))
     }
 
-    /// Sends a request to a host of another region.
+    /// Sends a request to another host, of this region or of another one.
     pub(crate) async fn try_host(
         &self,
         incoming: &Incoming,
         address: SocketAddr,
+        is_near: bool,
         plan: &AttemptPlan,
     ) -> AttemptResult {
         let mut headers = self.request_headers(incoming, plan);
         let remaining = incoming.deadline.since_ms(self.clock.now());
         headers.insert(HOP, value(remaining));
+        let connect_timeout = match is_near {
+            true => {
+                headers.insert(NEAR, value(1));
+                CONNECT_NEAR
+            }
+            false => CONNECT_FAR,
+        };
         headers.remove(&self.names.remaining_ms);
         let key = (address, 0);
-        let sent = self.send(incoming, key, headers, CONNECT_FAR, None).await;
+        let sent = self
+            .send(incoming, key, headers, connect_timeout, None)
+            .await;
         let (response, connection) = match sent {
             Ok(sent) => sent,
             Err(failure) => return AttemptResult::Failure(failure),
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -14,6 +14,9 @@
 const PLAIN_QUEUE: f64 = 2.0;
 /// Requests that wait at an engine beyond its slots, as a multiple of them.
 const ENGINE_QUEUE: f64 = 0.1;
+/// The slots of an engine that only requests with a long beginning may use: they are worth most at the home of their
+/// beginning, and short ones can run on any engine.
+const LONG_SLOTS: f64 = 0.2;
 /// The part of an engine's memory that running requests may fill; above it the engine preempts.
 const MEMORY_SHARE: f64 = 0.9;
 /// How much the prefill of a request counts beyond its own wait: it delays every other request of the engine.
@@ -78,9 +81,11 @@
     Full,
 }
 
-/// How targets in their cold time may be used.
-pub struct ColdRules<'a> {
-    /// Returns this host's part of the limit of a cold target, or `None` when this host must not use it.
+/// Which targets this host may use.
+pub struct UseRules<'a> {
+    /// Returns whether this host sends requests to a target, given by its hash.
+    pub covers: &'a dyn Fn(u32) -> bool,
+    /// Returns this host's part of the limit of a target in its cold time, or `None` when this host must not use it.
     pub limit: &'a dyn Fn(&Service, &Target) -> Option<ColdLimit>,
 }
 
@@ -93,7 +98,7 @@
     plan: &Plan,
     query: &ChoiceQuery<'_>,
     now: MonoMs,
-    cold: &ColdRules<'_>,
+    rules: &UseRules<'_>,
 ) -> Result<Chosen, NoTarget> {
     let service = &plan.services[query.service];
     let mut best: Option<(f64, Chosen)> = None;
@@ -103,6 +108,9 @@
         if *target.region != *query.region || !plan.is_open(target) {
             continue;
         }
+        if !(rules.covers)(target.hash) {
+            continue;
+        }
         is_present = true;
         if query.tried.contains(&target.hash) {
             continue;
@@ -110,7 +118,7 @@
         let load = target.load.borrow();
         let is_cold = now < load.cold_until && service.cold_per_s > 0.0;
         if is_cold {
-            let limit = (cold.limit)(service, target);
+            let limit = (rules.limit)(service, target);
             if !limit.is_some_and(|limit| load.cold_pace.may_send(now, limit)) {
                 continue;
             }
@@ -191,6 +199,7 @@
 fn is_full(service: &Service, target: &Target, running: u32, tokens: u64, prompt: &Prompt) -> bool {
     let slots = f64::from(target.slots.max(1));
     let queue = match service.engine {
+        Some(_) if prompt.shared_beginning().is_none() => -LONG_SLOTS,
         Some(_) => ENGINE_QUEUE,
         None => PLAIN_QUEUE,
     };
--- /dev/null
+++ b/crates/relay/src/choose_host.rs
@@ -0,0 +1,138 @@
+//! The choice of another host.
+
+use std::net::SocketAddr;
+
+use lw_base::prelude::*;
+use lw_mesh::RegionUse;
+use rand::Rng;
+use rand::seq::IndexedRandom;
+
+use crate::choose::{Chosen, NoTarget, PREFILL_WEIGHT};
+use crate::decide::Tried;
+use crate::host::Host;
+use crate::incoming::Incoming;
+use crate::spill::RegionOffer;
+use crate::target::Target;
+
+/// The way to another host of the region and its work, in milliseconds.
+const NEAR_MS: f64 = 60.0;
+
+impl Host {
+    /// Returns what the regions that may serve a request offer: the freshest word of each.
+    pub(crate) fn offers(
+        &self,
+        now: MonoMs,
+        incoming: &Incoming,
+        tried: &Tried,
+    ) -> Vec<RegionOffer> {
+        let service = &incoming.plan.services[incoming.service];
+        let hosts = self.hosts.borrow();
+        let sent_away = self.sent_away.borrow();
+        let mut freshest: FastMap<&str, (MonoMs, RegionOffer)> = FastMap::default();
+        for (entry, heard_at, used) in hosts.uses(now, service.hash) {
+            let region = &entry.address.region;
+            let is_own = *region == self.settings.region;
+            let is_usable = used.targets > 0 && incoming.route.allows(region);
+            if is_own || !is_usable || tried.regions.contains(region) {
+                continue;
+            }
+            let offer = RegionOffer {
+                region: region.clone(),
+                wait_ms: f64::from(used.wait_ms),
+                targets: u32::from(used.targets),
+                sent_since: sent_away.count(now, region, incoming.service),
+            };
+            let known = freshest.get(&**region).map(|(at, _)| *at);
+            if known.is_none_or(|known| known < heard_at) {
+                freshest.insert(region, (heard_at, offer));
+            }
+        }
+        freshest.into_values().map(|(_, offer)| offer).collect()
+    }
+
+    /// Returns the peer address of a host in another region: the one of two that waits less for the service.
+    pub(crate) fn host_in(&self, now: MonoMs, service: u32, region: &str) -> Option<SocketAddr> {
+        let hosts = self.hosts.borrow();
+        let in_region: Vec<(SocketAddr, u16, u16)> = hosts
+            .uses(now, service)
+            .filter(|(entry, ..)| *entry.address.region == *region)
+            .map(|(entry, _, used)| {
+                let address = SocketAddr::from((entry.address.ip, self.settings.peer_port));
+                (address, wait_of(used), entry.requests)
+            })
+            .collect();
+        let mut rng = rand::rng();
+        let mut two = in_region.choose_multiple(&mut rng, 2);
+        let (first, second) = (two.next()?, two.next());
+        let best = second.map_or(first, |second| {
+            match (second.1, second.2) < (first.1, first.2) {
+                true => second,
+                false => first,
+            }
+        });
+        Some(best.0)
+    }
+
+    /// Returns another host of the region, when it serves a request better than this one: it covers the home of the
+    /// request's beginning, or it has room where this host has none.
+    pub(crate) fn host_near(
+        &self,
+        now: MonoMs,
+        incoming: &Incoming,
+        tried: &Tried,
+        local: &Result<Chosen, NoTarget>,
+        home: Option<&Target>,
+        own_ms: f64,
+    ) -> Option<SocketAddr> {
+        let coverage = self.coverage.borrow();
+        let address = |ip| SocketAddr::from((ip, self.settings.peer_port));
+        let mut rng = rand::rng();
+        if let Some(home) = home
+            && home.region == self.settings.region
+            && !coverage.is_own(home.hash)
+        {
+            let at_home_ms = NEAR_MS + PREFILL_WEIGHT * own_ms;
+            let is_better = local
+                .as_ref()
+                .map_or(true, |chosen| at_home_ms < chosen.cost_ms);
+            let covering = coverage.others(home.hash).iter().map(|ip| address(*ip));
+            let covering: Vec<_> = covering
+                .filter(|host| !tried.hosts.contains(host))
+                .collect();
+            if is_better && !covering.is_empty() {
+                return covering.choose(&mut rng).copied();
+            }
+        }
+        if local.is_ok() {
+            return None;
+        }
+        let service = &incoming.plan.services[incoming.service];
+        let hosts = self.hosts.borrow();
+        let with_room: Vec<(SocketAddr, u16)> = hosts
+            .uses(now, service.hash)
+            .filter(|(entry, _, used)| {
+                entry.address.region == self.settings.region && used.targets > 0
+            })
+            .map(|(entry, _, used)| (address(entry.address.ip), wait_of(used)))
+            .filter(|(host, _)| !tried.hosts.contains(host))
+            .collect();
+        if with_room.is_empty() {
+            return None;
+        }
+        let mut draw = || with_room[rng.random_range(0..with_room.len())];
+        let (first, second) = (draw(), draw());
+        Some(if second.1 < first.1 {
+            second.0
+        } else {
+            first.0
+        })
+    }
+}
+
+/// Returns the wait for a comparison; a host without room comes last.
+fn wait_of(used: RegionUse) -> u16 {
+    match used.targets {
+        0 => u16::MAX,
+        _ => used.wait_ms,
+    }
+}
--- a/crates/relay/src/decide.rs
+++ b/crates/relay/src/decide.rs
@@ -4,18 +4,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lw_base::prelude::*;
 use rand::Rng;
 
-use crate::choose::{ChoiceQuery, Chosen, ColdRules, NoTarget, choose, home_of};
+use crate::choose::{ChoiceQuery, Chosen, NoTarget, PREFILL_WEIGHT, UseRules, choose, home_of};
 use crate::end::OwnEnd;
 use crate::host::Host;
-use crate::incoming::Incoming;
-use crate::spill::{RegionOffer, SpillQuery, choose_region};
+use crate::incoming::{Hop, Incoming};
+use crate::spill::{SpillQuery, choose_region};
 
 /// A request for which every target is full waits for this part of its aim; after that it is refused while its caller
-/// can still go elsewhere.
-const WAIT_PART: f64 = 0.25;
+/// can still go elsewhere. Callers lose nothing by an answer within an eighth of the aim.
+const WAIT_PART: f64 = 0.12;
 /// Waiting requests look again at least this often, because targets of other hosts free up unseen.
 const LOOK_AGAIN: Duration = Duration::from_millis(60);
 /// When a refused caller should come back, in milliseconds, and how much later at random, so that callers that were
@@ -40,6 +39,8 @@
     pub(crate) targets: Vec<u32>,
     /// Other regions.
     pub(crate) regions: Vec<Arc<str>>,
+    /// Other hosts of this region.
+    pub(crate) hosts: Vec<SocketAddr>,
 }
 
 impl Host {
@@ -72,7 +73,6 @@
 
     fn decide_now(&self, incoming: &Incoming, tried: &Tried) -> Result<Destination, NoTarget> {
         let now = self.clock.now();
-        // A newer plan counts at once, also for requests that wait; the service of the request stays the same.
         let plan = &incoming.plan;
         let service = &plan.services[incoming.service];
         let pace = self.pace(service);
@@ -80,33 +80,56 @@
         let allows = |region: &str| incoming.route.allows(region);
         let home = home_of(plan, incoming.service, &incoming.prompt, allows);
         let query = ChoiceQuery {
-            home: home.map(|home| home.hash),
             region: &self.settings.region,
             service: incoming.service,
             prompt: &incoming.prompt,
+            home: home.map(|home| home.hash),
             tried: &tried.targets,
             pace,
         };
         let limit = |service: &_, target: &_| self.cold_limit(service, target);
-        let cold = ColdRules { limit: &limit };
+        let coverage = self.coverage.borrow();
+        let covers = |target| coverage.is_own(target);
+        let rules = UseRules {
+            covers: &covers,
+            limit: &limit,
+        };
         let local = match may_stay {
-            true => choose(plan, &query, now, &cold),
+            true => choose(plan, &query, now, &rules),
             false => Err(NoTarget::Absent),
         };
-        if incoming.is_hop {
+        drop(coverage);
+        if incoming.hop == Hop::Near {
             return local.map(Destination::Target);
         }
+        let own_ms = incoming.prompt.own_tokens() as f64 * pace.token_ms;
+        let near = match may_stay {
+            true => self.host_near(now, incoming, tried, &local, home, own_ms),
+            false => None,
+        };
+        let stays = |local: Result<Chosen, NoTarget>| match near {
+            Some(address) => Ok(Destination::Host {
+                address,
+                region: self.settings.region.clone(),
+            }),
+            None => local.map(Destination::Target),
+        };
+        if incoming.hop == Hop::Region {
+            return stays(local);
+        }
+        let local_ms = match (&local, near) {
+            (Ok(chosen), None) => Some(chosen.cost_ms),
+            (_, Some(_)) => Some(PREFILL_WEIGHT * own_ms),
+            (Err(_), None) => None,
+        };
         let spill = SpillQuery {
-            local_ms: local.as_ref().ok().map(|chosen| chosen.cost_ms),
+            local_ms,
             prefill_ms: incoming.prompt.input_tokens as f64 * pace.token_ms,
-            home: home.map(|home| {
-                let own_tokens = incoming.prompt.own_tokens() as f64;
-                (home.region.clone(), own_tokens * pace.token_ms)
-            }),
+            home: home.map(|home| (home.region.clone(), own_ms)),
             offers: self.offers(now, incoming, tried),
         };
         if let Some(offer) = choose_region(&spill)
-            && let Some(address) = self.host_in(now, &offer.region)
+            && let Some(address) = self.host_in(now, service.hash, &offer.region)
         {
             let region = offer.region.clone();
             self.sent_away
@@ -114,55 +137,7 @@
                 .note(now, region.clone(), incoming.service);
             return Ok(Destination::Host { address, region });
         }
-        local.map(Destination::Target)
-    }
-
-    /// Returns what the regions that may serve a request offer.
-    fn offers(&self, now: MonoMs, incoming: &Incoming, tried: &Tried) -> Vec<RegionOffer> {
-        let service = &incoming.plan.services[incoming.service];
-        let hosts = self.hosts.borrow();
-        let sent_away = self.sent_away.borrow();
-        let mut freshest: FastMap<&Arc<str>, (MonoMs, RegionOffer)> = FastMap::default();
-        for (region, heard_at, used) in hosts.region_uses(now, service.hash) {
-            let is_own = *region == self.settings.region;
-            if is_own || !incoming.route.allows(region) || tried.regions.contains(region) {
-                continue;
-            }
-            let offer = RegionOffer {
-                region: region.clone(),
-                wait_ms: f64::from(used.wait_ms),
-                targets: u32::from(used.targets),
-                sent_since: sent_away.count(now, region, incoming.service),
-            };
-            let known = freshest.get(region).map(|(at, _)| *at);
-            if known.is_none_or(|known| known < heard_at) {
-                freshest.insert(region, (heard_at, offer));
-            }
-        }
-        freshest.into_values().map(|(_, offer)| offer).collect()
-    }
-
-    /// Returns the peer address of a host in a region: the less busy one of two at random.
-    fn host_in(&self, now: MonoMs, region: &str) -> Option<SocketAddr> {
-        let hosts = self.hosts.borrow();
-        let in_region: Vec<_> = hosts
-            .ready(now)
-            .filter(|entry| *entry.address.region == *region)
-            .collect();
-        if in_region.is_empty() {
-            return None;
-        }
-        let mut rng = rand::rng();
-        let mut draw = || in_region[rng.random_range(0..in_region.len())];
-        let (first, second) = (draw(), draw());
-        let chosen = match first.requests <= second.requests {
-            true => first,
-            false => second,
-        };
-        Some(SocketAddr::from((
-            chosen.address.ip,
-            self.settings.peer_port,
-        )))
+        stays(local)
     }
 }
 
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -3,12 +3,21 @@
 use std::net::SocketAddr;
 
 use lw_mesh::Stage;
+use rand::Rng;
+use rand::seq::SliceRandom;
 
 use crate::host::Host;
 
 /// The most addresses of an answer; callers use no more.
 const MOST_ADDRESSES: usize = 64;
 
+/// A host that may be named.
+struct Entry<'a> {
+    region: &'a str,
+    address: SocketAddr,
+    capacity: u16,
+}
+
 /// Returns the addresses of the entry hosts for callers of a region who ask for the host `name`.
 ///
 /// Hosts of the region come first. Only when none of them takes requests, hosts of other regions take its callers:
@@ -20,14 +29,19 @@
     let port = host.settings.caller_address.port();
     let hosts = host.hosts.borrow();
     let ready = hosts.ready(now);
-    let mut all: Vec<(&str, SocketAddr)> = ready
-        .map(|entry| {
-            let address = SocketAddr::from((entry.address.ip, port));
-            (&*entry.address.region, address)
+    let mut all: Vec<Entry<'_>> = ready
+        .map(|entry| Entry {
+            region: &entry.address.region,
+            address: SocketAddr::from((entry.address.ip, port)),
+            capacity: entry.capacity_permille,
         })
         .collect();
     if host.stage() == Stage::Ready {
-        all.push((&host.settings.region, host.settings.caller_address));
+        all.push(Entry {
+            region: &host.settings.region,
+            address: host.settings.caller_address,
+            capacity: host.settings.capacity_permille,
+        });
     }
     let plan = host.plan();
     let served_routes = |region: &str| {
@@ -38,8 +52,17 @@
         true => usize::MAX,
         false => served_routes(of),
     };
-    let best = all.iter().map(|(of, _)| rank(of)).max();
-    let chosen = all.iter().filter(|(of, _)| Some(rank(of)) == best);
-    let addresses = chosen.map(|(_, address)| *address);
-    addresses.take(MOST_ADDRESSES).collect()
+    let best = all.iter().map(|entry| rank(entry.region)).max();
+    all.retain(|entry| Some(rank(entry.region)) == best);
+    let most = all.iter().map(|entry| entry.capacity).max().unwrap_or(0);
+    let mut rng = rand::rng();
+    // Callers choose among the addresses at random, so a weak host is named in some of the answers only.
+    let mut named: Vec<SocketAddr> = all
+        .iter()
+        .filter(|entry| rng.random_range(0..=most) <= entry.capacity)
+        .map(|entry| entry.address)
+        .collect();
+    named.shuffle(&mut rng);
+    named.truncate(MOST_ADDRESSES);
+    named
 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -167,10 +167,14 @@
                 (result, Some(chosen.clone()))
             }
             Destination::Host { address, region } => {
-                self.tried.regions.push(region.clone());
+                let is_near = *region == host.settings.region;
+                match is_near {
+                    true => self.tried.hosts.push(*address),
+                    false => self.tried.regions.push(region.clone()),
+                }
                 self.last_peer = address.to_string();
-                let result = host.try_host(&self.incoming, *address, &plan).await;
-                (result, None)
+                let sent = host.try_host(&self.incoming, *address, is_near, &plan);
+                (sent.await, None)
             }
         };
         let deadline = host.clock.instant(self.incoming.deadline);
@@ -270,7 +274,7 @@
     pub(crate) fn log_end(&self, status: StatusCode, reason: &str) {
         let took_ms = self.host.clock.now().since_ms(self.incoming.received_at);
         self.host.metrics.ended(status, took_ms);
-        log::info!(id = &*self.incoming.id, route = &*self.incoming.route.name, version = self.incoming.plan.version, hop = self.incoming.is_hop, to = self.last_peer.as_str(), sends = self.sends, runs = self.runs, status = status.as_u16(), took_ms = took_ms; "{reason}");
+        log::info!(id = &*self.incoming.id, route = &*self.incoming.route.name, version = self.incoming.plan.version, hop = format!("{:?}", self.incoming.hop).as_str(), to = self.last_peer.as_str(), sends = self.sends, runs = self.runs, status = status.as_u16(), took_ms = took_ms; "{reason}");
     }
 }
 
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -14,9 +14,9 @@
 
 use crate::end::OwnEnd;
 use crate::exchange::Exchange;
-use crate::headers::{HOP, MIRROR, for_target, size_bytes, text};
+use crate::headers::{HOP, MIRROR, NEAR, for_target, size_bytes, text};
 use crate::host::Host;
-use crate::incoming::Incoming;
+use crate::incoming::{Hop, Incoming};
 use crate::plan::Plan;
 use crate::prompt::Prompt;
 use crate::reply::Reply;
@@ -49,7 +49,7 @@
 /// Serves a request of a caller or of another host.
 pub(crate) async fn handle(host: Rc<Host>, request: Request<HyperBody>, door: Door) -> Reply {
     if door == Door::Peers && request.headers().contains_key(MIRROR) {
-        return crate::peer_mirror::listing_reply(&host, request.headers());
+        return crate::peer_mirror::update_reply(&host, request.headers());
     }
     let served = Served::begin(&host);
     let (head, body) = request.into_parts();
@@ -75,7 +75,12 @@
     let id = text(&head.headers, &host.names.attempt_id).unwrap_or("-");
     let id: Arc<str> = id.into();
     let refuse = |end: OwnEnd| (id.to_string(), end);
-    let is_hop = door == Door::Peers;
+    let hop = match door {
+        Door::Peers if head.headers.contains_key(&NEAR) => Hop::Near,
+        Door::Peers => Hop::Region,
+        _ => Hop::Caller,
+    };
+    let is_hop = hop != Hop::Caller;
     let (route, path) = check(&plan, &head).map_err(refuse)?;
     let left_ms = match is_hop {
         true => number(&head.headers, &HOP),
@@ -105,7 +110,7 @@
         body,
         received_at,
         deadline: received_at.plus_ms(kept_ms),
-        is_hop,
+        hop,
         max_runs,
         route,
         plan,
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -7,7 +7,7 @@
 use lw_admit::{ColdLimit, ColdPace, SharedBudget};
 use lw_base::prelude::*;
 use lw_base::stable_hash;
-use lw_mesh::{Changed, HostTable, Mirror, PlacedPart, Stage};
+use lw_mesh::{Changed, Coverage, HostTable, Mirror, PlacedPart, Stage};
 
 use crate::clock::HostClock;
 use crate::metrics::HostMetrics;
@@ -62,6 +62,13 @@
     /// Parts that were placed since the last beat.
     pub(crate) placed: RefCell<Vec<PlacedPart>>,
     pub(crate) sent_away: RefCell<SentAway>,
+    pub(crate) coverage: RefCell<Coverage>,
+    /// Notified when other hosts should hear of a change at once.
+    pub(crate) news: Rc<tokio::sync::Notify>,
+    /// A state of the platform is being fetched from another host.
+    pub(crate) fetching: Cell<bool>,
+    /// When the platform last answered.
+    pub platform_at: Cell<Option<MonoMs>>,
     /// Notified when a target has a free place again.
     pub(crate) freed: Rc<tokio::sync::Notify>,
     pub(crate) stage: Cell<Stage>,
@@ -106,6 +113,10 @@
             budgets: RefCell::default(),
             placed: RefCell::default(),
             sent_away: RefCell::default(),
+            coverage: RefCell::default(),
+            news: Rc::default(),
+            fetching: Cell::default(),
+            platform_at: Cell::default(),
             freed: Rc::default(),
             stage: Cell::default(),
             requests: Cell::default(),
@@ -128,12 +139,31 @@
             log::info!(version = plan.version; "the host takes requests");
         }
         *self.plan.borrow_mut() = Rc::new(plan);
+        self.cover();
         self.freed.notify_waiters();
     }
 
+    /// Decides again which targets of the region this host covers.
+    pub(crate) fn cover(&self) {
+        let plan = self.plan();
+        let near = |target: &&Target| target.region == self.settings.region;
+        let services: Vec<Vec<(u32, Arc<str>)>> = plan
+            .targets
+            .iter()
+            .map(|targets| {
+                let near = targets.iter().filter(near);
+                near.map(|target| (target.hash, target.incarnation.clone()))
+                    .collect()
+            })
+            .collect();
+        let coverage = self.hosts.borrow().coverage(self.clock.now(), &services);
+        *self.coverage.borrow_mut() = coverage;
+    }
+
     /// Tells that the mirror has changed.
     pub fn changed(&self, changed: &Changed) {
         (self.on_changed)(self, changed);
+        self.news.notify_one();
     }
 
     /// Returns the stage of the process.
--- a/crates/relay/src/incoming.rs
+++ b/crates/relay/src/incoming.rs
@@ -10,6 +10,17 @@
 use crate::prompt::Prompt;
 use crate::route::Route;
 
+/// The way of a request between hosts: to another region at most once, then to another host of a region at most once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Hop {
+    /// It comes from a caller.
+    Caller,
+    /// It comes from a host of another region.
+    Region,
+    /// It comes from a host of this region and goes to a target.
+    Near,
+}
+
 /// A request whose body has been read.
 pub(crate) struct Incoming {
     /// The id of the caller's attempt, for logs.
@@ -23,8 +34,8 @@
     pub(crate) received_at: MonoMs,
     /// When the caller stops waiting, or the route's time is over.
     pub(crate) deadline: MonoMs,
-    /// The request came from another host.
-    pub(crate) is_hop: bool,
+    /// The hosts that the request has passed.
+    pub(crate) hop: Hop,
     /// The most targets on which the request may run here.
     pub(crate) max_runs: u32,
     pub(crate) route: Arc<Route>,
--- a/crates/relay/src/peer_beats.rs
+++ b/crates/relay/src/peer_beats.rs
@@ -9,7 +9,7 @@
 use lw_mesh::{Beat, RegionUse, TargetUse};
 use tokio::net::UdpSocket;
 
-use crate::choose::{ChoiceQuery, ColdRules, choose};
+use crate::choose::{ChoiceQuery, UseRules, choose};
 use crate::host::Host;
 use crate::prompt::{Prompt, PromptPart};
 use crate::target_load::UseByHost;
@@ -23,6 +23,8 @@
 const MOST_PLACED: usize = 24;
 /// The answer that the offer to other regions is computed for, in tokens: a short one.
 const OFFER_TOKENS: u64 = 60;
+/// News are told at once, but not more often than this, in milliseconds.
+const NEWS_PAUSE_MS: u64 = 150;
 /// A host that hears of a newer state waits this long for its own watch before it asks, in milliseconds.
 const WATCH_FIRST_MS: u64 = 250;
 
@@ -44,16 +46,30 @@
     let mut stop = host.stop.subscribe();
     let mut bytes = [0; 2_048];
     let mut behind_since: Option<MonoMs> = None;
+    let mut news_at = host.clock.now();
     loop {
         tokio::select! {
             received = socket.recv_from(&mut bytes) => match received {
-                Ok((length, from)) => hear(&host, &bytes[..length], from.ip()),
+                Ok((length, from)) => {
+                    hear(&host, &bytes[..length], from.ip());
+                    if !host.hosts.borrow().is_watcher(host.clock.now()) {
+                        behind_since = catch_up(&host, behind_since);
+                    }
+                }
                 Err(error) => log::debug!(reason = error.to_string().as_str(); "no beat was received"),
             },
             _ = period.tick() => {
+                host.cover();
                 speak(&host, &socket).await;
                 behind_since = catch_up(&host, behind_since);
             }
+            () = host.news.notified() => {
+                let now = host.clock.now();
+                if now.since_ms(news_at) >= NEWS_PAUSE_MS {
+                    news_at = now;
+                    speak(&host, &socket).await;
+                }
+            }
             changed = stop.changed() => {
                 if changed.is_ok() {
                     speak(&host, &socket).await;
@@ -70,7 +86,11 @@
     let ahead = host.hosts.borrow();
     let ahead = ahead.ahead_of(now, as_of)?;
     let since = behind_since.unwrap_or(now);
-    if now.since_ms(since) >= WATCH_FIRST_MS {
+    let waits_ms = match host.hosts.borrow().is_watcher(now) {
+        true => WATCH_FIRST_MS,
+        false => 0,
+    };
+    if now.since_ms(since) >= waits_ms && !host.fetching.replace(true) {
         let address = SocketAddr::from((ahead.address.ip, host.settings.peer_port));
         tokio::task::spawn_local(crate::peer_mirror::fetch(host.clone(), address));
     }
@@ -168,6 +188,10 @@
         started_ms: host.started_ms,
         stage: host.stage(),
         as_of: host.mirror.borrow().as_of(),
+        platform_age_ms: host.platform_at.get().map_or(u16::MAX, |at| {
+            u16::try_from(now.since_ms(at)).unwrap_or(u16::MAX)
+        }),
+        capacity_permille: host.settings.capacity_permille,
         requests: u16::try_from(host.requests()).unwrap_or(u16::MAX),
         services: region_uses(host, now),
         targets: Vec::new(),
@@ -201,7 +225,12 @@
         ..Prompt::default()
     };
     let limit = |service: &_, target: &_| host.cold_limit(service, target);
-    let cold = ColdRules { limit: &limit };
+    let coverage = host.coverage.borrow();
+    let covers = |target| coverage.is_own(target);
+    let rules = UseRules {
+        covers: &covers,
+        limit: &limit,
+    };
     let uses = plan.services.keys().map(|key| {
         let service = &plan.services[key];
         let query = ChoiceQuery {
@@ -212,7 +241,7 @@
             tried: &[],
             pace: host.pace(service),
         };
-        let chosen = choose(&plan, &query, now, &cold);
+        let chosen = choose(&plan, &query, now, &rules);
         let near = plan.targets_of(key).iter();
         let near =
             near.filter(|target| target.region == host.settings.region && plan.is_open(target));
--- a/crates/relay/src/peer_mirror.rs
+++ b/crates/relay/src/peer_mirror.rs
@@ -6,7 +6,7 @@
 
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
-use lw_mesh::Listing;
+use lw_mesh::MirrorUpdate;
 
 use crate::connection::connect;
 use crate::headers::{MIRROR, text, value};
@@ -20,16 +20,16 @@
 /// The largest listing that is taken.
 const MOST_BYTES: usize = 32 * 1024 * 1024;
 
-/// Answers with the mirror, if it is newer than what the other host has.
-pub(crate) fn listing_reply(host: &Host, headers: &HeaderMap) -> Reply {
+/// Answers with what the other host lacks.
+pub(crate) fn update_reply(host: &Host, headers: &HeaderMap) -> Reply {
     let mirror = host.mirror.borrow();
     let known: u64 = text(headers, &MIRROR)
         .and_then(|text| text.parse().ok())
         .unwrap_or_default();
-    if mirror.as_of() <= known {
+    let Some(update) = mirror.update_after(known) else {
         return json_reply(StatusCode::NOT_FOUND, "{}".to_owned());
-    }
-    match postcard::to_stdvec(mirror.listing()) {
+    };
+    match postcard::to_stdvec(&update) {
         Ok(bytes) => Reply::new(ReplyBody::whole(bytes)),
         Err(error) => {
             log::warn!(reason = error.to_string().as_str(); "the mirror cannot be written");
@@ -38,11 +38,12 @@
     }
 }
 
-/// Fetches the mirror of another host and offers it to whoever applies listings.
+/// Fetches what this host lacks from another one.
 pub(crate) async fn fetch(host: Rc<Host>, address: SocketAddr) {
-    let fetched = tokio::time::timeout(FETCH_TIMEOUT, listing_of(&host, address)).await;
+    let fetched = tokio::time::timeout(FETCH_TIMEOUT, update_of(&host, address)).await;
+    host.fetching.set(false);
     match fetched {
-        Ok(Ok(Some(listing))) => adopt_newer(&host, listing),
+        Ok(Ok(Some(update))) => take_update(&host, update),
         Ok(Ok(None)) => {}
         Ok(Err(reason)) => {
             log::info!(peer = address.to_string().as_str(), reason = reason.as_str(); "no mirror from a host");
@@ -53,21 +54,20 @@
     }
 }
 
-/// Takes a listing of another host when it is newer than the own mirror.
-pub fn adopt_newer(host: &Host, listing: Listing) {
+fn take_update(host: &Host, update: MirrorUpdate) {
     let mut mirror = host.mirror.borrow_mut();
     let before = mirror.as_of();
-    if listing.as_of <= before {
-        return;
-    }
-    let changed = mirror.replace(listing);
+    let changed = mirror.take(update);
     let after = mirror.as_of();
     drop(mirror);
-    log::info!(before = before, after = after, written = changed.written.len(), removed = changed.removed.len(); "took the mirror of another host");
+    if changed.written.is_empty() && changed.removed.is_empty() {
+        return;
+    }
+    log::info!(before = before, after = after, written = changed.written.len(), removed = changed.removed.len(); "took the platform's state from another host");
     host.changed(&changed);
 }
 
-async fn listing_of(host: &Host, address: SocketAddr) -> Result<Option<Listing>, String> {
+async fn update_of(host: &Host, address: SocketAddr) -> Result<Option<MirrorUpdate>, String> {
     let now = host.clock.now();
     let as_of = host.mirror.borrow().as_of();
     let mut connection = connect(address, CONNECT_TIMEOUT, now)
@@ -84,6 +84,6 @@
     }
     let body = http_body_util::Limited::new(response.into_body(), MOST_BYTES);
     let body = body.collect().await.map_err(|error| error.to_string())?;
-    let listing = postcard::from_bytes(&body.to_bytes());
-    listing.map(Some).map_err(|error| error.to_string())
+    let update = postcard::from_bytes(&body.to_bytes());
+    update.map(Some).map_err(|error| error.to_string())
 }
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -28,6 +28,8 @@
     pub peer_port: u16,
     /// Addresses of some other hosts; they may be down.
     pub seeds: Vec<Ipv4Addr>,
+    /// Thousandths of a processor core that the host may use.
+    pub capacity_permille: u16,
     /// The bounds of this deployment.
     pub bounds: Bounds,
 }
--- a/crates/relay/tests/placing.rs
+++ b/crates/relay/tests/placing.rs
@@ -7,8 +7,8 @@
 use lw_admit::ColdLimit;
 use lw_base::prelude::*;
 use lw_relay::{
-    ChoiceQuery, Chosen, ColdRules, EngineFacts, NoTarget, Plan, Prompt, RegionOffer, Service,
-    ServicePace, SpillQuery, Target, TargetLoad, choose, choose_region, home_of,
+    ChoiceQuery, Chosen, EngineFacts, NoTarget, Plan, Prompt, RegionOffer, Service, ServicePace,
+    SpillQuery, Target, TargetLoad, UseRules, choose, choose_region, home_of,
 };
 use test_case::test_case;
 
@@ -62,7 +62,11 @@
         pace: ServicePace::default(),
     };
     let limit = |_: &Service, _: &Target| limit;
-    choose(plan, &query, NOW, &ColdRules { limit: &limit })
+    let rules = UseRules {
+        covers: &|_| true,
+        limit: &limit,
+    };
+    choose(plan, &query, NOW, &rules)
 }
 
 /// Guards against copies of a beginning on many engines: hosts that share nothing must agree on its home.
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -203,6 +203,7 @@
             directory_address: address(free_port()),
             peer_port: free_port(),
             seeds: Vec::new(),
+            capacity_permille: 250,
             bounds: Bounds {
                 grace_ms: 8_000,
                 retry_ratio: 0.2,
