relay: prefill counts for each running request; a home in each region

Ruled out: other hosts' homes (all hosts compute the same), memory. Change: the prefill weight rises with the running requests, the stretch counts 120 output tokens at most, and each region has a home of its own. Requests that another host refused are refused; suspects are a last resort.

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -21,6 +21,10 @@
 const MEMORY_SHARE: f64 = 0.9;
 /// How much the prefill of a request counts beyond its own wait: it delays every other request of the engine.
 pub(crate) const PREFILL_WEIGHT: f64 = 2.0;
+/// How much more it counts for each request that runs there: each of them waits while a prompt is read.
+const PREFILL_WEIGHT_RUNNING: f64 = 0.25;
+/// The output tokens that the stretch is computed for at most; callers state the most that may come, not what will.
+const MOST_STRETCHED_TOKENS: u64 = 120;
 /// The time of one output token in a batch of usual size, in milliseconds.
 const OUTPUT_TOKEN_MS: f64 = 9.0;
 /// The largest share of prefill work that is believed; above it nothing but prefill runs.
@@ -66,6 +70,8 @@
     pub expected_ms: f64,
     /// What the request costs there, with what it costs the other requests, in milliseconds.
     pub cost_ms: f64,
+    /// The target is the home of the request's beginning.
+    pub at_home: bool,
     /// The target had no prefill work before.
     pub idle: bool,
     /// The target is cold, and the request counts towards its pace.
@@ -104,6 +110,7 @@
     let mut best: Option<(f64, Chosen)> = None;
     let mut last_resort: Option<(f64, Chosen)> = None;
     let mut is_present = false;
+    let mut has_healthy = false;
     for target in plan.targets_of(query.service) {
         if *target.region != *query.region || !plan.is_open(target) {
             continue;
@@ -124,6 +131,8 @@
             }
         }
         let used = load.whole_use(now);
+        let is_suspect = load.health.is_suspect(now, query.pace.answer_ms);
+        has_healthy |= !is_suspect;
         if is_full(service, target, used.running, used.tokens, query.prompt) {
             continue;
         }
@@ -134,8 +143,9 @@
         let use_ratio = f64::from(used.running) / slots;
         let share = used.prefill_share.min(MOST_PREFILL_SHARE);
         // Prompts are read between the tokens of other requests, so prefill work stretches every answer.
-        let stretch_ms =
-            query.prompt.output_tokens as f64 * OUTPUT_TOKEN_MS * share / (1.0 - share);
+        let stretched_tokens = query.prompt.output_tokens.min(MOST_STRETCHED_TOKENS) as f64;
+        let stretch_ms = stretched_tokens * OUTPUT_TOKEN_MS * share / (1.0 - share);
+        let prefill_weight = PREFILL_WEIGHT + PREFILL_WEIGHT_RUNNING * f64::from(used.running);
         let copy_ms = match query.home {
             Some(home) if home != target.hash && cached == 0 => NEW_COPY_WEIGHT * prefill_ms,
             _ => 0.0,
@@ -147,14 +157,13 @@
         let score = match service.engine {
             Some(_) => {
                 used.backlog_ms
-                    + PREFILL_WEIGHT * prefill_ms
+                    + prefill_weight * prefill_ms
                     + copy_ms
                     + stretch_ms
                     + FULL_BATCH_MS * use_ratio
             }
             None => FULL_BATCH_MS * use_ratio,
         } + FAILURE_MS * (load.health.failure_rate() - USUAL_FAILURES).max(0.0);
-        let is_suspect = load.health.is_suspect(now, query.pace.answer_ms);
         let slot = match is_suspect {
             true => &mut last_resort,
             false => &mut best,
@@ -166,13 +175,19 @@
                 new_tokens,
                 expected_ms,
                 cost_ms: score,
+                at_home: query.home == Some(target.hash),
                 idle: used.backlog_ms < 1.0,
                 cold: is_cold,
             };
             *slot = Some((score, chosen));
         }
     }
-    match (best.or(last_resort), is_present) {
+    // A suspect is tried only when there is nothing else: full targets are worth waiting for.
+    let chosen = match has_healthy {
+        true => best,
+        false => best.or(last_resort),
+    };
+    match (chosen, is_present) {
         (Some((_, chosen)), _) => Ok(chosen),
         (None, true) => Err(NoTarget::Full),
         (None, false) => Err(NoTarget::Absent),
--- a/crates/relay/src/choose_host.rs
+++ b/crates/relay/src/choose_host.rs
@@ -17,6 +17,9 @@
 /// The way to another host of the region and its work, in milliseconds.
 const NEAR_MS: f64 = 60.0;
 
+/// A host with fewer free slots is full before a request arrives, by what others send it meanwhile.
+const LEAST_FREE: u16 = 2;
+
 impl Host {
     /// Returns what the regions that may serve a request offer: the freshest word of each.
     pub(crate) fn offers(
@@ -32,7 +35,7 @@
         for (entry, heard_at, used) in hosts.uses(now, service.hash) {
             let region = &entry.address.region;
             let is_own = *region == self.settings.region;
-            let is_usable = used.targets > 0 && incoming.route.allows(region);
+            let is_usable = has_room(used) && incoming.route.allows(region);
             if is_own || !is_usable || tried.regions.contains(region) {
                 continue;
             }
@@ -55,10 +58,10 @@
         let hosts = self.hosts.borrow();
         let in_region: Vec<(SocketAddr, u16, u16)> = hosts
             .uses(now, service)
-            .filter(|(entry, ..)| *entry.address.region == *region)
+            .filter(|(entry, _, used)| *entry.address.region == *region && has_room(*used))
             .map(|(entry, _, used)| {
                 let address = SocketAddr::from((entry.address.ip, self.settings.peer_port));
-                (address, wait_of(used), entry.requests)
+                (address, used.wait_ms, entry.requests)
             })
             .collect();
         let mut rng = rand::rng();
@@ -111,9 +114,9 @@
         let with_room: Vec<(SocketAddr, u16)> = hosts
             .uses(now, service.hash)
             .filter(|(entry, _, used)| {
-                entry.address.region == self.settings.region && used.targets > 0
+                entry.address.region == self.settings.region && has_room(*used)
             })
-            .map(|(entry, _, used)| (address(entry.address.ip), wait_of(used)))
+            .map(|(entry, _, used)| (address(entry.address.ip), used.wait_ms))
             .filter(|(host, _)| !tried.hosts.contains(host))
             .collect();
         if with_room.is_empty() {
@@ -129,10 +132,7 @@
     }
 }
 
-/// Returns the wait for a comparison; a host without room comes last.
-fn wait_of(used: RegionUse) -> u16 {
-    match used.targets {
-        0 => u16::MAX,
-        _ => used.wait_ms,
-    }
+/// Returns whether a host can take more requests of a service.
+fn has_room(used: RegionUse) -> bool {
+    used.targets > 0 && used.free_slots >= LEAST_FREE
 }
--- a/crates/relay/src/decide.rs
+++ b/crates/relay/src/decide.rs
@@ -39,6 +39,8 @@
     pub(crate) targets: Vec<u32>,
     /// Other regions.
     pub(crate) regions: Vec<Arc<str>>,
+    /// Another host had no room.
+    pub(crate) was_refused: bool,
     /// Other hosts of this region.
     pub(crate) hosts: Vec<SocketAddr>,
 }
@@ -52,7 +54,11 @@
     ) -> Result<Destination, OwnEnd> {
         let started = self.clock.now();
         let wait_ms = (incoming.route.aim_ms as f64 * WAIT_PART) as u64;
-        let wait_until = started.plus_ms(wait_ms).min(incoming.deadline);
+        // The first host waits. One that it asks answers at once, because the caller's time runs in both.
+        let wait_until = match incoming.hop {
+            Hop::Caller => started.plus_ms(wait_ms).min(incoming.deadline),
+            Hop::Region | Hop::Near => started,
+        };
         loop {
             let freed = self.freed.notified();
             let refused = match self.decide_now(incoming, tried) {
@@ -79,11 +85,15 @@
         let may_stay = incoming.route.allows(&self.settings.region);
         let allows = |region: &str| incoming.route.allows(region);
         let home = home_of(plan, incoming.service, &incoming.prompt, allows);
+        // A region that takes requests from the region of the home keeps one copy too, not one on each target.
+        let near_home = home_of(plan, incoming.service, &incoming.prompt, |region| {
+            *region == *self.settings.region
+        });
         let query = ChoiceQuery {
             region: &self.settings.region,
             service: incoming.service,
             prompt: &incoming.prompt,
-            home: home.map(|home| home.hash),
+            home: near_home.map(|home| home.hash),
             tried: &tried.targets,
             pace,
         };
@@ -104,9 +114,11 @@
         }
         let own_ms = incoming.prompt.own_tokens() as f64 * pace.token_ms;
         let near = match may_stay {
-            true => self.host_near(now, incoming, tried, &local, home, own_ms),
+            true => self.host_near(now, incoming, tried, &local, near_home, own_ms),
             false => None,
         };
+        // Under full load hosts refused one another 100,000 requests in 14 s; one refusal is enough to know.
+        let near = near.filter(|_| !tried.was_refused);
         let stays = |local: Result<Chosen, NoTarget>| match near {
             Some(address) => Ok(Destination::Host {
                 address,
@@ -128,7 +140,8 @@
             home: home.map(|home| (home.region.clone(), own_ms)),
             offers: self.offers(now, incoming, tried),
         };
-        if let Some(offer) = choose_region(&spill)
+        if !tried.was_refused
+            && let Some(offer) = choose_region(&spill)
             && let Some(address) = self.host_in(now, service.hash, &offer.region)
         {
             let region = offer.region.clone();
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -36,6 +36,10 @@
     pub(crate) runs: u32,
     /// Where the last attempt went, for the log.
     pub(crate) last_peer: String,
+    /// The last target is the home of the request's beginning, for the log.
+    at_home: bool,
+    /// The tokens that the last target has to read, for the log.
+    new_tokens: u64,
     _served: Served,
 }
 
@@ -65,6 +69,8 @@
             sends: 0,
             runs: 0,
             last_peer: String::new(),
+            at_home: false,
+            new_tokens: 0,
             _served: served,
         }
     }
@@ -161,6 +167,8 @@
         let (result, chosen) = match destination {
             Destination::Target(chosen) => {
                 self.tried.targets.push(chosen.target.hash);
+                self.at_home = chosen.at_home;
+                self.new_tokens = chosen.new_tokens;
                 self.last_peer.clear();
                 self.last_peer.push_str(&chosen.target.id);
                 let result = host.try_target(&self.incoming, chosen, &plan).await;
@@ -179,7 +187,11 @@
         };
         let deadline = host.clock.instant(self.incoming.deadline);
         let (answer, is_failure) = match result {
-            AttemptResult::Failure(failure) => return self.note_failure(failure),
+            AttemptResult::Failure(failure) => {
+                self.tried.was_refused |=
+                    chosen.is_none() && failure == AttemptFailure::TargetRefused;
+                return self.note_failure(failure);
+            }
             AttemptResult::Answer(answer) => (answer, false),
             AttemptResult::Failed(answer) => (answer, true),
         };
@@ -274,7 +286,7 @@
     pub(crate) fn log_end(&self, status: StatusCode, reason: &str) {
         let took_ms = self.host.clock.now().since_ms(self.incoming.received_at);
         self.host.metrics.ended(status, took_ms);
-        log::info!(id = &*self.incoming.id, route = &*self.incoming.route.name, version = self.incoming.plan.version, hop = format!("{:?}", self.incoming.hop).as_str(), to = self.last_peer.as_str(), sends = self.sends, runs = self.runs, status = status.as_u16(), took_ms = took_ms; "{reason}");
+        log::info!(id = &*self.incoming.id, route = &*self.incoming.route.name, version = self.incoming.plan.version, hop = format!("{:?}", self.incoming.hop).as_str(), to = self.last_peer.as_str(), at_home = self.at_home, new_tokens = self.new_tokens, sends = self.sends, runs = self.runs, status = status.as_u16(), took_ms = took_ms; "{reason}");
     }
 }
 
