relay: leave replaced incarnations alone and forget uses that ended

A use that a beat no longer named counted for 1.8 s more. Ruled out: cold limits (kept), full queues (arrivals are fewer than slots). Change: a 421 ends the use of the incarnation for 6 s; a beat replaces all uses of its sender; short requests may use all slots of an engine, long ones a quarter more.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::header::HOST;
-use http::{HeaderMap, HeaderValue, Request, Response, Uri};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming as HyperBody;
 use lw_base::prelude::*;
@@ -107,7 +107,9 @@
             }
         };
         let verdict = judge_head(self.head_facts(&response, incoming, connection.reused));
+        let is_replaced = response.status() == StatusCode::MISDIRECTED_REQUEST;
         in_flight.answered(match verdict {
+            Verdict::Failure(_) if is_replaced => AttemptEnd::Replaced,
             Verdict::Answer => AttemptEnd::Answered,
             Verdict::Failed | Verdict::Failure(_) => AttemptEnd::Failed,
         });
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -13,10 +13,9 @@
 /// they can still go elsewhere.
 const PLAIN_QUEUE: f64 = 2.0;
 /// Requests that wait at an engine beyond its slots, as a multiple of them.
-const ENGINE_QUEUE: f64 = 0.1;
-/// The slots of an engine that only requests with a long beginning may use: they are worth most at the home of their
-/// beginning, and short ones can run on any engine.
-const LONG_SLOTS: f64 = 0.2;
+const ENGINE_QUEUE: f64 = 0.0;
+/// The same for requests with a long beginning: they are worth most at its home, and short ones can run anywhere.
+const LONG_QUEUE: f64 = 0.25;
 /// The part of an engine's memory that running requests may fill; above it the engine preempts.
 const MEMORY_SHARE: f64 = 0.9;
 /// How much the prefill of a request counts beyond its own wait: it delays every other request of the engine.
@@ -214,7 +213,7 @@
 fn is_full(service: &Service, target: &Target, running: u32, tokens: u64, prompt: &Prompt) -> bool {
     let slots = f64::from(target.slots.max(1));
     let queue = match service.engine {
-        Some(_) if prompt.shared_beginning().is_none() => -LONG_SLOTS,
+        Some(_) if prompt.shared_beginning().is_some() => LONG_QUEUE,
         Some(_) => ENGINE_QUEUE,
         None => PLAIN_QUEUE,
     };
--- a/crates/relay/src/in_flight.rs
+++ b/crates/relay/src/in_flight.rs
@@ -53,7 +53,10 @@
         let now = self.clock.now();
         let mut load = self.load.borrow_mut();
         load.health.answered(now, end);
-        if matches!(end, AttemptEnd::Failed | AttemptEnd::Unreachable) {
+        if matches!(
+            end,
+            AttemptEnd::Failed | AttemptEnd::Unreachable | AttemptEnd::Replaced
+        ) {
             // The prefill was not done.
             let back = load
                 .prefill_done_at
--- a/crates/relay/src/peer_beats.rs
+++ b/crates/relay/src/peer_beats.rs
@@ -112,7 +112,7 @@
     if !host.hosts.borrow_mut().heard(now, &beat) {
         return;
     }
-    if beat.targets.is_empty() && beat.placed.is_empty() {
+    if beat.region != host.settings.region {
         return;
     }
     let sender = stable_hash(beat.host.as_bytes());
@@ -122,15 +122,14 @@
         for target in targets {
             let used = beat.targets.iter().find(|used| used.target == target.hash);
             let mut load = target.load.borrow_mut();
-            if let Some(used) = used {
-                let used = UseByHost {
-                    running: u32::from(used.running),
-                    backlog_ms: f64::from(used.backlog_ms),
-                    prefill_share: f64::from(used.prefill_permille) / 1_000.0,
-                    tokens: u64::from(used.kilotokens) * 1_000,
-                };
-                load.remote_use(now, sender, used);
-            }
+            // A target that the beat does not name has nothing of the sender any more.
+            let used = used.map_or_else(UseByHost::default, |used| UseByHost {
+                running: u32::from(used.running),
+                backlog_ms: f64::from(used.backlog_ms),
+                prefill_share: f64::from(used.prefill_permille) / 1_000.0,
+                tokens: u64::from(used.kilotokens) * 1_000,
+            });
+            load.remote_use(now, sender, used);
             let Some(engine) = memory else {
                 continue;
             };
--- a/crates/relay/src/target_health.rs
+++ b/crates/relay/src/target_health.rs
@@ -6,6 +6,9 @@
 const EJECT_MS: u64 = 400;
 /// The longest ejection: a restarted target has a new incarnation, so only a path that was cut needs the probe.
 const LONGEST_EJECT_MS: u64 = 3_000;
+/// An entry outlives its target by some heartbeats. Meanwhile 25 restarted engines rejected 7,000 requests for their
+/// former incarnations in three seconds.
+const REPLACED_MS: u64 = 6_000;
 /// The weight of the newest answer in the failure rate; about the last ten answers count.
 const RATE_WEIGHT: f64 = 0.1;
 /// A target that was sent requests and has been silent for this long is suspected, unless its service is slower.
@@ -22,6 +25,8 @@
     Failed,
     /// The connection could not be opened or broke.
     Unreachable,
+    /// Another incarnation answers at its address, so this one is gone.
+    Replaced,
     /// It says nothing about the target.
     Neutral,
 }
@@ -71,6 +76,9 @@
                 let span_ms = (EJECT_MS << doublings).min(LONGEST_EJECT_MS);
                 self.ejected_until = now.plus_ms(span_ms);
             }
+            AttemptEnd::Replaced => {
+                self.ejected_until = now.plus_ms(REPLACED_MS);
+            }
             AttemptEnd::Neutral => {}
         }
     }
