relay: tell the next host which targets were tried, and probe one request at a time

Ruled out: stale entries (rejected incarnations are left alone already). Change: after failures a target is probed by one request at a time; two refusals by hosts end a request; tried targets travel with it. Tests: two of them failed without the change (two sends instead of one).

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -14,7 +14,7 @@
 use crate::answer::OpenAnswer;
 use crate::choose::Chosen;
 use crate::connection::{Connection, connect};
-use crate::headers::{HOP, NEAR, OWN_END, for_caller, is_encoded, kept_ms, text, value};
+use crate::headers::{HOP, NEAR, OWN_END, TRIED, for_caller, is_encoded, kept_ms, text, value};
 use crate::host::{Host, short_hash};
 use crate::in_flight::InFlight;
 use crate::incoming::Incoming;
@@ -52,6 +52,8 @@
     pub(crate) last_event_id: Option<u64>,
     /// The attempt may be given up when its target goes silent.
     pub(crate) may_leave: bool,
+    /// The targets on which the request was tried already, by hash.
+    pub(crate) tried: Vec<u32>,
 }
 
 impl Host {
@@ -127,6 +129,10 @@
         let mut headers = self.request_headers(incoming, plan);
         let remaining = incoming.deadline.since_ms(self.clock.now());
         headers.insert(HOP, value(remaining));
+        if !plan.tried.is_empty() {
+            let tried: Vec<String> = plan.tried.iter().map(u32::to_string).collect();
+            headers.insert(TRIED, value(tried.join(",")));
+        }
         let connect_timeout = match is_near {
             true => {
                 headers.insert(NEAR, value(1));
--- a/crates/relay/src/decide.rs
+++ b/crates/relay/src/decide.rs
@@ -15,6 +15,9 @@
 /// A request for which every target is full waits for this part of its aim; after that it is refused while its caller
 /// can still go elsewhere. Callers lose nothing by an answer within an eighth of the aim.
 const WAIT_PART: f64 = 0.12;
+/// After so many refusals of other hosts, a request is refused. Without a bound, hosts refused one another 100,000
+/// requests in 14 s of full load; with a single one, requests were lost to a region whose targets were all cold.
+const MOST_REFUSALS: u32 = 2;
 /// Waiting requests look again at least this often, because targets of other hosts free up unseen.
 const LOOK_AGAIN: Duration = Duration::from_millis(60);
 /// When a refused caller should come back, in milliseconds, and how much later at random, so that callers that were
@@ -39,8 +42,8 @@
     pub(crate) targets: Vec<u32>,
     /// Other regions.
     pub(crate) regions: Vec<Arc<str>>,
-    /// Another host had no room.
-    pub(crate) was_refused: bool,
+    /// How often another host had no room.
+    pub(crate) refusals: u32,
     /// Other hosts of this region.
     pub(crate) hosts: Vec<SocketAddr>,
 }
@@ -117,8 +120,8 @@
             true => self.host_near(now, incoming, tried, &local, near_home, own_ms),
             false => None,
         };
-        // Under full load hosts refused one another 100,000 requests in 14 s; one refusal is enough to know.
-        let near = near.filter(|_| !tried.was_refused);
+        let may_ask = tried.refusals < MOST_REFUSALS;
+        let near = near.filter(|_| may_ask);
         let stays = |local: Result<Chosen, NoTarget>| match near {
             Some(address) => Ok(Destination::Host {
                 address,
@@ -140,7 +143,7 @@
             home: home.map(|home| (home.region.clone(), own_ms)),
             offers: self.offers(now, incoming, tried),
         };
-        if !tried.was_refused
+        if may_ask
             && let Some(offer) = choose_region(&spill)
             && let Some(address) = self.host_in(now, service.hash, &offer.region)
         {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -62,10 +62,14 @@
 
 impl Exchange {
     pub(crate) fn new(host: Rc<Host>, incoming: Incoming, served: Served) -> Self {
+        let tried = Tried {
+            targets: incoming.tried_before.clone(),
+            ..Tried::default()
+        };
         Self {
             host,
             incoming,
-            tried: Tried::default(),
+            tried,
             sends: 0,
             runs: 0,
             last_peer: String::new(),
@@ -161,6 +165,7 @@
         let plan = AttemptPlan {
             last_event_id: after,
             may_leave: self.may_repeat() && left_runs > 1,
+            tried: self.tried.targets.clone(),
         };
         let host = self.host.clone();
         let started = host.clock.now();
@@ -188,8 +193,9 @@
         let deadline = host.clock.instant(self.incoming.deadline);
         let (answer, is_failure) = match result {
             AttemptResult::Failure(failure) => {
-                self.tried.was_refused |=
-                    chosen.is_none() && failure == AttemptFailure::TargetRefused;
+                if chosen.is_none() && failure == AttemptFailure::TargetRefused {
+                    self.tried.refusals += 1;
+                }
                 return self.note_failure(failure);
             }
             AttemptResult::Answer(answer) => (answer, false),
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -14,7 +14,7 @@
 
 use crate::end::OwnEnd;
 use crate::exchange::Exchange;
-use crate::headers::{HOP, MIRROR, NEAR, for_target, size_bytes, text};
+use crate::headers::{HOP, MIRROR, NEAR, TRIED, for_target, size_bytes, text};
 use crate::host::Host;
 use crate::incoming::{Hop, Incoming};
 use crate::plan::Plan;
@@ -91,6 +91,12 @@
         true => 1,
         false => route.max_runs,
     };
+    let tried_before = match is_hop {
+        true => text(&head.headers, &TRIED).unwrap_or_default(),
+        false => "",
+    };
+    let tried_before = tried_before.split(',').filter_map(|hash| hash.parse().ok());
+    let tried_before = tried_before.collect();
     let kept_ms = left_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
     let limit_bytes = plan.limits.body_bytes;
     let body = read_body(body, limit_bytes).await.map_err(refuse)?;
@@ -111,6 +117,7 @@
         received_at,
         deadline: received_at.plus_ms(kept_ms),
         hop,
+        tried_before,
         max_runs,
         route,
         plan,
--- a/crates/relay/src/headers.rs
+++ b/crates/relay/src/headers.rs
@@ -17,6 +17,8 @@
 pub(crate) const HOP: HeaderName = HeaderName::from_static("x-relay-remaining-ms");
 /// Says that the request comes from a host of the same region, and goes to a target.
 pub(crate) const NEAR: HeaderName = HeaderName::from_static("x-relay-near");
+/// The targets on which the request was tried already, by hash, so that another host does not try them again.
+pub(crate) const TRIED: HeaderName = HeaderName::from_static("x-relay-tried");
 /// Says how a host ended a request by itself.
 pub(crate) const OWN_END: HeaderName = HeaderName::from_static("x-relay-end");
 /// Asks a host for its mirror.
@@ -38,7 +40,7 @@
 ];
 
 /// Headers of the protocol between hosts; those of callers are dropped.
-const BETWEEN_HOSTS: [HeaderName; 4] = [HOP, NEAR, OWN_END, MIRROR];
+const BETWEEN_HOSTS: [HeaderName; 5] = [HOP, NEAR, TRIED, OWN_END, MIRROR];
 
 /// Returns the headers of a request that travel to its target or to another host.
 pub(crate) fn for_target(headers: &HeaderMap, names: &HeaderSet) -> HeaderMap {
--- a/crates/relay/src/incoming.rs
+++ b/crates/relay/src/incoming.rs
@@ -36,6 +36,8 @@
     pub(crate) deadline: MonoMs,
     /// The hosts that the request has passed.
     pub(crate) hop: Hop,
+    /// The targets on which another host has tried the request, by hash.
+    pub(crate) tried_before: Vec<u32>,
     /// The most targets on which the request may run here.
     pub(crate) max_runs: u32,
     pub(crate) route: Arc<Route>,
--- a/crates/relay/src/target_health.rs
+++ b/crates/relay/src/target_health.rs
@@ -86,9 +86,12 @@
     /// Returns whether new requests should go elsewhere; `answer_ms` is the usual time to an answer.
     #[must_use]
     pub fn is_suspect(&self, now: MonoMs, answer_ms: f64) -> bool {
+        // After failures in a row, one request at a time finds out whether the target is back: a dark target held up
+        // every request that met it until the connection timed out.
+        let is_probed = self.in_a_row > 0 && self.waiting > 0;
         let patience_ms = SILENT_MS.max(answer_ms * SILENT_ANSWERS) as u64;
-        now < self.ejected_until
-            || (self.waiting > 0 && now.since_ms(self.silent_since) > patience_ms)
+        let is_silent = self.waiting > 0 && now.since_ms(self.silent_since) > patience_ms;
+        now < self.ejected_until || is_probed || is_silent
     }
 
     /// Returns the share of late answers that were failures.
--- a/crates/relay/tests/gateway.rs
+++ b/crates/relay/tests/gateway.rs
@@ -283,3 +283,56 @@
         assert_eq!(answer.status, 503);
     });
 }
+
+/// Returns the beat of a host that says it has room.
+fn beat_with_room(host: &lw_relay::Host) -> lw_mesh::Beat {
+    lw_mesh::Beat {
+        host: host.settings.host.clone(),
+        ip: host.settings.ip,
+        zone: host.settings.zone.clone(),
+        region: host.settings.region.clone(),
+        started_ms: 1,
+        stage: lw_mesh::Stage::Ready,
+        as_of: 0,
+        platform_age_ms: 0,
+        capacity_permille: 250,
+        requests: 0,
+        services: vec![lw_mesh::RegionUse {
+            service: 1,
+            wait_ms: 0,
+            targets: 1,
+            free_slots: 8,
+        }],
+        targets: Vec::new(),
+        placed: Vec::new(),
+    }
+}
+
+struct TwoHostsCase {
+    acts: Vec<Act>,
+    status: u16,
+    arrivals: usize,
+}
+
+// Guards against a second host that sends a request to the target on which the first one has tried it: a recorded day
+// showed both sends at the same target.
+#[test_case(TwoHostsCase { acts: failure(), status: 500, arrivals: 1 }; "a failure")]
+#[test_case(TwoHostsCase { acts: not_run(), status: 503, arrivals: 1 }; "a rejection")]
+fn a_second_host_does_not_try_the_same_target(case: TwoHostsCase) {
+    on_one_thread(async move {
+        let target = ScriptTarget::start(vec![case.acts]).await;
+        let targets = std::slice::from_ref(&target);
+        let port = free_port();
+        let ip = |last| std::net::Ipv4Addr::new(127, 0, 80, last);
+        let first = start_host_at(ip(1), port, REPEATABLE, targets).await;
+        let second = start_host_at(ip(2), port, REPEATABLE, targets).await;
+        let heard = first
+            .hosts
+            .borrow_mut()
+            .heard(first.clock.now(), &beat_with_room(&second));
+        assert!(heard);
+        let answer = call(first.settings.caller_address, &request("a1")).await;
+        assert_eq!(answer.status, case.status, "{answer:?}");
+        assert_eq!(target.heads.borrow().len(), case.arrivals);
+    });
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -182,26 +182,36 @@
     ..ONCE
 };
 
-fn free_port() -> u16 {
+pub(crate) fn free_port() -> u16 {
     let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
     socket.local_addr().expect("a bound socket").port()
 }
 
 /// Starts a host with the given targets.
 pub(crate) async fn start_host(kind: Kind, targets: &[ScriptTarget]) -> Rc<Host> {
-    let address = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+    start_host_at(Ipv4Addr::LOCALHOST, free_port(), kind, targets).await
+}
+
+/// Starts a host at an address; hosts that work together use the same peer port.
+pub(crate) async fn start_host_at(
+    ip: Ipv4Addr,
+    peer_port: u16,
+    kind: Kind,
+    targets: &[ScriptTarget],
+) -> Rc<Host> {
+    let address = |port| SocketAddr::from((ip, port));
     let name = HeaderName::from_static;
     let host = Rc::new(Host::new(HostParts {
         settings: HostSettings {
-            host: "me".into(),
-            ip: Ipv4Addr::LOCALHOST,
+            host: ip.to_string().into(),
+            ip,
             zone: "z".into(),
             region: "north".into(),
             zones: FastMap::default(),
             caller_address: address(free_port()),
             ready_address: address(free_port()),
             directory_address: address(free_port()),
-            peer_port: free_port(),
+            peer_port,
             seeds: Vec::new(),
             capacity_permille: 250,
             bounds: Bounds {
--- a/crates/relay/tests/targets.rs
+++ b/crates/relay/tests/targets.rs
@@ -148,6 +148,8 @@
 #[test_case(&HealthCase { ends: vec![AttemptEnd::Unreachable], waiting: false, asked_after_ms: 500, suspect: false }; "tried again after a while")]
 #[test_case(&HealthCase { ends: vec![AttemptEnd::Unreachable; 4], waiting: false, asked_after_ms: 1_000, suspect: true }; "tried less often after failures in a row")]
 #[test_case(&HealthCase { ends: vec![AttemptEnd::Failed; 6], waiting: false, asked_after_ms: 0, suspect: false }; "failures are answers")]
+#[test_case(&HealthCase { ends: vec![AttemptEnd::Unreachable], waiting: true, asked_after_ms: 500, suspect: true }; "one request at a time probes a target that failed")]
+#[test_case(&HealthCase { ends: vec![AttemptEnd::Unreachable, AttemptEnd::Answered], waiting: true, asked_after_ms: 500, suspect: false }; "back in use after an answer")]
 #[test_case(&HealthCase { ends: vec![AttemptEnd::Replaced], waiting: false, asked_after_ms: 4_000, suspect: true }; "replaced, and still listed")]
 #[test_case(&HealthCase { ends: vec![], waiting: true, asked_after_ms: 2_000, suspect: true }; "silent")]
 #[test_case(&HealthCase { ends: vec![], waiting: true, asked_after_ms: 100, suspect: false }; "not silent yet")]
