relay: a young host takes a small part of a cold target's limit

A host was added at 27.6 s; it knew none of its two neighbours and took the whole limit beside their parts. Change: no cold target in the first 1.5 s, then a part as if four hosts shared the limit until 5 s after the start; a table of cases.

--- a/crates/relay/src/budgets.rs
+++ b/crates/relay/src/budgets.rs
@@ -10,6 +10,24 @@
 /// it has not heard them all.
 const YOUNG_MS: u64 = 5_000;
 const YOUNG_SHARERS: usize = 8;
+/// The same for the hosts of its region.
+const YOUNG_SHARERS_NEAR: usize = 4;
+/// A process that is younger than this may have sent requests to cold targets before its restart, which it has
+/// forgotten; the limit counts every second.
+const FORGETFUL_MS: u64 = 1_500;
+
+/// Returns how many hosts share the limit of a cold target, or `None` when this host must not use cold targets yet.
+///
+/// A restarted host that did not know its neighbour yet took the whole limit for itself, and a target got 13 requests
+/// in a second where 12.9 were allowed.
+#[must_use]
+pub fn cold_sharers(up_ms: u64, known_near: usize) -> Option<usize> {
+    match up_ms {
+        ..FORGETFUL_MS => None,
+        FORGETFUL_MS..YOUNG_MS => Some(known_near.max(YOUNG_SHARERS_NEAR)),
+        _ => Some(known_near),
+    }
+}
 
 impl Host {
     /// Notes the first send of a request to a service.
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -9,6 +9,7 @@
 use lw_base::stable_hash;
 use lw_mesh::{Changed, Coverage, HostTable, Mirror, PlacedPart, Stage};
 
+use crate::budgets::cold_sharers;
 use crate::clock::HostClock;
 use crate::metrics::HostMetrics;
 use crate::names::{HeaderSet, PathSet};
@@ -203,7 +204,8 @@
         let per_s = service.cold_per_s * bounds.cold_factor + bounds.cold_slack;
         let per_s = per_s * COLD_USED_PART;
         let hosts = self.hosts.borrow();
-        let sharers = ColdPace::hosts_for(per_s, hosts.sharers_near());
+        let near = cold_sharers(self.clock.up_ms(), hosts.sharers_near())?;
+        let sharers = ColdPace::hosts_for(per_s, near);
         let now = self.clock.now();
         let is_sharer = hosts.is_among(now, &target.incarnation, sharers);
         is_sharer.then_some(ColdLimit {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -43,6 +43,7 @@
 mod target_load;
 mod verdict;
 
+pub use budgets::cold_sharers;
 pub use choose::{ChoiceQuery, Chosen, NoTarget, UseRules, choose, home_of};
 pub use clock::HostClock;
 pub use configuration::{Configuration, ListedTarget, PlatformWord};
--- a/crates/relay/tests/placing.rs
+++ b/crates/relay/tests/placing.rs
@@ -8,7 +8,7 @@
 use lw_base::prelude::*;
 use lw_relay::{
     ChoiceQuery, Chosen, EngineFacts, NoTarget, Plan, Prompt, RegionOffer, Service, ServicePace,
-    SpillQuery, Target, TargetLoad, UseRules, choose, choose_region, home_of,
+    SpillQuery, Target, TargetLoad, UseRules, choose, choose_region, cold_sharers, home_of,
 };
 use test_case::test_case;
 
@@ -175,3 +175,19 @@
     let chosen = choose_region(&case.query).map(|offer| Arc::clone(&offer.region));
     assert_eq!(chosen.as_deref(), case.region);
 }
+
+struct SharersCase {
+    up_ms: u64,
+    known_near: usize,
+    sharers: Option<usize>,
+}
+
+// Guards against a restarted host that takes the whole limit of a cold target, because it knows no neighbour yet and
+// has forgotten what it sent.
+#[test_case(&SharersCase { up_ms: 200, known_near: 1, sharers: None }; "just started")]
+#[test_case(&SharersCase { up_ms: 2_000, known_near: 1, sharers: Some(4) }; "young and alone")]
+#[test_case(&SharersCase { up_ms: 2_000, known_near: 13, sharers: Some(13) }; "young among many")]
+#[test_case(&SharersCase { up_ms: 9_000, known_near: 2, sharers: Some(2) }; "settled")]
+fn young_hosts_are_careful_with_cold_targets(case: &SharersCase) {
+    assert_eq!(cold_sharers(case.up_ms, case.known_near), case.sharers);
+}
