relay: let engines queue as many short requests as they run

Ruled out: engines that reject (1,664 of 16,842 arrivals). Change: short requests queue up to the slots of an engine, long ones twice that, instead of none and a quarter.

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -13,9 +13,9 @@
 /// they can still go elsewhere.
 const PLAIN_QUEUE: f64 = 2.0;
 /// Requests that wait at an engine beyond its slots, as a multiple of them.
-const ENGINE_QUEUE: f64 = 0.0;
+const ENGINE_QUEUE: f64 = 1.0;
 /// The same for requests with a long beginning: they are worth most at its home, and short ones can run anywhere.
-const LONG_QUEUE: f64 = 0.25;
+const LONG_QUEUE: f64 = 2.0;
 /// The part of an engine's memory that running requests may fill; above it the engine preempts.
 const MEMORY_SHARE: f64 = 0.9;
 /// How much the prefill of a request counts beyond its own wait: it delays every other request of the engine.
