relay: repeats through another host use the retry budget

A request that went on through another host after its target had failed was counted by neither host. Ruled out: the parts of the hosts (eight share 0.7 of the limit). Change: every send after a possible arrival takes a repeat, wherever it goes; a host says when no target received a request; a request that another host has tried is no new request. The test failed first: 8 repeats instead of 1.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -14,6 +14,7 @@
 use crate::answer::OpenAnswer;
 use crate::choose::Chosen;
 use crate::connection::{Connection, connect};
+use crate::end::{NOT_RUN, NOT_SENT};
 use crate::headers::{HOP, NEAR, OWN_END, TRIED, for_caller, is_encoded, kept_ms, text, value};
 use crate::host::{Host, short_hash};
 use crate::in_flight::InFlight;
@@ -44,6 +45,8 @@
     Failed(OpenAnswer),
     /// No answer.
     Failure(AttemptFailure),
+    /// Another host had no target for the request.
+    NotSent,
 }
 
 /// How an attempt is made.
@@ -150,7 +153,8 @@
             Err(failure) => return AttemptResult::Failure(failure),
         };
         let verdict = match text(response.headers(), &OWN_END) {
-            Some("not_run") => Verdict::Failure(AttemptFailure::TargetRefused),
+            Some(NOT_SENT) => return AttemptResult::NotSent,
+            Some(NOT_RUN) => Verdict::Failure(AttemptFailure::TargetRefused),
             Some(_) => Verdict::Failure(AttemptFailure::AnswerLost),
             None => judge_head(self.head_facts(&response, incoming, false)),
         };
--- a/crates/relay/src/end.rs
+++ b/crates/relay/src/end.rs
@@ -7,6 +7,11 @@
 use crate::names::HeaderSet;
 use crate::reply::{Reply, json_reply};
 
+/// The end of a request that a target received and did not run.
+pub(crate) const NOT_RUN: &str = "not_run";
+/// The end of a request that no target received.
+pub(crate) const NOT_SENT: &str = "not_sent";
+
 /// How the host ends a request by itself.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct OwnEnd {
@@ -57,10 +62,11 @@
         }
     }
 
-    /// Builds the response.
-    pub(crate) fn reply(self, names: &HeaderSet) -> Reply {
+    /// Builds the response. `arrived` tells whether a target may have received the request.
+    pub(crate) fn reply(self, names: &HeaderSet, arrived: bool) -> Reply {
         let outcome = match self.outcome {
-            Outcome::NotRun => "not_run",
+            Outcome::NotRun if arrived => NOT_RUN,
+            Outcome::NotRun => NOT_SENT,
             Outcome::Unknown | Outcome::Complete => "unknown",
         };
         let body = format!(r#"{{"error":"{}","outcome":"{outcome}"}}"#, self.reason);
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -36,6 +36,10 @@
     pub(crate) runs: u32,
     /// Where the last attempt went, for the log.
     pub(crate) last_peer: String,
+    /// A target may have received the request.
+    arrived: bool,
+    /// The request was counted for the retry budget.
+    is_counted: bool,
     /// The last target is the home of the request's beginning, for the log.
     at_home: bool,
     /// The tokens that the last target has to read, for the log.
@@ -73,6 +77,8 @@
             sends: 0,
             runs: 0,
             last_peer: String::new(),
+            arrived: false,
+            is_counted: false,
             at_home: false,
             new_tokens: 0,
             _served: served,
@@ -151,14 +157,18 @@
             (Err(_), Some(ended)) => return Err(ended),
         };
         let service = self.service_name();
-        if matches!(destination, Destination::Target(_)) {
-            match ended {
-                // A connection that was not opened is no arrival at a target.
-                None => host.note_request(&service),
-                Some(_) if last == Some(AttemptFailure::ConnectFailed) => {}
-                Some(ended) if !host.take_repeat(&service) => return Err(ended),
-                Some(_) => {}
-            }
+        // Every send after a possible arrival is a repeat, also one through another host, which counts none.
+        if let Some(ended) = ended
+            && self.arrived
+            && !host.take_repeat(&service)
+        {
+            return Err(ended);
+        }
+        // The host that sends a request to its first target counts it.
+        let is_repeat = self.arrived || !self.incoming.tried_before.is_empty();
+        if matches!(destination, Destination::Target(_)) && !is_repeat && !self.is_counted {
+            self.is_counted = true;
+            host.note_request(&service);
         }
         Ok(destination)
     }
@@ -197,7 +207,15 @@
         };
         let deadline = host.clock.instant(self.incoming.deadline);
         let (answer, is_failure) = match result {
+            AttemptResult::NotSent => {
+                self.tried.refusals += 1;
+                return self.note_failure(AttemptFailure::TargetRefused);
+            }
+            AttemptResult::Failure(AttemptFailure::ConnectFailed) => {
+                return self.note_failure(AttemptFailure::ConnectFailed);
+            }
             AttemptResult::Failure(failure) => {
+                self.arrived = true;
                 if chosen.is_none() && failure == AttemptFailure::TargetRefused {
                     self.tried.refusals += 1;
                 }
@@ -206,6 +224,7 @@
             AttemptResult::Answer(answer) => (answer, false),
             AttemptResult::Failed(answer) => (answer, true),
         };
+        self.arrived = true;
         let is_events = matches!(self.incoming.route.form, AnswerForm::Events { .. });
         if is_events && answer.status.is_success() {
             let cursor = EventCursor::after(after);
@@ -271,7 +290,7 @@
             return self.finish_whole(answer);
         }
         self.log_end(end.status, end.reason);
-        end.reply(&self.host.names)
+        end.reply(&self.host.names, self.arrived)
     }
 
     fn finish_whole(self, answer: WholeAnswer) -> Reply {
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -58,7 +58,7 @@
         Err((id, end)) => {
             log::info!(id = id.as_str(), status = end.status.as_u16(); "{}", end.reason);
             host.metrics.ended(end.status, 0);
-            end.reply(&host.names)
+            end.reply(&host.names, false)
         }
     }
 }
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -217,6 +217,6 @@
 
 /// Returns the low half of the stable hash of a name, as hosts tell it one another.
 #[must_use]
-pub(crate) fn short_hash(name: &str) -> u32 {
+pub fn short_hash(name: &str) -> u32 {
     stable_hash(name.as_bytes()) as u32
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -48,7 +48,7 @@
 pub use clock::HostClock;
 pub use configuration::{Configuration, ListedTarget, PlatformWord};
 pub use directory::entry_hosts;
-pub use host::{Host, HostParts, OnChanged};
+pub use host::{Host, HostParts, OnChanged, short_hash};
 pub use metrics::HostMetrics;
 pub use names::{HeaderSet, PathSet};
 pub use part_cache::PartCache;
--- a/crates/relay/tests/gateway.rs
+++ b/crates/relay/tests/gateway.rs
@@ -335,3 +335,37 @@
         assert_eq!(target.heads.borrow().len(), case.arrivals);
     });
 }
+
+/// Guards against repeats that no host counts: those through another host were free, and on a day with crashing targets
+/// 571 repeats were sent where 568 were allowed.
+#[test]
+fn repeats_through_another_host_use_the_budget() {
+    on_one_thread(async {
+        let broken = ScriptTarget::start(vec![vec![Act::Reset]]).await;
+        let other = ScriptTarget::start(vec![vec![send(good("x"))]]).await;
+        let first = start_host(REPEATABLE, std::slice::from_ref(&broken)).await;
+        // The second host also knows the target that the first one has tried.
+        let second = start_host(REPEATABLE, &[broken, other.clone()]).await;
+        let bounds = lw_relay::Bounds {
+            retry_ratio: 0.0,
+            retry_extra: 12.0,
+            ..first.bounds.get()
+        };
+        first.bounds.set(bounds);
+        second.bounds.set(bounds);
+        let mut statuses = Vec::new();
+        for id in 0..8 {
+            let heard = first
+                .hosts
+                .borrow_mut()
+                .heard(first.clock.now(), &beat_with_room(&second));
+            assert!(heard || id > 0);
+            first.plan().targets[0][0].load.borrow_mut().health = lw_relay::TargetHealth::default();
+            let answer = call(first.settings.caller_address, &request(&format!("a{id}"))).await;
+            statuses.push(answer.status);
+        }
+        // A young host takes an eighth of 12 repeats, and gives out 0.7 of that: one.
+        assert_eq!(other.heads.borrow().len(), 1, "{statuses:?}");
+        assert_eq!(statuses.iter().filter(|status| **status == 502).count(), 7);
+    });
+}
