relay: decide each attempt by the present plan

Cause: a request kept the plan of its arrival. One that waited for a place, was repeated after a failure, or was resumed did not see that a target had announced its stop, that a zone was evacuated, or that a route had got a stricter home.

Ruled out: replacing the route as well. The timeout, the number of runs and the kind hold to the end as they were at the arrival, because the caller was promised them; only what closes a target or a region applies at once.

Change: a request holds the name of its service, and each decision looks it up in the present plan, since keys belong to one plan. A region must be allowed by the route of the arrival and by the one that has taken its place. The homes of a beginning are found in one pass over the targets; they were computed twice a decision. What a host has sent to other regions is counted by the hash of the service's name, which outlives a plan.

The tests of a host on loopback now share one binary, so that their support code is built once.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -73,7 +73,7 @@
         headers.insert(self.names.pinned_target.clone(), value(&target.id));
         let remaining = value(incoming.deadline.since_ms(now));
         headers.insert(self.names.remaining_ms.clone(), remaining);
-        let service = &incoming.plan.services[incoming.service];
+        let service = &chosen.service;
         if service.engine.is_some() {
             self.note_placed(now, incoming, chosen);
             let urgency = value(3 + incoming.route.rank.min(6));
@@ -313,8 +313,10 @@
 
     /// Notes the parts of a prompt at a target, for this host and for the others of the region.
     fn note_placed(&self, now: MonoMs, incoming: &Incoming, chosen: &Chosen) {
-        let service = &incoming.plan.services[incoming.service];
-        let memory_tokens = service.engine.map_or(0, |engine| engine.memory_tokens);
+        let memory_tokens = chosen
+            .service
+            .engine
+            .map_or(0, |engine| engine.memory_tokens);
         let mut load = chosen.target.load.borrow_mut();
         let mut placed = self.placed.borrow_mut();
         for part in &incoming.prompt.parts {
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -61,6 +61,8 @@
 pub struct Chosen {
     /// The target.
     pub target: Target,
+    /// Its service.
+    pub service: Service,
     /// The prefill work of the request there, in milliseconds.
     pub prefill_ms: f64,
     /// The tokens that it has to read.
@@ -170,6 +172,7 @@
         if slot.as_ref().is_none_or(|(other, _)| score < *other) {
             let chosen = Chosen {
                 target: target.clone(),
+                service: service.clone(),
                 prefill_ms,
                 new_tokens,
                 expected_ms,
@@ -204,10 +207,48 @@
     prompt: &Prompt,
     allows: impl Fn(&str) -> bool,
 ) -> Option<&'a Target> {
-    let beginning = prompt.shared_beginning()?;
-    let targets = plan.targets_of(service).iter();
-    let open = targets.filter(|target| allows(&target.region) && plan.is_open(target));
-    open.max_by_key(|target| stable_hash_pair(beginning, target.incarnation.as_bytes()))
+    homes_of(plan, service, prompt, "", allows).overall
+}
+
+/// The targets that keep the shared beginning of a long prompt.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Homes<'a> {
+    /// The one over all regions that may serve the request.
+    pub(crate) overall: Option<&'a Target>,
+    /// The one of the host's region: a region that takes requests from the region of the home keeps one copy too, not
+    /// one on each target.
+    pub(crate) near: Option<&'a Target>,
+}
+
+/// Returns the homes of the beginning of a prompt; `region` is the region of the host.
+pub(crate) fn homes_of<'a>(
+    plan: &'a Plan,
+    service: ServiceKey,
+    prompt: &Prompt,
+    region: &str,
+    allows: impl Fn(&str) -> bool,
+) -> Homes<'a> {
+    let Some(beginning) = prompt.shared_beginning() else {
+        return Homes::default();
+    };
+    let (mut overall, mut near) = (None, None);
+    for target in plan.targets_of(service) {
+        if !plan.is_open(target) {
+            continue;
+        }
+        let weight = stable_hash_pair(beginning, target.incarnation.as_bytes());
+        let is_more = |best: Option<(u64, &Target)>| best.is_none_or(|(most, _)| weight >= most);
+        if *target.region == *region && is_more(near) {
+            near = Some((weight, target));
+        }
+        if is_more(overall) && allows(&target.region) {
+            overall = Some((weight, target));
+        }
+    }
+    Homes {
+        overall: overall.map(|(_, target)| target),
+        near: near.map(|(_, target)| target),
+    }
 }
 
 fn is_full(service: &Service, target: &Target, running: u32, tokens: u64, prompt: &Prompt) -> bool {
--- a/crates/relay/src/choose_host.rs
+++ b/crates/relay/src/choose_host.rs
@@ -10,7 +10,7 @@
 use crate::choose::{Chosen, NoTarget, PREFILL_WEIGHT};
 use crate::decide::Tried;
 use crate::host::Host;
-use crate::incoming::Incoming;
+use crate::plan::Service;
 use crate::spill::RegionOffer;
 use crate::target::Target;
 
@@ -25,17 +25,17 @@
     pub(crate) fn offers(
         &self,
         now: MonoMs,
-        incoming: &Incoming,
+        service: &Service,
         tried: &Tried,
+        allows: impl Fn(&str) -> bool,
     ) -> Vec<RegionOffer> {
-        let service = &incoming.plan.services[incoming.service];
         let hosts = self.hosts.borrow();
         let sent_away = self.sent_away.borrow();
         let mut freshest: FastMap<&str, (MonoMs, RegionOffer)> = FastMap::default();
         for (entry, heard_at, used) in hosts.uses(now, service.hash) {
             let region = &entry.address.region;
             let is_own = *region == self.settings.region;
-            let is_usable = has_room(used) && incoming.route.allows(region);
+            let is_usable = has_room(used) && allows(region);
             if is_own || !is_usable || tried.regions.contains(region) {
                 continue;
             }
@@ -43,7 +43,7 @@
                 region: region.clone(),
                 wait_ms: f64::from(used.wait_ms),
                 targets: u32::from(used.targets),
-                sent_since: sent_away.count(now, region, incoming.service),
+                sent_since: sent_away.count(now, region, service.hash),
             };
             let known = freshest.get(&**region).map(|(at, _)| *at);
             if known.is_none_or(|known| known < heard_at) {
@@ -81,7 +81,7 @@
     pub(crate) fn host_near(
         &self,
         now: MonoMs,
-        incoming: &Incoming,
+        service: &Service,
         tried: &Tried,
         local: &Result<Chosen, NoTarget>,
         home: Option<&Target>,
@@ -109,7 +109,6 @@
         if local.is_ok() {
             return None;
         }
-        let service = &incoming.plan.services[incoming.service];
         let hosts = self.hosts.borrow();
         let with_room: Vec<(SocketAddr, u16)> = hosts
             .uses(now, service.hash)
--- a/crates/relay/src/decide.rs
+++ b/crates/relay/src/decide.rs
@@ -6,7 +6,7 @@
 
 use rand::Rng;
 
-use crate::choose::{ChoiceQuery, Chosen, NoTarget, PREFILL_WEIGHT, UseRules, choose, home_of};
+use crate::choose::{ChoiceQuery, Chosen, NoTarget, PREFILL_WEIGHT, UseRules, choose, homes_of};
 use crate::end::OwnEnd;
 use crate::host::Host;
 use crate::incoming::{Hop, Incoming};
@@ -82,21 +82,23 @@
 
     fn decide_now(&self, incoming: &Incoming, tried: &Tried) -> Result<Destination, NoTarget> {
         let now = self.clock.now();
-        let plan = &incoming.plan;
-        let service = &plan.services[incoming.service];
+        // The present plan, not the one of the arrival: targets leave, zones are evacuated and homes become stricter
+        // while a request waits or runs.
+        let plan = &*self.plan();
+        let Some(key) = plan.services.key(&incoming.service) else {
+            return Err(NoTarget::Absent);
+        };
+        let service = &plan.services[key];
         let pace = self.pace(service);
-        let may_stay = incoming.route.allows(&self.settings.region);
-        let allows = |region: &str| incoming.route.allows(region);
-        let home = home_of(plan, incoming.service, &incoming.prompt, allows);
-        // A region that takes requests from the region of the home keeps one copy too, not one on each target.
-        let near_home = home_of(plan, incoming.service, &incoming.prompt, |region| {
-            *region == *self.settings.region
-        });
+        let region = &self.settings.region;
+        let allows = |region: &str| incoming.allows(plan, region);
+        let may_stay = allows(region);
+        let homes = homes_of(plan, key, &incoming.prompt, region, allows);
         let query = ChoiceQuery {
-            region: &self.settings.region,
-            service: incoming.service,
+            region,
+            service: key,
             prompt: &incoming.prompt,
-            home: near_home.map(|home| home.hash),
+            home: homes.near.map(|home| home.hash),
             tried: &tried.targets,
             pace,
         };
@@ -117,7 +119,7 @@
         }
         let own_ms = incoming.prompt.own_tokens() as f64 * pace.token_ms;
         let near = match may_stay {
-            true => self.host_near(now, incoming, tried, &local, near_home, own_ms),
+            true => self.host_near(now, service, tried, &local, homes.near, own_ms),
             false => None,
         };
         let may_ask = tried.refusals < MOST_REFUSALS;
@@ -125,7 +127,7 @@
         let stays = |local: Result<Chosen, NoTarget>| match near {
             Some(address) => Ok(Destination::Host {
                 address,
-                region: self.settings.region.clone(),
+                region: region.clone(),
             }),
             None => local.map(Destination::Target),
         };
@@ -140,8 +142,8 @@
         let spill = SpillQuery {
             local_ms,
             prefill_ms: incoming.prompt.input_tokens as f64 * pace.token_ms,
-            home: home.map(|home| (home.region.clone(), own_ms)),
-            offers: self.offers(now, incoming, tried),
+            home: homes.overall.map(|home| (home.region.clone(), own_ms)),
+            offers: self.offers(now, service, tried, allows),
         };
         if may_ask
             && let Some(offer) = choose_region(&spill)
@@ -150,7 +152,7 @@
             let region = offer.region.clone();
             self.sent_away
                 .borrow_mut()
-                .note(now, region.clone(), incoming.service);
+                .note(now, region.clone(), service.hash);
             return Ok(Destination::Host { address, region });
         }
         stays(local)
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -1,7 +1,6 @@
 //! One request from its arrival to its answer.
 
 use std::rc::Rc;
-use std::sync::Arc;
 
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use lw_base::prelude::*;
@@ -156,11 +155,11 @@
             (Err(end), None) => return Err(end),
             (Err(_), Some(ended)) => return Err(ended),
         };
-        let service = self.service_name();
+        let service = &self.incoming.service;
         // Every send after a possible arrival is a repeat, also one through another host, which counts none.
         if let Some(ended) = ended
             && self.arrived
-            && !host.take_repeat(&service)
+            && !host.take_repeat(service)
         {
             return Err(ended);
         }
@@ -168,7 +167,7 @@
         let is_repeat = self.arrived || !self.incoming.tried_before.is_empty();
         if matches!(destination, Destination::Target(_)) && !is_repeat && !self.is_counted {
             self.is_counted = true;
-            host.note_request(&service);
+            host.note_request(service);
         }
         Ok(destination)
     }
@@ -259,12 +258,6 @@
             .ok()
     }
 
-    pub(crate) fn service_name(&self) -> Arc<str> {
-        self.incoming.plan.services[self.incoming.service]
-            .name
-            .clone()
-    }
-
     fn note_failure(&self, failure: AttemptFailure) -> Step {
         log::info!(id = &*self.incoming.id, route = &*self.incoming.route.name, to = self.last_peer.as_str(), sends = self.sends, failure = format!("{failure:?}").as_str(); "an attempt failed");
         self.host.metrics.attempt_failed(failure);
@@ -278,7 +271,7 @@
         };
         let took_ms = self.host.clock.now().since_ms(started) as f64;
         let mut paces = self.host.paces.borrow_mut();
-        let pace = paces.entry(self.service_name()).or_default();
+        let pace = paces.entry(self.incoming.service.clone()).or_default();
         pace.answered(took_ms);
         if chosen.idle {
             pace.prefilled(took_ms, chosen.new_tokens);
@@ -316,7 +309,7 @@
     pub(crate) fn log_end(&self, status: StatusCode, reason: &str) {
         let took_ms = self.host.clock.now().since_ms(self.incoming.received_at);
         self.host.metrics.ended(status, took_ms);
-        log::info!(id = &*self.incoming.id, route = &*self.incoming.route.name, version = self.incoming.plan.version, hop = format!("{:?}", self.incoming.hop).as_str(), to = self.last_peer.as_str(), at_home = self.at_home, new_tokens = self.new_tokens, sends = self.sends, runs = self.runs, status = status.as_u16(), took_ms = took_ms; "{reason}");
+        log::info!(id = &*self.incoming.id, route = &*self.incoming.route.name, version = self.incoming.version, hop = format!("{:?}", self.incoming.hop).as_str(), to = self.last_peer.as_str(), at_home = self.at_home, new_tokens = self.new_tokens, sends = self.sends, runs = self.runs, status = status.as_u16(), took_ms = took_ms; "{reason}");
     }
 }
 
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -120,8 +120,8 @@
         tried_before,
         max_runs,
         route,
-        plan,
-        service,
+        version: plan.version,
+        service: plan.services[service].name.clone(),
     })
 }
 
--- a/crates/relay/src/incoming.rs
+++ b/crates/relay/src/incoming.rs
@@ -40,8 +40,25 @@
     pub(crate) tried_before: Vec<u32>,
     /// The most targets on which the request may run here.
     pub(crate) max_runs: u32,
+    /// The route at the arrival, whose limits hold to the end.
     pub(crate) route: Arc<Route>,
-    pub(crate) plan: std::rc::Rc<Plan>,
-    pub(crate) service: ServiceKey,
+    /// The version of the configuration at the arrival, for logs.
+    pub(crate) version: u64,
+    /// The name of the service that was drawn at the arrival. Keys belong to one plan, and the plan may change while
+    /// the request is open.
+    pub(crate) service: Arc<str>,
     pub(crate) prompt: Prompt,
 }
+
+impl Incoming {
+    /// Returns whether `region` may serve the request now: both the route at the arrival and the one that has taken
+    /// its place must allow it.
+    pub(crate) fn allows(&self, plan: &Plan, region: &str) -> bool {
+        let path = self
+            .path
+            .split_once('?')
+            .map_or(&*self.path, |(path, _)| path);
+        let present = plan.routes.find(&self.route.host, path);
+        self.route.allows(region) && present.is_none_or(|present| present.allows(region))
+    }
+}
--- a/crates/relay/src/spill.rs
+++ b/crates/relay/src/spill.rs
@@ -68,20 +68,20 @@
     goes.then_some(best)
 }
 
-/// The requests that this host has sent to other regions lately.
+/// The requests that this host has sent to other regions lately, with the hashes of their services.
 #[derive(Debug, Default)]
 pub(crate) struct SentAway {
-    sent: Vec<(MonoMs, Arc<str>, ServiceKey)>,
+    sent: Vec<(MonoMs, Arc<str>, u32)>,
 }
 
 impl SentAway {
-    pub(crate) fn note(&mut self, now: MonoMs, region: Arc<str>, service: ServiceKey) {
+    pub(crate) fn note(&mut self, now: MonoMs, region: Arc<str>, service: u32) {
         self.sent
             .retain(|(at, ..)| now.since_ms(*at) < WORD_DELAY_MS);
         self.sent.push((now, region, service));
     }
 
-    pub(crate) fn count(&self, now: MonoMs, region: &str, service: ServiceKey) -> u32 {
+    pub(crate) fn count(&self, now: MonoMs, region: &str, service: u32) -> u32 {
         let recent = self.sent.iter().filter(|(at, sent_to, of)| {
             now.since_ms(*at) < WORD_DELAY_MS && **sent_to == *region && *of == service
         });
--- a/crates/relay/tests/gateway.rs
+++ b/crates/relay/tests/gateway/answers.rs
@@ -1,13 +1,12 @@
-//! A host between callers and targets that misbehave.
-
-mod support;
+//! Targets that misbehave.
 
 use std::time::Duration;
 
-use support::*;
 use test_case::test_case;
 use tokio::io::AsyncWriteExt;
 
+use crate::support::*;
+
 struct Case {
     kind: Kind,
     first: Vec<Act>,
--- /dev/null
+++ b/crates/relay/tests/gateway/main.rs
@@ -0,0 +1,5 @@
+//! A host between callers and targets on loopback.
+
+mod answers;
+mod changes;
+mod support;
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -160,6 +160,7 @@
     pub(crate) form: AnswerForm,
     pub(crate) max_runs: u32,
     pub(crate) timeout_ms: u64,
+    pub(crate) aim_ms: u64,
 }
 
 pub(crate) const ONCE: Kind = Kind {
@@ -167,6 +168,7 @@
     form: AnswerForm::Whole,
     max_runs: 1,
     timeout_ms: 2_000,
+    aim_ms: 400,
 };
 pub(crate) const REPEATABLE: Kind = Kind {
     run_policy: RunPolicy::Repeatable,
@@ -260,6 +262,25 @@
     host
 }
 
+fn route_of(kind: Kind, service: ServiceKey) -> Route {
+    Route {
+        name: "r".into(),
+        host: "a.example".into(),
+        prefix: "/x/".into(),
+        services: vec![WeightedService {
+            service,
+            weight: 1.0,
+        }],
+        run_policy: kind.run_policy,
+        form: kind.form,
+        max_runs: kind.max_runs,
+        timeout_ms: kind.timeout_ms,
+        aim_ms: kind.aim_ms,
+        rank: 1,
+        homes: Vec::new(),
+    }
+}
+
 /// Builds a plan with one route and one service.
 pub(crate) fn plan_of(kind: Kind, targets: &[ScriptTarget]) -> Plan {
     let mut plan = Plan {
@@ -282,22 +303,7 @@
             engine: None::<EngineFacts>,
         },
     );
-    plan.routes = RouteTable::new([Route {
-        name: "r".into(),
-        host: "a.example".into(),
-        prefix: "/x/".into(),
-        services: vec![WeightedService {
-            service,
-            weight: 1.0,
-        }],
-        run_policy: kind.run_policy,
-        form: kind.form,
-        max_runs: kind.max_runs,
-        timeout_ms: kind.timeout_ms,
-        aim_ms: 400,
-        rank: 1,
-        homes: Vec::new(),
-    }]);
+    plan.routes = RouteTable::new([route_of(kind, service)]);
     let target = |(index, target): (usize, &ScriptTarget)| Target {
         id: format!("t{index}").into(),
         incarnation: format!("t{index}#1").into(),
@@ -329,6 +335,11 @@
     let mut stream = TcpStream::connect(address).await.expect("the host listens");
     let sent = stream.write_all(request.as_bytes()).await;
     sent.expect("the host reads");
+    read_answer(&mut stream).await
+}
+
+/// Reads an answer until it is whole or the connection closes.
+pub(crate) async fn read_answer(stream: &mut TcpStream) -> CallerAnswer {
     let mut bytes = Vec::new();
     let mut buffer = [0; 4_096];
     loop {
