relay: a time for heads and a limit on connections to a target

Cause: `header_timeout_ms` and `max_conns` of the configuration were decoded and not enforced. A caller could hold a connection with a head that never ended for the whole idle time.

Ruled out: the server library's own limit, which counts the idle time and the head together: with 3 s for the head it would close kept connections after 3 s, and callers reuse them for up to 12 s.

Change: the stream of a connection notes when the first byte of a head arrives and ends the connection with a 408 when the rest is missing for too long. The library's limit now covers the idle time plus the time for a head. A target counts as full at its limit on connections.

Before: both cases of slow heads ended after the idle time; the third new case, a target without a free connection, was chosen.

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -258,7 +258,7 @@
         Some(_) => ENGINE_QUEUE,
         None => PLAIN_QUEUE,
     };
-    if f64::from(running) >= slots * (1.0 + queue) {
+    if f64::from(running) >= slots * (1.0 + queue) || running >= service.max_connections {
         return true;
     }
     let Some(engine) = service.engine else {
--- /dev/null
+++ b/crates/relay/src/head_timer.rs
@@ -0,0 +1,141 @@
+//! The time that a caller has for the head of a request.
+
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, Sleep, sleep_until};
+
+/// What a caller whose head does not end gets before its connection is closed: nothing of the request has run.
+const HEAD_TOO_LATE: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+
+/// What a connection of a caller is busy with.
+#[derive(Clone, Copy, Debug, Default)]
+enum Phase {
+    /// Nothing of the next request has arrived.
+    #[default]
+    Idle,
+    /// A part of a head has arrived.
+    Head {
+        /// When its first byte arrived.
+        since: Instant,
+    },
+    /// The head is complete, and the request is being served.
+    Request,
+}
+
+/// The phase of a connection, shared by its stream and its service.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct HeadPhase(Rc<Cell<Phase>>);
+
+impl HeadPhase {
+    /// Notes that a head is complete.
+    pub(crate) fn head_read(&self) {
+        self.0.set(Phase::Request);
+    }
+
+    /// Notes that the body of the request was read and its answer begins: more bytes belong to the next request.
+    pub(crate) fn answered(&self) {
+        self.0.set(Phase::Idle);
+    }
+}
+
+/// A connection that ends when a head takes too long.
+///
+/// The server library has one time for the idle connection and the head together, so it cannot tell a slow head from a
+/// connection that is only kept.
+pub(crate) struct HeadTimedStream {
+    stream: TcpStream,
+    phase: HeadPhase,
+    timeout: Duration,
+    /// Runs while the rest of a head is missing.
+    timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl HeadTimedStream {
+    pub(crate) fn new(stream: TcpStream, phase: HeadPhase, timeout: Duration) -> Self {
+        Self {
+            stream,
+            phase,
+            timeout,
+            timer: None,
+        }
+    }
+
+    /// Returns an error once the rest of a head has been missing for too long.
+    fn poll_head_timeout(&mut self, context: &mut Context<'_>) -> Poll<io::Error> {
+        let Phase::Head { since } = self.phase.0.get() else {
+            self.timer = None;
+            return Poll::Pending;
+        };
+        let until = since + self.timeout;
+        let timer = self
+            .timer
+            .get_or_insert_with(|| Box::pin(sleep_until(until)));
+        ready!(timer.as_mut().poll(context));
+        if let Err(error) = self.stream.try_write(HEAD_TOO_LATE) {
+            log::debug!(reason = error.to_string().as_str(); "a caller was not told that its head came too late");
+        }
+        let reason = "the head did not arrive in time";
+        Poll::Ready(io::Error::new(io::ErrorKind::TimedOut, reason))
+    }
+}
+
+impl AsyncRead for HeadTimedStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        let before = buffer.filled().len();
+        if Pin::new(&mut this.stream)
+            .poll_read(context, buffer)?
+            .is_pending()
+        {
+            return this.poll_head_timeout(context).map(Err);
+        }
+        if buffer.filled().len() > before && matches!(this.phase.0.get(), Phase::Idle) {
+            let since = Instant::now();
+            this.phase.0.set(Phase::Head { since });
+            this.timer = None;
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for HeadTimedStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write_vectored(context, buffers)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,7 @@
 mod event_relay;
 mod exchange;
 mod forward;
+mod head_timer;
 mod headers;
 mod host;
 mod in_flight;
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -12,6 +12,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use crate::head_timer::{HeadPhase, HeadTimedStream};
 use crate::host::Host;
 use crate::reply::Reply;
 use crate::stop::StopStep;
@@ -97,21 +98,32 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(reason = error.to_string().as_str(); "a connection without its option");
     }
+    let limits = host.plan.borrow().limits;
     let idle_ms = match door {
         Door::Peers => PEER_IDLE_MS,
-        _ => host.plan.borrow().limits.idle_timeout_ms,
+        _ => limits.idle_timeout_ms,
     };
+    let phase = HeadPhase::default();
+    let head_time = Duration::from_millis(limits.header_timeout_ms);
+    let stream = HeadTimedStream::new(stream, phase.clone(), head_time);
     let mut stop = host.stop.subscribe();
     host.connections.set(host.connections.get() + 1);
     let state = host.clone();
     let service = service_fn(move |request| {
         let host = state.clone();
-        async move { Ok::<Reply, Infallible>(handle(host, request, door).await) }
+        let phase = phase.clone();
+        async move {
+            phase.head_read();
+            let reply = handle(host, request, door).await;
+            phase.answered();
+            Ok::<Reply, Infallible>(reply)
+        }
     });
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(idle_ms));
+        // Covers the idle time and the head; the stream ends a head that takes too long.
+        .header_read_timeout(Duration::from_millis(idle_ms) + head_time);
     let serving = builder.serve_connection(TokioIo::new(stream), service);
     let mut serving = std::pin::pin!(serving);
     let ended = tokio::select! {
--- /dev/null
+++ b/crates/relay/tests/gateway/heads.rs
@@ -0,0 +1,91 @@
+//! Callers that send the head of a request slowly, or none.
+
+use std::time::Duration;
+
+use lw_relay::{CallerLimits, Plan};
+use test_case::test_case;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use crate::support::*;
+
+/// The time for a head.
+const HEADER_TIMEOUT_MS: u64 = 300;
+/// The time for which a connection may stay idle.
+const IDLE_TIMEOUT_MS: u64 = 1_200;
+
+fn with_timeouts(plan: Plan) -> Plan {
+    Plan {
+        limits: CallerLimits {
+            header_timeout_ms: HEADER_TIMEOUT_MS,
+            idle_timeout_ms: IDLE_TIMEOUT_MS,
+            ..plan.limits
+        },
+        ..plan
+    }
+}
+
+struct Case {
+    /// How long the caller waits before the head, in milliseconds.
+    idle_ms: u64,
+    /// The parts of the head.
+    parts: usize,
+    /// The pause after each part but the last one, in milliseconds.
+    pause_ms: u64,
+    status: u16,
+}
+
+// Guards against callers that hold a connection with a head that never ends, and against a time for the head that runs
+// while a connection is only idle.
+#[test_case(&Case { idle_ms: 0, parts: 1, pause_ms: 0, status: 200 }; "a head at once")]
+#[test_case(&Case { idle_ms: 0, parts: 3, pause_ms: 60, status: 200 }; "a head in parts")]
+#[test_case(&Case { idle_ms: 700, parts: 2, pause_ms: 60, status: 200 }; "a head after an idle time")]
+#[test_case(&Case { idle_ms: 0, parts: 2, pause_ms: 900, status: 408 }; "a head that stops")]
+#[test_case(&Case { idle_ms: 0, parts: 8, pause_ms: 100, status: 408 }; "a head that comes in drops")]
+fn a_head_has_its_own_time(case: &Case) {
+    on_one_thread(async {
+        let target = ScriptTarget::start(vec![vec![Act::Send(good("x"))]]).await;
+        let host = start_host(ONCE, std::slice::from_ref(&target)).await;
+        host.set_plan(with_timeouts((*host.plan()).clone()));
+        let mut stream = TcpStream::connect(host.settings.caller_address)
+            .await
+            .expect("the host listens");
+        tokio::time::sleep(Duration::from_millis(case.idle_ms)).await;
+        let request = request("a1").into_bytes();
+        for part in request.chunks(request.len().div_ceil(case.parts)) {
+            if stream.write_all(part).await.is_err() {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(case.pause_ms)).await;
+        }
+        let answer = read_answer(&mut stream).await;
+        assert_eq!(answer.status, case.status, "{answer:?}");
+        let is_served = case.status == 200;
+        assert_eq!(target.heads.borrow().len(), usize::from(is_served));
+    });
+}
+
+/// Guards against idle connections that stay open for ever, and against a body that counts as a slow head.
+#[test]
+fn an_idle_connection_is_closed_in_time() {
+    on_one_thread(async {
+        let target = ScriptTarget::start(vec![vec![Act::Wait(500), Act::Send(good("x"))]]).await;
+        let host = start_host(ONCE, std::slice::from_ref(&target)).await;
+        host.set_plan(with_timeouts((*host.plan()).clone()));
+        let mut stream = TcpStream::connect(host.settings.caller_address)
+            .await
+            .expect("the host listens");
+        let request = request("a1");
+        let (head, body) = request.split_at(request.len() - 2);
+        stream.write_all(head.as_bytes()).await.expect("a reader");
+        tokio::time::sleep(Duration::from_millis(2 * HEADER_TIMEOUT_MS)).await;
+        stream.write_all(body.as_bytes()).await.expect("a reader");
+        assert_eq!(read_answer(&mut stream).await.status, 200);
+        let idle_since = Instant::now();
+        let longest = Duration::from_millis(2 * (IDLE_TIMEOUT_MS + HEADER_TIMEOUT_MS));
+        let ended = tokio::time::timeout(longest, stream.read(&mut [0])).await;
+        assert!(matches!(ended, Ok(Ok(0) | Err(_))), "{ended:?}");
+        assert!(idle_since.elapsed() >= Duration::from_millis(IDLE_TIMEOUT_MS * 4 / 5));
+    });
+}
--- a/crates/relay/tests/gateway/main.rs
+++ b/crates/relay/tests/gateway/main.rs
@@ -2,4 +2,5 @@
 
 mod answers;
 mod changes;
+mod heads;
 mod support;
--- a/crates/relay/tests/placing.rs
+++ b/crates/relay/tests/placing.rs
@@ -123,6 +123,7 @@
 #[test_case(&ClosedCase { change: |plan| { plan.evacuated.insert("z".into()); }, result: Some(NoTarget::Absent) }; "evacuated")]
 #[test_case(&ClosedCase { change: |plan| plan.targets[0][0].region = "south".into(), result: Some(NoTarget::Absent) }; "in another region")]
 #[test_case(&ClosedCase { change: |plan| plan.targets[0][0].load.borrow_mut().running = 24, result: Some(NoTarget::Full) }; "full")]
+#[test_case(&ClosedCase { change: |plan| { plan.services[SERVICE].max_connections = 2; plan.targets[0][0].load.borrow_mut().running = 2; }, result: Some(NoTarget::Full) }; "without a free connection")]
 #[test_case(&ClosedCase { change: |plan| plan.targets[0][0].load.borrow_mut().cold_until = NOW.plus_ms(1), result: Some(NoTarget::Full) }; "cold and not this host's to use")]
 fn closed_targets_get_nothing(case: &ClosedCase) {
     let mut plan = plan(1, false);
