mesh: hosts begin their rounds of beats at different turns

Cause: all hosts start within 0.3 s and went round the sorted list of the other regions' hosts from the same turn, three at a time. Each host heard 50 others at once and then nobody for 6 s, while a word counts for 2.5 s.

Ruled out: full targets (the refusals say that none was known), the links, and more recipients a beat, which would cost bytes on each host.

Change: the first turn of a host follows from its name.

The new test failed before.

--- a/crates/mesh/src/host_table.rs
+++ b/crates/mesh/src/host_table.rs
@@ -20,6 +20,9 @@
 /// The most hosts of its region that a host sends each beat to. Larger regions are covered in turns, which keeps the
 /// bytes of a host independent of the size of its region.
 const REGION_FAN_OUT: usize = 12;
+/// The first turn of a host lies below this. Hosts start together, and with the same first turn all of them spoke to the
+/// same three hosts at a time: each heard all other regions at once, and then nothing for 6 s.
+const FIRST_TURNS: u64 = 1 << 16;
 /// Hosts of other regions that a host sends each beat to.
 const REMOTE_FAN_OUT: usize = 3;
 
@@ -55,12 +58,13 @@
     /// Creates the table of the host `name` in `region`.
     #[must_use]
     pub fn new(name: Arc<str>, region: Arc<str>, seeds: Vec<Ipv4Addr>) -> Self {
+        let turn = (stable_hash(name.as_bytes()) % FIRST_TURNS) as usize;
         Self {
             name,
             region,
             hosts: FastMap::default(),
             seeds,
-            turn: 0,
+            turn,
             most_near: 1,
             most_all: 1,
         }
--- a/crates/mesh/tests/hosts.rs
+++ b/crates/mesh/tests/hosts.rs
@@ -113,6 +113,39 @@
     assert_eq!(told.len(), 60);
 }
 
+/// Guards against a region that hears of another one rarely: with the same first turn, all hosts spoke to the same few
+/// at a time, and for 6 s a host of a small region knew no region that could serve its callers.
+#[test]
+fn each_host_often_hears_of_another_region() {
+    const SENDERS: u8 = 30;
+    const HEARERS: u8 = 25;
+    // Four beats take 1.6 s, which is below the time for which a word counts.
+    const MOST_TURNS: usize = 4;
+    let mut tables: Vec<HostTable> = (0..SENDERS)
+        .map(|sender| {
+            let name = format!("south-{sender}");
+            let mut table = HostTable::new(name.into(), "south".into(), Vec::new());
+            for hearer in 0..HEARERS {
+                table.heard(NOW, &beat(&format!("north-{hearer}"), "north", hearer, 1));
+            }
+            table
+        })
+        .collect();
+    let mut silent_turns = FastMap::default();
+    for _ in 0..60 {
+        let told: FastSet<Ipv4Addr> = tables
+            .iter_mut()
+            .flat_map(|table| table.recipients().far)
+            .collect();
+        for hearer in 0..HEARERS {
+            let ip = Ipv4Addr::new(10, 0, 0, hearer);
+            let silent: &mut usize = silent_turns.entry(ip).or_default();
+            *silent = if told.contains(&ip) { 0 } else { *silent + 1 };
+            assert!(*silent < MOST_TURNS, "{ip} hears nothing");
+        }
+    }
+}
+
 /// Guards against a host that finds nobody because the platform lists nobody yet.
 #[test]
 fn seeds_are_told_until_they_are_known() {
