relay: charge a copy of a beginning in another region

Cause: the home of a long beginning is one target over all regions, but a host that does not cover the home of its own region took that one for warm and kept the request.

Ruled out: memory of the engines (110 engines hold 3.9 beginnings of 13,300 tokens each, of 290,000 tokens), and the links (17 KB a request cost a tenth of reading its beginning again).

Change: while the home lies in another region, a target of the own region that does not keep the beginning costs the copy as well, as for targets inside a region.

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -212,16 +212,37 @@
 
 /// The targets that keep the shared beginning of a long prompt.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Homes<'a> {
+pub struct Homes<'a> {
     /// The one over all regions that may serve the request.
-    pub(crate) overall: Option<&'a Target>,
+    pub overall: Option<&'a Target>,
     /// The one of the host's region: a region that takes requests from the region of the home keeps one copy too, not
     /// one on each target.
-    pub(crate) near: Option<&'a Target>,
+    pub near: Option<&'a Target>,
+}
+
+impl Homes<'_> {
+    /// Returns what a further copy of the beginning costs at a target of the host's region, in milliseconds: zero when
+    /// that region has the home, or the target keeps the beginning already.
+    #[must_use]
+    pub fn copy_ms(&self, target: &Target, query: &ChoiceQuery<'_>) -> f64 {
+        let is_near = |home: &Target| *home.region == *query.region;
+        let is_kept = target
+            .load
+            .borrow()
+            .cache
+            .cached_tokens(&query.prompt.parts)
+            > 0;
+        if is_kept || self.overall.is_none_or(is_near) {
+            return 0.0;
+        }
+        let shared_tokens = query.prompt.input_tokens - query.prompt.own_tokens();
+        NEW_COPY_WEIGHT * shared_tokens as f64 * query.pace.token_ms
+    }
 }
 
 /// Returns the homes of the beginning of a prompt; `region` is the region of the host.
-pub(crate) fn homes_of<'a>(
+#[must_use]
+pub fn homes_of<'a>(
     plan: &'a Plan,
     service: ServiceKey,
     prompt: &Prompt,
--- a/crates/relay/src/decide.rs
+++ b/crates/relay/src/decide.rs
@@ -135,8 +135,11 @@
             return stays(local);
         }
         let local_ms = match (&local, near) {
-            (Ok(chosen), None) => Some(chosen.cost_ms),
-            (_, Some(_)) => Some(PREFILL_WEIGHT * own_ms),
+            (Ok(chosen), None) => Some(chosen.cost_ms + homes.copy_ms(&chosen.target, &query)),
+            (_, Some(_)) => {
+                let copy_ms = homes.near.map_or(0.0, |near| homes.copy_ms(near, &query));
+                Some(PREFILL_WEIGHT * own_ms + copy_ms)
+            }
             (Err(_), None) => None,
         };
         let spill = SpillQuery {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -45,7 +45,7 @@
 mod verdict;
 
 pub use budgets::cold_sharers;
-pub use choose::{ChoiceQuery, Chosen, NoTarget, UseRules, choose, home_of};
+pub use choose::{ChoiceQuery, Chosen, Homes, NoTarget, UseRules, choose, home_of, homes_of};
 pub use clock::HostClock;
 pub use configuration::{Configuration, ListedTarget, PlatformWord};
 pub use directory::entry_hosts;
--- a/crates/relay/tests/placing.rs
+++ b/crates/relay/tests/placing.rs
@@ -9,6 +9,7 @@
 use lw_relay::{
     ChoiceQuery, Chosen, EngineFacts, NoTarget, Plan, Prompt, RegionOffer, Service, ServicePace,
     SpillQuery, Target, TargetLoad, UseRules, choose, choose_region, cold_sharers, home_of,
+    homes_of,
 };
 use test_case::test_case;
 
@@ -84,6 +85,46 @@
     assert_eq!(homes.len(), 6, "the homes are spread over the targets");
 }
 
+struct CopyCase {
+    /// The region of the host; the home lies in "north".
+    region: &'static str,
+    /// The host's region keeps the beginning already.
+    is_kept: bool,
+    is_dear: bool,
+}
+
+// Guards against a copy of each beginning in each region: regions peak one after the other, and half of the shared
+// tokens of a grown day were read again.
+#[test_case(&CopyCase { region: "south", is_kept: false, is_dear: true }; "a further copy")]
+#[test_case(&CopyCase { region: "south", is_kept: true, is_dear: false }; "a copy that exists")]
+#[test_case(&CopyCase { region: "north", is_kept: false, is_dear: false }; "the first copy at the home")]
+fn a_copy_in_another_region_costs_more_than_the_way_to_the_home(case: &CopyCase) {
+    let mut plan = plan(6, true);
+    let prompt = long_prompt("b");
+    let home = home_of(&plan, SERVICE, &prompt, |_| true).expect("a home");
+    let home = home.hash;
+    for target in &mut plan.targets[0] {
+        let is_home = target.hash == home;
+        target.region = if is_home { "north" } else { "south" }.into();
+    }
+    let homes = homes_of(&plan, SERVICE, &prompt, case.region, |_| true);
+    let near = homes.near.expect("a target in the region");
+    if case.is_kept {
+        let mut load = near.load.borrow_mut();
+        load.cache.note(NOW, prompt.parts[0], 300_000);
+    }
+    let query = ChoiceQuery {
+        region: case.region,
+        service: SERVICE,
+        prompt: &prompt,
+        home: Some(near.hash),
+        tried: &[],
+        pace: ServicePace::default(),
+    };
+    // The way to another region and back takes some 130 ms.
+    assert_eq!(homes.copy_ms(near, &query) > 260.0, case.is_dear);
+}
+
 /// Guards against a home that is followed into its overload.
 #[test]
 fn a_busy_home_is_left() {
