relay: at full load, long prompts wait for their home

Two of three long prompts were then placed at targets that did not keep their beginning: a region's word that no place for a short query is free hid the region of the home, and inside a region a further copy only cost more. Each copy takes 362 ms of an engine, the time of a dozen short queries.

Ruled out: evictions (a home keeps four beginnings, 53,000 of 290,000 tokens, and its other work turns over slower than a beginning is used) and the crash of targets alone (the share was the same before it).

Change: the region of the home is asked also without room for short queries, because targets keep more places for long prompts; and a further copy is read only in a free slot.

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -48,8 +48,10 @@
     pub service: ServiceKey,
     /// The prompt; empty for a plain service.
     pub prompt: &'a Prompt,
-    /// The home of its beginning.
+    /// The home of its beginning in the region of the host.
     pub home: Option<u32>,
+    /// The home over all regions lies in another region, so that a copy at the one above is a further one.
+    pub is_home_elsewhere: bool,
     /// Incarnations that were tried already.
     pub tried: &'a [u32],
     /// Times of the service.
@@ -98,6 +100,9 @@
 
 /// Chooses the target with the least expected cost.
 ///
+/// A further copy of a long beginning is read only where a slot is free. At full load, reading one takes the time of a
+/// dozen short queries, and two of three long prompts were placed at targets that did not keep their beginning.
+///
 /// # Errors
 ///
 /// Returns why no target can take the request.
@@ -138,6 +143,11 @@
             continue;
         }
         let cached = load.cache.cached_tokens(&query.prompt.parts);
+        let is_home = query.home == Some(target.hash);
+        let is_copy = query.home.is_some() && cached == 0 && (!is_home || query.is_home_elsewhere);
+        if is_copy && used.running >= target.slots {
+            continue;
+        }
         let new_tokens = query.prompt.input_tokens.saturating_sub(cached);
         let prefill_ms = new_tokens as f64 * query.pace.token_ms;
         let slots = f64::from(target.slots.max(1));
@@ -148,7 +158,7 @@
         let stretch_ms = stretched_tokens * OUTPUT_TOKEN_MS * share / (1.0 - share);
         let prefill_weight = PREFILL_WEIGHT + PREFILL_WEIGHT_RUNNING * f64::from(used.running);
         let copy_ms = match query.home {
-            Some(home) if home != target.hash && cached == 0 => NEW_COPY_WEIGHT * prefill_ms,
+            Some(_) if !is_home && cached == 0 => NEW_COPY_WEIGHT * prefill_ms,
             _ => 0.0,
         };
         let expected_ms = match service.engine {
@@ -177,7 +187,7 @@
                 new_tokens,
                 expected_ms,
                 cost_ms: score,
-                at_home: query.home == Some(target.hash),
+                at_home: is_home,
                 idle: used.backlog_ms < 1.0,
                 cold: is_cold,
             };
@@ -221,18 +231,23 @@
 }
 
 impl Homes<'_> {
+    /// Returns whether the home over all regions lies outside `region`.
+    #[must_use]
+    pub fn is_elsewhere(&self, region: &str) -> bool {
+        self.overall.is_some_and(|home| *home.region != *region)
+    }
+
     /// Returns what a further copy of the beginning costs at a target of the host's region, in milliseconds: zero when
     /// that region has the home, or the target keeps the beginning already.
     #[must_use]
     pub fn copy_ms(&self, target: &Target, query: &ChoiceQuery<'_>) -> f64 {
-        let is_near = |home: &Target| *home.region == *query.region;
         let is_kept = target
             .load
             .borrow()
             .cache
             .cached_tokens(&query.prompt.parts)
             > 0;
-        if is_kept || self.overall.is_none_or(is_near) {
+        if is_kept || !self.is_elsewhere(query.region) {
             return 0.0;
         }
         let shared_tokens = query.prompt.input_tokens - query.prompt.own_tokens();
--- a/crates/relay/src/choose_host.rs
+++ b/crates/relay/src/choose_host.rs
@@ -17,6 +17,10 @@
 /// The way to another host of the region and its work, in milliseconds.
 const NEAR_MS: f64 = 60.0;
 
+/// What a request with a long beginning expects to wait at its home, at most, while all places for short queries are
+/// taken there: targets keep more places for it.
+const HOME_WAIT_MS: f64 = 600.0;
+
 /// A host with fewer free slots is full before a request arrives, by what others send it meanwhile.
 const LEAST_FREE: u16 = 2;
 
@@ -27,6 +31,7 @@
         now: MonoMs,
         service: &Service,
         tried: &Tried,
+        home: Option<&Target>,
         allows: impl Fn(&str) -> bool,
     ) -> Vec<RegionOffer> {
         let hosts = self.hosts.borrow();
@@ -35,14 +40,21 @@
         for (entry, heard_at, used) in hosts.uses(now, service.hash) {
             let region = &entry.address.region;
             let is_own = *region == self.settings.region;
-            let is_usable = has_room(used) && allows(region);
+            let is_home = home.is_some_and(|home| home.region == *region);
+            let is_usable = (is_home || has_room(used)) && allows(region);
             if is_own || !is_usable || tried.regions.contains(region) {
                 continue;
             }
+            let wait_ms = f64::from(used.wait_ms);
             let offer = RegionOffer {
                 region: region.clone(),
-                wait_ms: f64::from(used.wait_ms),
-                targets: u32::from(used.targets),
+                wait_ms: if is_home {
+                    wait_ms.min(HOME_WAIT_MS)
+                } else {
+                    wait_ms
+                },
+                targets: u32::from(used.targets).max(u32::from(is_home)),
+                has_room: has_room(used),
                 sent_since: sent_away.count(now, region, service.hash),
             };
             let known = freshest.get(&**region).map(|(at, _)| *at);
@@ -54,11 +66,18 @@
     }
 
     /// Returns the peer address of a host in another region: the one of two that waits less for the service.
-    pub(crate) fn host_in(&self, now: MonoMs, service: u32, region: &str) -> Option<SocketAddr> {
+    pub(crate) fn host_in(
+        &self,
+        now: MonoMs,
+        service: u32,
+        offer: &RegionOffer,
+    ) -> Option<SocketAddr> {
         let hosts = self.hosts.borrow();
         let in_region: Vec<(SocketAddr, u16, u16)> = hosts
             .uses(now, service)
-            .filter(|(entry, _, used)| *entry.address.region == *region && has_room(*used))
+            .filter(|(entry, _, used)| {
+                entry.address.region == offer.region && (has_room(*used) || !offer.has_room)
+            })
             .map(|(entry, _, used)| {
                 let address = SocketAddr::from((entry.address.ip, self.settings.peer_port));
                 (address, used.wait_ms, entry.requests)
--- a/crates/relay/src/decide.rs
+++ b/crates/relay/src/decide.rs
@@ -99,6 +99,7 @@
             service: key,
             prompt: &incoming.prompt,
             home: homes.near.map(|home| home.hash),
+            is_home_elsewhere: homes.is_elsewhere(region),
             tried: &tried.targets,
             pace,
         };
@@ -146,11 +147,11 @@
             local_ms,
             prefill_ms: incoming.prompt.input_tokens as f64 * pace.token_ms,
             home: homes.overall.map(|home| (home.region.clone(), own_ms)),
-            offers: self.offers(now, service, tried, allows),
+            offers: self.offers(now, service, tried, homes.overall, allows),
         };
         if may_ask
             && let Some(offer) = choose_region(&spill)
-            && let Some(address) = self.host_in(now, service.hash, &offer.region)
+            && let Some(address) = self.host_in(now, service.hash, offer)
         {
             let region = offer.region.clone();
             self.sent_away
--- a/crates/relay/src/peer_beats.rs
+++ b/crates/relay/src/peer_beats.rs
@@ -237,6 +237,7 @@
             service: key,
             prompt: &prompt,
             home: None,
+            is_home_elsewhere: false,
             tried: &[],
             pace: host.pace(service),
         };
--- a/crates/relay/src/spill.rs
+++ b/crates/relay/src/spill.rs
@@ -24,6 +24,8 @@
     pub wait_ms: f64,
     /// The targets that take work there.
     pub targets: u32,
+    /// There are free places for any request; without them, only a request whose home is there goes there.
+    pub has_room: bool,
     /// Requests that this host has sent there and that the word does not count yet.
     pub sent_since: u32,
 }
--- a/crates/relay/tests/placing.rs
+++ b/crates/relay/tests/placing.rs
@@ -59,6 +59,7 @@
         service: SERVICE,
         prompt,
         home: home.map(|home| home.hash),
+        is_home_elsewhere: false,
         tried: &[],
         pace: ServicePace::default(),
     };
@@ -85,6 +86,51 @@
     assert_eq!(homes.len(), 6, "the homes are spread over the targets");
 }
 
+struct BusyCase {
+    /// The requests that run at each target; there are 8 slots.
+    running: u32,
+    is_kept_by_one: bool,
+    is_home_elsewhere: bool,
+    is_taken: bool,
+}
+
+// Guards against long prompts that read a further copy of their beginning at full load: each took the time of a dozen
+// short queries, while other targets kept the beginning.
+#[test_case(&BusyCase { running: 7, is_kept_by_one: false, is_home_elsewhere: true, is_taken: true }; "a copy in a free slot")]
+#[test_case(&BusyCase { running: 8, is_kept_by_one: false, is_home_elsewhere: true, is_taken: false }; "no copy in the queue")]
+#[test_case(&BusyCase { running: 8, is_kept_by_one: true, is_home_elsewhere: true, is_taken: true }; "a place in the queue of a target that keeps it")]
+#[test_case(&BusyCase { running: 8, is_kept_by_one: false, is_home_elsewhere: false, is_taken: true }; "a place in the queue of the home")]
+#[test_case(&BusyCase { running: 24, is_kept_by_one: true, is_home_elsewhere: false, is_taken: false }; "no place in a full queue")]
+fn a_further_copy_needs_a_free_slot(case: &BusyCase) {
+    let plan = plan(4, true);
+    let prompt = long_prompt("b");
+    let home = home_of(&plan, SERVICE, &prompt, |_| true).expect("a home");
+    for target in &plan.targets[0] {
+        target.load.borrow_mut().running = case.running;
+    }
+    if case.is_kept_by_one {
+        let other = plan.targets[0]
+            .iter()
+            .find(|target| target.hash != home.hash);
+        let mut load = other.expect("another target").load.borrow_mut();
+        load.cache.note(NOW, prompt.parts[0], 300_000);
+    }
+    let query = ChoiceQuery {
+        region: "north",
+        service: SERVICE,
+        prompt: &prompt,
+        home: Some(home.hash),
+        is_home_elsewhere: case.is_home_elsewhere,
+        tried: &[],
+        pace: ServicePace::default(),
+    };
+    let rules = UseRules {
+        covers: &|_| true,
+        limit: &|_, _| None,
+    };
+    assert_eq!(choose(&plan, &query, NOW, &rules).is_ok(), case.is_taken);
+}
+
 struct CopyCase {
     /// The region of the host; the home lies in "north".
     region: &'static str,
@@ -118,6 +164,7 @@
         service: SERVICE,
         prompt: &prompt,
         home: Some(near.hash),
+        is_home_elsewhere: true,
         tried: &[],
         pace: ServicePace::default(),
     };
@@ -196,6 +243,7 @@
         region: region.into(),
         wait_ms,
         targets: 4,
+        has_room: true,
         sent_since: 0,
     }
 }
