relay: refused callers come back while an answer is still in time

Cause: a refused caller was told to come back after 400 to 1,300 ms whatever its aim, so a portal request with an aim of 500 ms that was refused once was always late; and a request waited for 0.12 of its aim, which with the way to another host passes the eighth within which a refusal costs its caller nothing.

Ruled out: a longer Retry-After for long overloads. Callers honour at most a third of the time that they have left.

Change: the time to come back is 0.25 to 0.6 of the aim, and the wait 0.08 of it.

--- a/crates/relay/src/decide.rs
+++ b/crates/relay/src/decide.rs
@@ -13,16 +13,17 @@
 use crate::spill::{SpillQuery, choose_region};
 
 /// A request for which every target is full waits for this part of its aim; after that it is refused while its caller
-/// can still go elsewhere. Callers lose nothing by an answer within an eighth of the aim.
-const WAIT_PART: f64 = 0.12;
+/// can still go elsewhere. Callers lose nothing by an answer within an eighth of the aim; what is left of that is the way
+/// to the host and back, and to another host that has no room either.
+const WAIT_PART: f64 = 0.08;
 /// After so many refusals of other hosts, a request is refused. Without a bound, hosts refused one another 100,000
 /// requests in 14 s of full load; with a single one, requests were lost to a region whose targets were all cold.
 const MOST_REFUSALS: u32 = 2;
 /// Waiting requests look again at least this often, because targets of other hosts free up unseen.
 const LOOK_AGAIN: Duration = Duration::from_millis(60);
-/// When a refused caller should come back, in milliseconds, and how much later at random, so that callers that were
-/// refused together do not return together.
-const COME_BACK_MS: (u64, u64) = (400, 900);
+/// When a refused caller should come back, and how much later at random, as parts of the aim: an answer is still in time
+/// when the load has gone down meanwhile, and callers that were refused together do not return together.
+const COME_BACK_PARTS: (f64, f64) = (0.25, 0.35);
 
 /// Where an attempt goes.
 pub(crate) enum Destination {
@@ -74,7 +75,7 @@
                     NoTarget::Absent => "no target in an allowed region takes work",
                     NoTarget::Full => "all targets are full",
                 };
-                return Err(OwnEnd::not_run(reason, come_back_ms()));
+                return Err(OwnEnd::not_run(reason, come_back_ms(incoming.route.aim_ms)));
             }
             let _ = tokio::time::timeout(LOOK_AGAIN, freed).await;
         }
@@ -164,6 +165,8 @@
 }
 
 /// Returns when a refused caller should come back, in milliseconds.
-pub(crate) fn come_back_ms() -> u64 {
-    COME_BACK_MS.0 + rand::rng().random_range(0..COME_BACK_MS.1)
+pub(crate) fn come_back_ms(aim_ms: u64) -> u64 {
+    let (least, spread) = COME_BACK_PARTS;
+    let part = least + spread * rand::rng().random_range(0.0..1.0);
+    (aim_ms as f64 * part) as u64
 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -132,7 +132,7 @@
             Some(failure) if self.runs > 0 && failure.outcome() == Outcome::NotRun => {
                 Some(OwnEnd::unknown("an earlier attempt may have run"))
             }
-            Some(failure) => Some(end_of(failure)),
+            Some(failure) => Some(end_of(failure, self.incoming.route.aim_ms)),
         };
         if let Some(ended) = ended {
             let is_not_run = last.is_some_and(|last| last.outcome() == Outcome::NotRun);
@@ -326,9 +326,11 @@
 }
 
 /// Returns how a request ends whose last attempt failed.
-fn end_of(failure: AttemptFailure) -> OwnEnd {
+fn end_of(failure: AttemptFailure, aim_ms: u64) -> OwnEnd {
     match failure.outcome() {
-        Outcome::NotRun => OwnEnd::not_run("the target did not take the request", come_back_ms()),
+        Outcome::NotRun => {
+            OwnEnd::not_run("the target did not take the request", come_back_ms(aim_ms))
+        }
         Outcome::Unknown | Outcome::Complete => {
             OwnEnd::unknown("the answer was lost; the request may have run")
         }
