relay: hosts without targets of a service spill and repeat like others; homes are known

A host that covers no target of a small service asked a host of its region at a cost of zero, so it sent nothing to other regions before its own was full: 14,723 refusals "all targets are full" between hosts, most for the portal, whose 7 targets were used to 70% on average. Covering hosts counted the requests, while the host at the caller decides on repeats; a host that covers nothing had no budget, and 1,198 lookups ended with a failure that another target would have spared them. The host at the caller counts now. A placed part was told once, in a beat that goes to 12 of 27 hosts, and own parts were told too, which help nobody. Half of the covering hosts took a home for cold and read a copy elsewhere: 20 of 32 full reads a second were not at the home. Shared parts are told in as many beats as the region has turns, and the same covering host gets the requests of a beginning.

Ruled out: full engines (the copies were read in free slots) and evictions.

Change: as above. A service that other regions have without a free place counts as full, not as absent, so that its requests wait for the usual time.

--- a/crates/mesh/src/host_table.rs
+++ b/crates/mesh/src/host_table.rs
@@ -247,6 +247,13 @@
         })
     }
 
+    /// Returns in how many beats each host of the region is told once.
+    #[must_use]
+    pub fn region_turns(&self) -> usize {
+        let others = self.most_near.saturating_sub(1);
+        others.div_ceil(REGION_FAN_OUT).max(1)
+    }
+
     /// Returns the addresses for the next beat and moves on to the next turn.
     pub fn recipients(&mut self) -> Recipients {
         self.turn += 1;
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -10,13 +10,14 @@
 use hyper::body::Incoming as HyperBody;
 use lw_base::prelude::*;
 use lw_flow::AttemptFailure;
+use lw_mesh::PlacedPart;
 
 use crate::answer::OpenAnswer;
 use crate::choose::Chosen;
 use crate::connection::{Connection, connect};
 use crate::end::{NOT_RUN, NOT_SENT};
 use crate::headers::{HOP, NEAR, OWN_END, TRIED, for_caller, is_encoded, kept_ms, text, value};
-use crate::host::{Host, short_hash};
+use crate::host::Host;
 use crate::in_flight::InFlight;
 use crate::incoming::Incoming;
 use crate::pool::PoolKey;
@@ -318,15 +319,20 @@
             .engine
             .map_or(0, |engine| engine.memory_tokens);
         let mut load = chosen.target.load.borrow_mut();
+        let beats = self.hosts.borrow().region_turns();
         let mut placed = self.placed.borrow_mut();
-        for part in &incoming.prompt.parts {
+        let parts = &incoming.prompt.parts;
+        for (index, part) in parts.iter().enumerate() {
             load.cache.note(now, *part, memory_tokens);
-            if part.tokens >= LEAST_TOLD_TOKENS {
-                placed.push(lw_mesh::PlacedPart {
-                    target: short_hash(&chosen.target.incarnation),
+            // The last part belongs to the request itself.
+            let is_shared = index + 1 < parts.len();
+            if is_shared && part.tokens >= LEAST_TOLD_TOKENS {
+                let told = PlacedPart {
+                    target: chosen.target.hash,
                     part: part.chain,
                     tokens: part.tokens,
-                });
+                };
+                placed.note(told, beats);
             }
         }
     }
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -33,6 +33,8 @@
 const NEW_COPY_WEIGHT: f64 = 3.0;
 /// What each running request of a full engine adds to the score, in milliseconds: tokens come more slowly.
 const FULL_BATCH_MS: f64 = 250.0;
+/// Up to this use of its slots, a plain target answers in its usual time.
+const CALM_USE: f64 = 0.8;
 /// What a target that fails every request would add to the score, in milliseconds.
 const FAILURE_MS: f64 = 3_000.0;
 /// A share of failures up to this belongs to the requests, as far as a host can tell, and moves nothing: services
@@ -163,7 +165,7 @@
         };
         let expected_ms = match service.engine {
             Some(_) => used.backlog_ms + prefill_ms + stretch_ms,
-            None => query.pace.answer_ms * (1.0 + (use_ratio - 0.8).max(0.0)),
+            None => query.pace.answer_ms * (1.0 + (use_ratio - CALM_USE).max(0.0)),
         };
         let score = match service.engine {
             Some(_) => {
@@ -206,6 +208,16 @@
     }
 }
 
+/// Returns what a request costs at a plain target by the time that it has to expect there, both in milliseconds.
+///
+/// Another host tells the time only. Without the cost, the many hosts that cover no target of a small service took their
+/// region for free, and sent nothing to other regions before it was full.
+#[must_use]
+pub fn plain_cost_ms(expected_ms: f64, answer_ms: f64) -> f64 {
+    let use_ratio = expected_ms / answer_ms - 1.0 + CALM_USE;
+    FULL_BATCH_MS * use_ratio.max(0.0)
+}
+
 /// Returns the target where the shared beginning of a long prompt is kept, the same on every host.
 ///
 /// There is one home over all regions that may serve the request: a beginning that each region reads for itself costs
--- a/crates/relay/src/choose_host.rs
+++ b/crates/relay/src/choose_host.rs
@@ -1,19 +1,29 @@
 //! The choice of another host.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use lw_base::prelude::*;
+use lw_base::stable_hash_pair;
 use lw_mesh::RegionUse;
 use rand::Rng;
 use rand::seq::IndexedRandom;
 
-use crate::choose::{Chosen, NoTarget, PREFILL_WEIGHT};
+use crate::choose::{Chosen, NoTarget, PREFILL_WEIGHT, plain_cost_ms};
 use crate::decide::Tried;
 use crate::host::Host;
 use crate::plan::Service;
+use crate::prompt::Prompt;
 use crate::spill::RegionOffer;
 use crate::target::Target;
 
+/// Another host of the region that serves a request better than this one.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct NearHost {
+    pub(crate) address: SocketAddr,
+    /// What the request costs there, in milliseconds.
+    pub(crate) cost_ms: f64,
+}
+
 /// The way to another host of the region and its work, in milliseconds.
 const NEAR_MS: f64 = 60.0;
 
@@ -65,6 +75,21 @@
         freshest.into_values().map(|(_, offer)| offer).collect()
     }
 
+    /// Returns whether another region that may serve a request has the service.
+    pub(crate) fn serves_elsewhere(
+        &self,
+        now: MonoMs,
+        service: &Service,
+        allows: impl Fn(&str) -> bool,
+    ) -> bool {
+        let hosts = self.hosts.borrow();
+        let mut uses = hosts.uses(now, service.hash);
+        uses.any(|(entry, ..)| {
+            let region = &entry.address.region;
+            *region != self.settings.region && allows(region)
+        })
+    }
+
     /// Returns the peer address of a host in another region: the one of two that waits less for the service.
     pub(crate) fn host_in(
         &self,
@@ -104,8 +129,9 @@
         tried: &Tried,
         local: &Result<Chosen, NoTarget>,
         home: Option<&Target>,
-        own_ms: f64,
-    ) -> Option<SocketAddr> {
+        prompt: &Prompt,
+    ) -> Option<NearHost> {
+        let own_ms = prompt.own_tokens() as f64 * self.pace(service).token_ms;
         let coverage = self.coverage.borrow();
         let address = |ip| SocketAddr::from((ip, self.settings.peer_port));
         let mut rng = rand::rng();
@@ -122,7 +148,14 @@
                 .filter(|host| !tried.hosts.contains(host))
                 .collect();
             if is_better && !covering.is_empty() {
-                return covering.choose(&mut rng).copied();
+                // The same host for a beginning, which then knows for certain what the home keeps of it.
+                let beginning = prompt.shared_beginning().unwrap_or_default();
+                let weight = |host: &SocketAddr| stable_hash_pair(beginning, &octets(host));
+                let chosen = covering.into_iter().max_by_key(weight);
+                return chosen.map(|address| NearHost {
+                    address,
+                    cost_ms: PREFILL_WEIGHT * own_ms,
+                });
             }
         }
         if local.is_ok() {
@@ -142,11 +175,21 @@
         }
         let mut draw = || with_room[rng.random_range(0..with_room.len())];
         let (first, second) = (draw(), draw());
-        Some(if second.1 < first.1 {
-            second.0
-        } else {
-            first.0
-        })
+        let (address, wait_ms) = if second.1 < first.1 { second } else { first };
+        let wait_ms = f64::from(wait_ms);
+        let cost_ms = match service.engine {
+            Some(_) => wait_ms + NEAR_MS + PREFILL_WEIGHT * own_ms,
+            None => plain_cost_ms(wait_ms, self.pace(service).answer_ms),
+        };
+        Some(NearHost { address, cost_ms })
+    }
+}
+
+fn octets(host: &SocketAddr) -> [u8; 4] {
+    match host.ip() {
+        IpAddr::V4(ip) => ip.octets(),
+        // Hosts have addresses of the older kind only.
+        IpAddr::V6(_) => [0; 4],
     }
 }
 
--- a/crates/relay/src/decide.rs
+++ b/crates/relay/src/decide.rs
@@ -6,7 +6,7 @@
 
 use rand::Rng;
 
-use crate::choose::{ChoiceQuery, Chosen, NoTarget, PREFILL_WEIGHT, UseRules, choose, homes_of};
+use crate::choose::{ChoiceQuery, Chosen, NoTarget, UseRules, choose, homes_of};
 use crate::end::OwnEnd;
 use crate::host::Host;
 use crate::incoming::{Hop, Incoming};
@@ -16,9 +16,11 @@
 /// can still go elsewhere. Callers lose nothing by an answer within an eighth of the aim; what is left of that is the way
 /// to the host and back, and to another host that has no room either.
 const WAIT_PART: f64 = 0.08;
-/// After so many refusals of other hosts, a request is refused. Without a bound, hosts refused one another 100,000
-/// requests in 14 s of full load; with a single one, requests were lost to a region whose targets were all cold.
-const MOST_REFUSALS: u32 = 2;
+/// After so many refusals of other hosts of the region, the request leaves it or is refused. Without a bound, hosts
+/// refused one another 100,000 requests in 14 s of full load.
+const MOST_NEAR_REFUSALS: u32 = 2;
+/// The same for hosts of other regions. With a single one, requests were lost to a region whose targets were all cold.
+const MOST_FAR_REFUSALS: u32 = 2;
 /// Waiting requests look again at least this often, because targets of other hosts free up unseen.
 const LOOK_AGAIN: Duration = Duration::from_millis(60);
 /// When a refused caller should come back, and how much later at random, as parts of the aim: an answer is still in time
@@ -43,8 +45,10 @@
     pub(crate) targets: Vec<u32>,
     /// Other regions.
     pub(crate) regions: Vec<Arc<str>>,
-    /// How often another host had no room.
-    pub(crate) refusals: u32,
+    /// How often another host of this region had no room.
+    pub(crate) near_refusals: u32,
+    /// How often a host of another region had no room.
+    pub(crate) far_refusals: u32,
     /// Other hosts of this region.
     pub(crate) hosts: Vec<SocketAddr>,
 }
@@ -121,14 +125,13 @@
         }
         let own_ms = incoming.prompt.own_tokens() as f64 * pace.token_ms;
         let near = match may_stay {
-            true => self.host_near(now, service, tried, &local, homes.near, own_ms),
+            true => self.host_near(now, service, tried, &local, homes.near, &incoming.prompt),
             false => None,
         };
-        let may_ask = tried.refusals < MOST_REFUSALS;
-        let near = near.filter(|_| may_ask);
+        let near = near.filter(|_| tried.near_refusals < MOST_NEAR_REFUSALS);
         let stays = |local: Result<Chosen, NoTarget>| match near {
-            Some(address) => Ok(Destination::Host {
-                address,
+            Some(near) => Ok(Destination::Host {
+                address: near.address,
                 region: region.clone(),
             }),
             None => local.map(Destination::Target),
@@ -138,9 +141,9 @@
         }
         let local_ms = match (&local, near) {
             (Ok(chosen), None) => Some(chosen.cost_ms + homes.copy_ms(&chosen.target, &query)),
-            (_, Some(_)) => {
-                let copy_ms = homes.near.map_or(0.0, |near| homes.copy_ms(near, &query));
-                Some(PREFILL_WEIGHT * own_ms + copy_ms)
+            (_, Some(near)) => {
+                let copy_ms = homes.near.map_or(0.0, |home| homes.copy_ms(home, &query));
+                Some(near.cost_ms + copy_ms)
             }
             (Err(_), None) => None,
         };
@@ -150,7 +153,7 @@
             home: homes.overall.map(|home| (home.region.clone(), own_ms)),
             offers: self.offers(now, service, tried, homes.overall, allows),
         };
-        if may_ask
+        if tried.far_refusals < MOST_FAR_REFUSALS
             && let Some(offer) = choose_region(&spill)
             && let Some(address) = self.host_in(now, service.hash, offer)
         {
@@ -160,7 +163,11 @@
                 .note(now, region.clone(), service.hash);
             return Ok(Destination::Host { address, region });
         }
-        stays(local)
+        stays(local).map_err(|refused| match refused {
+            // Another region has the service, without a free place at present.
+            NoTarget::Absent if self.serves_elsewhere(now, service, allows) => NoTarget::Full,
+            refused => refused,
+        })
     }
 }
 
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -15,7 +15,7 @@
 use crate::forward::Served;
 use crate::headers::text;
 use crate::host::Host;
-use crate::incoming::Incoming;
+use crate::incoming::{Hop, Incoming};
 use crate::reply::{Reply, ReplyBody};
 use crate::route::{AnswerForm, RunPolicy};
 
@@ -149,6 +149,11 @@
             ));
         }
         let host = self.host.clone();
+        // The host that has the request from its caller counts it, because it decides on repeats, too. A host that covers
+        // no target of a service had no budget as long as the covering hosts counted its requests.
+        if self.incoming.hop == Hop::Caller && !std::mem::replace(&mut self.is_counted, true) {
+            host.note_request(&self.incoming.service);
+        }
         let found = host.decide(&self.incoming, &self.tried).await;
         let destination = match (found, ended) {
             (Ok(destination), _) => destination,
@@ -163,12 +168,6 @@
         {
             return Err(ended);
         }
-        // The host that sends a request to its first target counts it.
-        let is_repeat = self.arrived || !self.incoming.tried_before.is_empty();
-        if matches!(destination, Destination::Target(_)) && !is_repeat && !self.is_counted {
-            self.is_counted = true;
-            host.note_request(service);
-        }
         Ok(destination)
     }
 
@@ -207,7 +206,7 @@
         let deadline = host.clock.instant(self.incoming.deadline);
         let (answer, is_failure) = match result {
             AttemptResult::NotSent => {
-                self.tried.refusals += 1;
+                self.note_refusal(destination);
                 return self.note_failure(AttemptFailure::TargetRefused);
             }
             AttemptResult::Failure(AttemptFailure::ConnectFailed) => {
@@ -216,7 +215,7 @@
             AttemptResult::Failure(failure) => {
                 self.arrived = true;
                 if chosen.is_none() && failure == AttemptFailure::TargetRefused {
-                    self.tried.refusals += 1;
+                    self.note_refusal(destination);
                 }
                 return self.note_failure(failure);
             }
@@ -258,6 +257,17 @@
             .ok()
     }
 
+    /// Counts a host that had no room.
+    fn note_refusal(&mut self, destination: &Destination) {
+        let Destination::Host { region, .. } = destination else {
+            return;
+        };
+        match *region == self.host.settings.region {
+            true => self.tried.near_refusals += 1,
+            false => self.tried.far_refusals += 1,
+        }
+    }
+
     fn note_failure(&self, failure: AttemptFailure) -> Step {
         log::info!(id = &*self.incoming.id, route = &*self.incoming.route.name, to = self.last_peer.as_str(), sends = self.sends, failure = format!("{failure:?}").as_str(); "an attempt failed");
         self.host.metrics.attempt_failed(failure);
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -7,12 +7,13 @@
 use lw_admit::{ColdLimit, ColdPace, SharedBudget};
 use lw_base::prelude::*;
 use lw_base::stable_hash;
-use lw_mesh::{Changed, Coverage, HostTable, Mirror, PlacedPart, Stage};
+use lw_mesh::{Changed, Coverage, HostTable, Mirror, Stage};
 
 use crate::budgets::cold_sharers;
 use crate::clock::HostClock;
 use crate::metrics::HostMetrics;
 use crate::names::{HeaderSet, PathSet};
+use crate::placed_news::PlacedNews;
 use crate::plan::{Plan, Service};
 use crate::pool::Pool;
 use crate::service_pace::ServicePace;
@@ -60,8 +61,8 @@
     pub(crate) pool: Pool,
     pub(crate) paces: RefCell<FastMap<Arc<str>, ServicePace>>,
     pub(crate) budgets: RefCell<FastMap<Arc<str>, SharedBudget>>,
-    /// Parts that were placed since the last beat.
-    pub(crate) placed: RefCell<Vec<PlacedPart>>,
+    /// Placed parts that the region has not heard of.
+    pub(crate) placed: RefCell<PlacedNews>,
     pub(crate) sent_away: RefCell<SentAway>,
     pub(crate) coverage: RefCell<Coverage>,
     /// Notified when other hosts should hear of a change at once.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -28,6 +28,7 @@
 mod part_cache;
 mod peer_beats;
 mod peer_mirror;
+mod placed_news;
 mod plan;
 mod pool;
 mod prompt;
@@ -45,7 +46,9 @@
 mod verdict;
 
 pub use budgets::cold_sharers;
-pub use choose::{ChoiceQuery, Chosen, Homes, NoTarget, UseRules, choose, home_of, homes_of};
+pub use choose::{
+    ChoiceQuery, Chosen, Homes, NoTarget, UseRules, choose, home_of, homes_of, plain_cost_ms,
+};
 pub use clock::HostClock;
 pub use configuration::{Configuration, ListedTarget, PlatformWord};
 pub use directory::entry_hosts;
@@ -54,6 +57,7 @@
 pub use names::{HeaderSet, PathSet};
 pub use part_cache::PartCache;
 pub use peer_beats::run_beats;
+pub use placed_news::PlacedNews;
 pub use plan::{CallerLimits, EngineFacts, Plan, Service};
 pub use prompt::{Prompt, PromptPart};
 pub use route::{AnswerForm, Route, RouteTable, RunPolicy, WeightedService};
--- a/crates/relay/src/peer_beats.rs
+++ b/crates/relay/src/peer_beats.rs
@@ -19,8 +19,6 @@
 const BEAT_PERIOD: Duration = Duration::from_millis(400);
 /// The largest datagram that travels unfragmented on common paths.
 const MOST_BYTES: usize = 1_400;
-/// The placed parts of one beat; the rest is not told.
-const MOST_PLACED: usize = 24;
 /// The answer that the offer to other regions is computed for, in tokens: a short one.
 const OFFER_TOKENS: u64 = 60;
 /// News are told at once, but not more often than this, in milliseconds.
@@ -151,9 +149,7 @@
     let far = beat_of(host, now);
     let mut near = far.clone();
     near.targets = target_uses(host, now);
-    let mut placed = host.placed.take();
-    placed.truncate(MOST_PLACED);
-    near.placed = placed;
+    near.placed = host.placed.borrow_mut().next_beat();
     send(host, socket, &near, &recipients.near).await;
     send(host, socket, &far, &recipients.far).await;
 }
--- a/crates/relay/tests/gateway/answers.rs
+++ b/crates/relay/tests/gateway/answers.rs
@@ -335,6 +335,35 @@
     });
 }
 
+/// Guards against a host without a budget: it covers no target of the service, and the hosts that cover them counted its
+/// requests. A tenth of the lookups of a quiet day ended with a failure that another target would have spared them.
+#[test]
+fn a_host_without_targets_may_repeat() {
+    on_one_thread(async {
+        let broken = ScriptTarget::start(vec![failure()]).await;
+        let sound = ScriptTarget::start(vec![vec![send(good("x"))]]).await;
+        let first = start_host(REPEATABLE, &[]).await;
+        let others = [
+            start_host(REPEATABLE, std::slice::from_ref(&broken)).await,
+            start_host(REPEATABLE, std::slice::from_ref(&sound)).await,
+        ];
+        first.bounds.set(lw_relay::Bounds {
+            retry_ratio: 2.0,
+            retry_extra: 0.0,
+            ..first.bounds.get()
+        });
+        for id in 0..8 {
+            for other in &others {
+                let beat = beat_with_room(other);
+                first.hosts.borrow_mut().heard(first.clock.now(), &beat);
+            }
+            let answer = call(first.settings.caller_address, &request(&format!("a{id}"))).await;
+            assert_eq!(answer.status, 200, "{answer:?}");
+        }
+        assert!(!broken.heads.borrow().is_empty(), "no request was repeated");
+    });
+}
+
 /// Guards against repeats that no host counts: those through another host were free, and on a day with crashing targets
 /// 571 repeats were sent where 568 were allowed.
 #[test]
--- a/crates/relay/tests/placing.rs
+++ b/crates/relay/tests/placing.rs
@@ -248,6 +248,20 @@
     }
 }
 
+// Guards against hosts that cover no target of a service and take their region for free: they sent nothing elsewhere
+// before it was full.
+#[test_case(7; "calm")]
+#[test_case(12; "busy")]
+#[test_case(20; "nearly full")]
+fn the_cost_follows_from_the_expected_time(running: u32) {
+    let plan = plan(1, false);
+    plan.targets[0][0].load.borrow_mut().running = running;
+    let chosen = pick(&plan, &Prompt::default(), None).expect("a place");
+    let answer_ms = ServicePace::default().answer_ms;
+    let told = lw_relay::plain_cost_ms(chosen.expected_ms, answer_ms);
+    assert!((told - chosen.cost_ms).abs() < 1.0, "{told}");
+}
+
 struct SpillCase {
     query: SpillQuery,
     region: Option<&'static str>,
