relay: an engine that reads prompts keeps those that it is the home of

Cause: the stretch of an answer by prefill counted in full for long prompts, so two prompts that a home had read in a row drove the next ones to copies elsewhere, which are prefill again.

Ruled out: a larger weight of the copy, which would also hold prompts at a home with seconds of backlog.

Change: the stretch counts a quarter for requests with a long beginning, whose events may pause for a second.

The new test failed before.

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -28,6 +28,9 @@
 const OUTPUT_TOKEN_MS: f64 = 9.0;
 /// The largest share of prefill work that is believed; above it nothing but prefill runs.
 const MOST_PREFILL_SHARE: f64 = 0.92;
+/// How much the stretch counts for a request with a long beginning: its events may pause for a second, and its deadline
+/// is far. With the full weight, two prompts that an engine read in a row drove the next ones to further copies.
+const LONG_STRETCH_WEIGHT: f64 = 0.25;
 /// What a target that is not the home of a long beginning adds when it does not keep it, as a part of its prefill:
 /// each further copy takes memory from other beginnings.
 const NEW_COPY_WEIGHT: f64 = 3.0;
@@ -163,6 +166,10 @@
             Some(_) if !is_home && cached == 0 => NEW_COPY_WEIGHT * prefill_ms,
             _ => 0.0,
         };
+        let stretch_weight = match query.home {
+            Some(_) => LONG_STRETCH_WEIGHT,
+            None => 1.0,
+        };
         let expected_ms = match service.engine {
             Some(_) => used.backlog_ms + prefill_ms + stretch_ms,
             None => query.pace.answer_ms * (1.0 + (use_ratio - CALM_USE).max(0.0)),
@@ -172,7 +179,7 @@
                 used.backlog_ms
                     + prefill_weight * prefill_ms
                     + copy_ms
-                    + stretch_ms
+                    + stretch_weight * stretch_ms
                     + FULL_BATCH_MS * use_ratio
             }
             None => FULL_BATCH_MS * use_ratio,
--- a/crates/relay/tests/placing.rs
+++ b/crates/relay/tests/placing.rs
@@ -187,6 +187,21 @@
     assert_ne!(other.hash, home.hash);
 }
 
+/// Guards against a home that is left for a further copy because it has just read two prompts: its engine reads the next
+/// one in a fifth of the time of another.
+#[test]
+fn a_home_that_reads_prompts_is_kept() {
+    let plan = plan(3, true);
+    let prompt = long_prompt("b");
+    let home = pick(&plan, &prompt, None).expect("a target").target;
+    let mut load = home.load.borrow_mut();
+    load.cache.note(NOW, prompt.parts[0], 300_000);
+    load.add_backlog(MonoMs(NOW.0 - 600), 1_500.0);
+    drop(load);
+    let chosen = pick(&plan, &prompt, None).expect("a target");
+    assert_eq!(chosen.target.hash, home.hash);
+}
+
 /// Guards against short queries that are stretched by the prefill of long prompts, although another engine is calm.
 #[test]
 fn prefill_work_moves_short_queries_away() {
