mesh: the word of a host is one type

`Beat` and `HostEntry` each listed the same fields, and `heard` copied them one by one. Both now hold a `HostAddress` and a `HostWord`. The number of requests that a host serves left the beat: the choice of a host by weight was its last reader's replacement, so nothing read it.

The order of the other fields on the wire is unchanged.

--- a/crates/mesh/src/beat.rs
+++ b/crates/mesh/src/beat.rs
@@ -1,12 +1,10 @@
 //! The datagram that hosts send one another.
 
-use std::net::Ipv4Addr;
-use std::sync::Arc;
-
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::stage::Stage;
+use crate::host_entry::HostAddress;
+use crate::host_word::HostWord;
 
 /// The use that the sender makes of one target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -50,31 +48,13 @@
 /// What a host tells others about itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Beat {
-    /// The name of the host.
-    pub host: Arc<str>,
-    /// Its address.
-    pub ip: Ipv4Addr,
-    /// Its availability zone.
-    pub zone: Arc<str>,
-    /// Its region.
-    pub region: Arc<str>,
-    /// The wall clock at the start of its process, in milliseconds.
-    pub started_ms: u64,
-    /// Its stage.
-    pub stage: Stage,
-    /// The revision of its mirror.
-    pub as_of: u64,
-    /// The time since the platform last answered it, in milliseconds.
-    pub platform_age_ms: u16,
-    /// Thousandths of a processor core that it may use.
-    pub capacity_permille: u16,
-    /// Requests that it serves now.
-    pub requests: u16,
-    /// The use of the services in its region.
-    pub services: Vec<RegionUse>,
+    /// How the sender is reached.
+    pub address: HostAddress,
+    /// What it says of itself.
+    pub word: HostWord,
     /// Its use of the targets; only for hosts of its region.
     pub targets: Vec<TargetUse>,
-    /// Parts that it placed since the last beat; only for hosts of its region.
+    /// Parts that it placed lately; only for hosts of its region.
     pub placed: Vec<PlacedPart>,
 }
 
--- a/crates/mesh/src/host_entry.rs
+++ b/crates/mesh/src/host_entry.rs
@@ -6,8 +6,7 @@
 use lw_base::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::beat::RegionUse;
-use crate::stage::Stage;
+use crate::host_word::HostWord;
 
 /// How a host is reached; the platform keeps one entry a host.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -31,25 +30,15 @@
     pub address: HostAddress,
     /// When it was last heard; `None` when only the platform named it.
     pub heard_at: Option<MonoMs>,
-    /// Its stage in its last beat.
-    pub stage: Stage,
-    /// The revision of its mirror in its last beat.
-    pub as_of: u64,
-    /// The time since the platform last answered it, at its last beat, in milliseconds.
-    pub platform_age_ms: u16,
-    /// Thousandths of a processor core that it may use.
-    pub capacity_permille: u16,
-    /// Requests that it served at its last beat.
-    pub requests: u16,
-    /// The use of the services in its region at its last beat.
-    pub services: Vec<RegionUse>,
+    /// What it said of itself in its last beat.
+    pub word: HostWord,
 }
 
 impl HostEntry {
     /// Returns its share of the work, relative to other hosts.
     #[must_use]
     pub fn weight(&self) -> f64 {
-        capacity_weight(self.capacity_permille)
+        capacity_weight(self.word.capacity_permille)
     }
 }
 
--- a/crates/mesh/src/host_table.rs
+++ b/crates/mesh/src/host_table.rs
@@ -9,6 +9,7 @@
 use crate::beat::{Beat, RegionUse};
 use crate::coverage::{Coverage, CoveringHost};
 use crate::host_entry::{HostAddress, HostEntry, capacity_weight};
+use crate::host_word::HostWord;
 use crate::stage::Stage;
 
 /// A host counts as up for this long after its last beat: six lost beats in a row.
@@ -89,12 +90,7 @@
         let entry = HostEntry {
             address,
             heard_at: None,
-            stage: Stage::Starting,
-            as_of: 0,
-            platform_age_ms: u16::MAX,
-            capacity_permille: 0,
-            requests: 0,
-            services: Vec::new(),
+            word: HostWord::default(),
         };
         self.hosts.insert(entry.address.host.clone(), entry);
         self.note_sizes();
@@ -113,11 +109,11 @@
 
     /// Takes a beat; returns false when it comes from a former process or from this host.
     pub fn heard(&mut self, now: MonoMs, beat: &Beat) -> bool {
-        if beat.host == self.name {
+        if beat.address.host == self.name {
             return false;
         }
-        if let Some(known) = self.hosts.get(&beat.host) {
-            let former = beat.started_ms < known.address.started_ms;
+        if let Some(known) = self.hosts.get(&beat.address.host) {
+            let former = beat.address.started_ms < known.address.started_ms;
             let silent = known
                 .heard_at
                 .is_none_or(|at| now.since_ms(at) > REPLACE_MS);
@@ -126,22 +122,11 @@
             }
         }
         let entry = HostEntry {
-            address: HostAddress {
-                host: beat.host.clone(),
-                ip: beat.ip,
-                zone: beat.zone.clone(),
-                region: beat.region.clone(),
-                started_ms: beat.started_ms,
-            },
+            address: beat.address.clone(),
             heard_at: Some(now),
-            stage: beat.stage,
-            as_of: beat.as_of,
-            platform_age_ms: beat.platform_age_ms,
-            capacity_permille: beat.capacity_permille,
-            requests: beat.requests,
-            services: beat.services.clone(),
+            word: beat.word.clone(),
         };
-        self.hosts.insert(beat.host.clone(), entry);
+        self.hosts.insert(entry.address.host.clone(), entry);
         self.note_sizes();
         true
     }
@@ -154,7 +139,8 @@
 
     /// Returns the hosts that are up and take requests.
     pub fn ready(&self, now: MonoMs) -> impl Iterator<Item = &HostEntry> {
-        self.up(now).filter(|entry| entry.stage == Stage::Ready)
+        self.up(now)
+            .filter(|entry| entry.word.stage == Stage::Ready)
     }
 
     /// Returns the hosts that were heard lately.
@@ -169,8 +155,8 @@
     /// Returns a host that knows a newer state of the platform than `as_of`.
     #[must_use]
     pub fn ahead_of(&self, now: MonoMs, as_of: u64) -> Option<&HostEntry> {
-        let ahead = self.up(now).filter(|entry| entry.as_of > as_of);
-        ahead.max_by_key(|entry| (*entry.address.region == *self.region, entry.as_of))
+        let ahead = self.up(now).filter(|entry| entry.word.as_of > as_of);
+        ahead.max_by_key(|entry| (self.is_near(entry), entry.word.as_of))
     }
 
     /// Returns how many hosts of the region, with this one, share a limit of a target.
@@ -191,8 +177,7 @@
     /// Returns whether this host is among the `count` hosts of the region that may use the scarce thing `key`.
     #[must_use]
     pub fn is_among(&self, now: MonoMs, key: &str, count: usize) -> bool {
-        let near = self.up(now);
-        let near = near.filter(|entry| entry.address.region == self.region);
+        let near = self.up(now).filter(|entry| self.is_near(entry));
         let mut names: Vec<(&[u8], f64)> = near
             .map(|entry| (entry.address.host.as_bytes(), entry.weight()))
             .collect();
@@ -213,19 +198,17 @@
         if self.is_among(now, "platform watch", WATCHERS) {
             return true;
         }
-        let near = self.up(now);
-        let mut near = near.filter(|entry| entry.address.region == self.region);
+        let mut near = self.up(now).filter(|entry| self.is_near(entry));
         !near.any(|entry| {
             let silent_ms = entry.heard_at.map_or(u64::MAX, |at| now.since_ms(at));
-            u64::from(entry.platform_age_ms) + silent_ms < FRESH_PLATFORM_MS
+            u64::from(entry.word.platform_age_ms) + silent_ms < FRESH_PLATFORM_MS
         })
     }
 
     /// Returns which hosts of the region cover the targets, given by service as hash and incarnation.
     #[must_use]
     pub fn coverage(&self, now: MonoMs, services: &[Vec<(u32, Arc<str>)>]) -> Coverage {
-        let near = self.ready(now);
-        let near = near.filter(|entry| entry.address.region == self.region);
+        let near = self.ready(now).filter(|entry| self.is_near(entry));
         let mut hosts: Vec<CoveringHost> = near
             .map(|entry| CoveringHost {
                 name: entry.address.host.clone(),
@@ -252,7 +235,7 @@
         service: u32,
     ) -> impl Iterator<Item = (&HostEntry, MonoMs, RegionUse)> {
         self.ready(now).filter_map(move |entry| {
-            let mut uses = entry.services.iter();
+            let mut uses = entry.word.services.iter();
             let found = uses.find(|used| used.service == service)?;
             Some((entry, entry.heard_at?, *found))
         })
@@ -271,7 +254,7 @@
         let mut near = Vec::new();
         let mut far = Vec::new();
         for entry in self.hosts.values() {
-            if entry.address.region == self.region {
+            if self.is_near(entry) {
                 near.push(entry.address.ip);
             } else {
                 far.push(entry.address.ip);
@@ -290,11 +273,13 @@
         }
     }
 
+    fn is_near(&self, entry: &HostEntry) -> bool {
+        entry.address.region == self.region
+    }
+
     fn note_sizes(&mut self) {
         let near = self.hosts.values();
-        let near = near
-            .filter(|entry| entry.address.region == self.region)
-            .count();
+        let near = near.filter(|entry| self.is_near(entry)).count();
         self.most_near = self.most_near.max(near + 1);
         self.most_all = self.most_all.max(self.hosts.len() + 1);
     }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -7,6 +7,7 @@
 mod coverage;
 mod host_entry;
 mod host_table;
+mod host_word;
 mod mirror;
 mod stage;
 
@@ -14,5 +15,6 @@
 pub use coverage::Coverage;
 pub use host_entry::{HostAddress, HostEntry};
 pub use host_table::{HEARD_MS, HostTable, Recipients, WATCHERS};
+pub use host_word::HostWord;
 pub use mirror::{Changed, Item, Listing, Mirror, MirrorUpdate, Written};
 pub use stage::Stage;
--- a/crates/mesh/tests/hosts.rs
+++ b/crates/mesh/tests/hosts.rs
@@ -3,29 +3,37 @@
 use std::net::Ipv4Addr;
 
 use lw_base::prelude::*;
-use lw_mesh::{Beat, HEARD_MS, HostAddress, HostTable, Stage};
+use lw_mesh::{Beat, HEARD_MS, HostAddress, HostTable, HostWord, Stage};
 use test_case::test_case;
 
 const NOW: MonoMs = MonoMs(100_000);
 
 fn beat(host: &str, region: &str, last: u8, started_ms: u64) -> Beat {
     Beat {
-        host: host.into(),
-        ip: Ipv4Addr::new(10, 0, 0, last),
-        zone: "z".into(),
-        region: region.into(),
-        started_ms,
-        stage: Stage::Ready,
-        as_of: 7,
-        platform_age_ms: 100,
-        capacity_permille: 250,
-        requests: 0,
-        services: Vec::new(),
+        address: HostAddress {
+            host: host.into(),
+            ip: Ipv4Addr::new(10, 0, 0, last),
+            zone: "z".into(),
+            region: region.into(),
+            started_ms,
+        },
+        word: HostWord {
+            stage: Stage::Ready,
+            as_of: 7,
+            platform_age_ms: 100,
+            capacity_permille: 250,
+            services: Vec::new(),
+        },
         targets: Vec::new(),
         placed: Vec::new(),
     }
 }
 
+fn in_stage(stage: Stage, mut beat: Beat) -> Beat {
+    beat.word.stage = stage;
+    beat
+}
+
 fn table() -> HostTable {
     HostTable::new(
         "me".into(),
@@ -47,19 +55,19 @@
 #[test_case(&Case { beats: vec![(0, beat("a", "north", 1, 1))], asked_at: HEARD_MS, ready: 1 }; "a host that was heard is ready")]
 // Guards against callers who are sent to a host that has said it leaves.
 #[test_case(&Case {
-    beats: vec![(0, beat("a", "north", 1, 1)), (5, Beat { stage: Stage::Leaving, ..beat("a", "north", 1, 1) })],
+    beats: vec![(0, beat("a", "north", 1, 1)), (5, in_stage(Stage::Leaving, beat("a", "north", 1, 1)))],
     asked_at: 10,
     ready: 0,
 }; "a host that leaves is not ready")]
 // Guards against a late datagram of a process that has ended.
 #[test_case(&Case {
-    beats: vec![(0, Beat { stage: Stage::Starting, ..beat("a", "north", 1, 2) }), (5, beat("a", "north", 1, 1))],
+    beats: vec![(0, in_stage(Stage::Starting, beat("a", "north", 1, 2))), (5, beat("a", "north", 1, 1))],
     asked_at: 10,
     ready: 0,
 }; "a former process is not believed")]
 // Guards against a host that stays unknown because its clock went back before its restart.
 #[test_case(&Case {
-    beats: vec![(0, Beat { stage: Stage::Leaving, ..beat("a", "north", 1, 9) }), (1_500, beat("a", "north", 1, 4))],
+    beats: vec![(0, in_stage(Stage::Leaving, beat("a", "north", 1, 9))), (1_500, beat("a", "north", 1, 4))],
     asked_at: 1_600,
     ready: 1,
 }; "a restarted host with an earlier clock is believed after a silence")]
@@ -202,10 +210,8 @@
         let watching = names.iter().filter(|name| {
             let mut table = HostTable::new(name.as_str().into(), "north".into(), Vec::new(), 250);
             for (index, other) in names.iter().enumerate() {
-                let beat = Beat {
-                    platform_age_ms,
-                    ..beat(other, "north", index as u8, 1)
-                };
+                let mut beat = beat(other, "north", index as u8, 1);
+                beat.word.platform_age_ms = platform_age_ms;
                 table.heard(NOW, &beat);
             }
             table.is_watcher(NOW.plus_ms(300))
--- a/crates/relay/src/peer_beats.rs
+++ b/crates/relay/src/peer_beats.rs
@@ -6,7 +6,7 @@
 
 use lw_base::prelude::*;
 use lw_base::stable_hash;
-use lw_mesh::{Beat, RegionUse, TargetUse};
+use lw_mesh::{Beat, HostAddress, HostWord, RegionUse, TargetUse};
 use tokio::net::UdpSocket;
 
 use crate::choose::{ChoiceQuery, UseRules, choose};
@@ -103,17 +103,17 @@
             return;
         }
     };
-    if from != IpAddr::V4(beat.ip) {
+    if from != IpAddr::V4(beat.address.ip) {
         return;
     }
     let now = host.clock.now();
     if !host.hosts.borrow_mut().heard(now, &beat) {
         return;
     }
-    if beat.region != host.settings.region {
+    if beat.address.region != host.settings.region {
         return;
     }
-    let sender = stable_hash(beat.host.as_bytes());
+    let sender = stable_hash(beat.address.host.as_bytes());
     let plan = host.plan();
     for (service, targets) in plan.targets.iter().enumerate() {
         let memory = plan.services[ServiceKey::from_index(service)].engine;
@@ -176,19 +176,22 @@
 
 fn beat_of(host: &Host, now: MonoMs) -> Beat {
     Beat {
-        host: host.settings.host.clone(),
-        ip: host.settings.ip,
-        zone: host.settings.zone.clone(),
-        region: host.settings.region.clone(),
-        started_ms: host.started_ms,
-        stage: host.stage(),
-        as_of: host.mirror.borrow().as_of(),
-        platform_age_ms: host.platform_at.get().map_or(u16::MAX, |at| {
-            u16::try_from(now.since_ms(at)).unwrap_or(u16::MAX)
-        }),
-        capacity_permille: host.settings.capacity_permille,
-        requests: u16::try_from(host.requests()).unwrap_or(u16::MAX),
-        services: region_uses(host, now),
+        address: HostAddress {
+            host: host.settings.host.clone(),
+            ip: host.settings.ip,
+            zone: host.settings.zone.clone(),
+            region: host.settings.region.clone(),
+            started_ms: host.started_ms,
+        },
+        word: HostWord {
+            stage: host.stage(),
+            as_of: host.mirror.borrow().as_of(),
+            platform_age_ms: host.platform_at.get().map_or(u16::MAX, |at| {
+                u16::try_from(now.since_ms(at)).unwrap_or(u16::MAX)
+            }),
+            capacity_permille: host.settings.capacity_permille,
+            services: region_uses(host, now),
+        },
         targets: Vec::new(),
         placed: Vec::new(),
     }
--- a/crates/relay/tests/gateway/answers.rs
+++ b/crates/relay/tests/gateway/answers.rs
@@ -287,22 +287,25 @@
 /// Returns the beat of a host that says it has room.
 fn beat_with_room(host: &lw_relay::Host) -> lw_mesh::Beat {
     lw_mesh::Beat {
-        host: host.settings.host.clone(),
-        ip: host.settings.ip,
-        zone: host.settings.zone.clone(),
-        region: host.settings.region.clone(),
-        started_ms: 1,
-        stage: lw_mesh::Stage::Ready,
-        as_of: 0,
-        platform_age_ms: 0,
-        capacity_permille: 250,
-        requests: 0,
-        services: vec![lw_mesh::RegionUse {
-            service: 1,
-            wait_ms: 0,
-            targets: 1,
-            free_slots: 8,
-        }],
+        address: lw_mesh::HostAddress {
+            host: host.settings.host.clone(),
+            ip: host.settings.ip,
+            zone: host.settings.zone.clone(),
+            region: host.settings.region.clone(),
+            started_ms: 1,
+        },
+        word: lw_mesh::HostWord {
+            stage: lw_mesh::Stage::Ready,
+            as_of: 0,
+            platform_age_ms: 0,
+            capacity_permille: 250,
+            services: vec![lw_mesh::RegionUse {
+                service: 1,
+                wait_ms: 0,
+                targets: 1,
+                free_slots: 8,
+            }],
+        },
         targets: Vec::new(),
         placed: Vec::new(),
     }
