admit: both retry budgets count in the same ring

`SharedBudget` and `RetryBudget` each advanced a ring of slots and summed it. The ring is now `SlotCounts`, and each budget keeps only its rule. `ColdPace::try_send` asks `may_send` instead of repeating its condition.

--- a/crates/admit/src/cold_pace.rs
+++ b/crates/admit/src/cold_pace.rs
@@ -33,8 +33,7 @@
     /// Takes one request out of this host's part; returns false when the part is used up.
     pub fn try_send(&mut self, now: MonoMs, limit: ColdLimit) -> bool {
         self.sent_at.retain(|at| now.since_ms(*at) < WINDOW_MS);
-        let part = (limit.per_s / limit.hosts.max(1) as f64) as usize;
-        if self.sent_at.len() >= part {
+        if !self.may_send(now, limit) {
             return false;
         }
         self.sent_at.push(now);
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -11,6 +11,7 @@
 mod schedule;
 mod service_queue;
 mod shared_budget;
+mod slot_counts;
 mod ticket;
 mod ticket_table;
 mod usage_board;
--- a/crates/admit/src/retry_budget.rs
+++ b/crates/admit/src/retry_budget.rs
@@ -2,6 +2,8 @@
 
 use lw_base::prelude::*;
 
+use crate::slot_counts::SlotCounts;
+
 /// The window that the budget looks at, in slots of one second.
 const WINDOW_SLOTS: usize = 10;
 const SLOT_MS: u64 = 1_000;
@@ -16,9 +18,7 @@
 /// each would retry a quarter of their requests.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
-    requests: [u32; WINDOW_SLOTS],
-    retries: [u32; WINDOW_SLOTS],
-    slot: u64,
+    counts: SlotCounts<WINDOW_SLOTS, SLOT_MS>,
     floor: f64,
 }
 
@@ -34,9 +34,7 @@
     #[must_use]
     pub fn new(hosts: u32) -> Self {
         let mut budget = Self {
-            requests: [0; WINDOW_SLOTS],
-            retries: [0; WINDOW_SLOTS],
-            slot: 0,
+            counts: SlotCounts::default(),
             floor: 0.0,
         };
         budget.set_hosts(hosts);
@@ -50,39 +48,23 @@
 
     /// Notes a first attempt.
     pub fn request(&mut self, now: MonoMs) {
-        self.advance(now);
-        self.requests[self.position()] += 1;
+        self.counts.advance(now);
+        self.counts.note_request();
     }
 
     /// Takes a token for a retry; returns false when the budget is spent.
     pub fn try_retry(&mut self, now: MonoMs) -> bool {
-        self.advance(now);
-        let requests: u32 = self.requests.iter().sum();
-        let retries: u32 = self.retries.iter().sum();
-        let earned = f64::from(requests) * RETRY_SHARE;
-        if f64::from(retries) + 1.0 > earned.max(self.floor) {
+        self.counts.advance(now);
+        let (requests, retries) = self.counts.sums(WINDOW_SLOTS);
+        let earned = requests * RETRY_SHARE;
+        if retries + 1.0 > earned.max(self.floor) {
             return false;
         }
         // The floor is given out evenly, one retry a second.
-        if earned < self.floor && self.retries[self.position()] > 0 {
+        if earned < self.floor && self.counts.repeats_now() > 0 {
             return false;
         }
-        self.retries[self.position()] += 1;
+        self.counts.note_repeat();
         true
     }
-
-    fn position(&self) -> usize {
-        (self.slot % WINDOW_SLOTS as u64) as usize
-    }
-
-    fn advance(&mut self, now: MonoMs) {
-        let slot = now.0 / SLOT_MS;
-        let steps = slot.saturating_sub(self.slot).min(WINDOW_SLOTS as u64);
-        for step in 0..steps {
-            let position = ((slot - step) % WINDOW_SLOTS as u64) as usize;
-            self.requests[position] = 0;
-            self.retries[position] = 0;
-        }
-        self.slot = self.slot.max(slot);
-    }
 }
--- a/crates/admit/src/shared_budget.rs
+++ b/crates/admit/src/shared_budget.rs
@@ -2,6 +2,8 @@
 
 use lw_base::prelude::*;
 
+use crate::slot_counts::SlotCounts;
+
 const SLOT_MS: u64 = 500;
 /// Slots of the longest window that is counted: 30 s.
 const SLOTS: usize = 60;
@@ -25,60 +27,28 @@
 ///
 /// The ratio applies to this host's own requests, and the fixed part is divided by the number of hosts. The sum over
 /// all hosts then stays below the limit, whatever the others do.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct SharedBudget {
-    requests: [u32; SLOTS],
-    repeats: [u32; SLOTS],
-    slot: u64,
-}
-
-impl Default for SharedBudget {
-    fn default() -> Self {
-        Self {
-            requests: [0; SLOTS],
-            repeats: [0; SLOTS],
-            slot: 0,
-        }
-    }
+    counts: SlotCounts<SLOTS, SLOT_MS>,
 }
 
 impl SharedBudget {
     /// Notes the first send of a request.
     pub fn request(&mut self, now: MonoMs) {
-        self.advance(now);
-        self.requests[self.position(0)] += 1;
+        self.counts.advance(now);
+        self.counts.note_request();
     }
 
     /// Takes a repeat out of this host's share; returns false when it is used up.
     pub fn try_repeat(&mut self, now: MonoMs, share: BudgetShare) -> bool {
-        self.advance(now);
+        self.counts.advance(now);
         let slots = (share.window_ms / SLOT_MS + 1).clamp(1, SLOTS as u64) as usize;
-        let sum = |counts: &[u32; SLOTS]| -> f64 {
-            (0..slots)
-                .map(|back| f64::from(counts[self.position(back)]))
-                .sum()
-        };
-        let own = share.ratio * sum(&self.requests) + share.extra / share.sharers.max(1) as f64;
-        if sum(&self.repeats) + 1.0 > own * USED_PART {
+        let (requests, repeats) = self.counts.sums(slots);
+        let own = share.ratio * requests + share.extra / share.sharers.max(1) as f64;
+        if repeats + 1.0 > own * USED_PART {
             return false;
         }
-        let position = self.position(0);
-        self.repeats[position] += 1;
+        self.counts.note_repeat();
         true
     }
-
-    fn position(&self, back: usize) -> usize {
-        ((self.slot + SLOTS as u64 - back as u64) % SLOTS as u64) as usize
-    }
-
-    fn advance(&mut self, now: MonoMs) {
-        let slot = now.0 / SLOT_MS;
-        let steps = slot.saturating_sub(self.slot).min(SLOTS as u64);
-        for step in 0..steps {
-            let position = ((slot - step) % SLOTS as u64) as usize;
-            self.requests[position] = 0;
-            self.repeats[position] = 0;
-        }
-        self.slot = self.slot.max(slot);
-    }
 }
