relay: homes have a file of their own; other hosts are asked only when they may be

`home_of` was left over for tests, which now read `homes_of(..).overall`; their assertions are unchanged. `homes_of` and `Homes` moved out of the choice of a target. `decide_now` looked for another host of the region and threw the result away once two hosts had refused; it no longer looks. The comment on `Destination::Host` said "another region" for hosts of either.

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -2,7 +2,6 @@
 
 use lw_admit::ColdLimit;
 use lw_base::prelude::*;
-use lw_base::stable_hash_pair;
 
 use crate::plan::{Plan, Service};
 use crate::prompt::Prompt;
@@ -33,7 +32,7 @@
 const LONG_STRETCH_WEIGHT: f64 = 0.25;
 /// What a target that is not the home of a long beginning adds when it does not keep it, as a part of its prefill:
 /// each further copy takes memory from other beginnings.
-const NEW_COPY_WEIGHT: f64 = 3.0;
+pub(crate) const NEW_COPY_WEIGHT: f64 = 3.0;
 /// What each running request of a full engine adds to the score, in milliseconds: tokens come more slowly.
 const FULL_BATCH_MS: f64 = 250.0;
 /// Up to this use of its slots, a plain target answers in its usual time.
@@ -225,87 +224,6 @@
     FULL_BATCH_MS * use_ratio.max(0.0)
 }
 
-/// Returns the target where the shared beginning of a long prompt is kept, the same on every host.
-///
-/// There is one home over all regions that may serve the request: a beginning that each region reads for itself costs
-/// several times the way to another region.
-#[must_use]
-pub fn home_of<'a>(
-    plan: &'a Plan,
-    service: ServiceKey,
-    prompt: &Prompt,
-    allows: impl Fn(&str) -> bool,
-) -> Option<&'a Target> {
-    homes_of(plan, service, prompt, "", allows).overall
-}
-
-/// The targets that keep the shared beginning of a long prompt.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Homes<'a> {
-    /// The one over all regions that may serve the request.
-    pub overall: Option<&'a Target>,
-    /// The one of the host's region: a region that takes requests from the region of the home keeps one copy too, not
-    /// one on each target.
-    pub near: Option<&'a Target>,
-}
-
-impl Homes<'_> {
-    /// Returns whether the home over all regions lies outside `region`.
-    #[must_use]
-    pub fn is_elsewhere(&self, region: &str) -> bool {
-        self.overall.is_some_and(|home| *home.region != *region)
-    }
-
-    /// Returns what a further copy of the beginning costs at a target of the host's region, in milliseconds: zero when
-    /// that region has the home, or the target keeps the beginning already.
-    #[must_use]
-    pub fn copy_ms(&self, target: &Target, query: &ChoiceQuery<'_>) -> f64 {
-        let is_kept = target
-            .load
-            .borrow()
-            .cache
-            .cached_tokens(&query.prompt.parts)
-            > 0;
-        if is_kept || !self.is_elsewhere(query.region) {
-            return 0.0;
-        }
-        let shared_tokens = query.prompt.input_tokens - query.prompt.own_tokens();
-        NEW_COPY_WEIGHT * shared_tokens as f64 * query.pace.token_ms
-    }
-}
-
-/// Returns the homes of the beginning of a prompt; `region` is the region of the host.
-#[must_use]
-pub fn homes_of<'a>(
-    plan: &'a Plan,
-    service: ServiceKey,
-    prompt: &Prompt,
-    region: &str,
-    allows: impl Fn(&str) -> bool,
-) -> Homes<'a> {
-    let Some(beginning) = prompt.shared_beginning() else {
-        return Homes::default();
-    };
-    let (mut overall, mut near) = (None, None);
-    for target in plan.targets_of(service) {
-        if !plan.is_open(target) {
-            continue;
-        }
-        let weight = stable_hash_pair(beginning, target.incarnation.as_bytes());
-        let is_more = |best: Option<(u64, &Target)>| best.is_none_or(|(most, _)| weight >= most);
-        if *target.region == *region && is_more(near) {
-            near = Some((weight, target));
-        }
-        if is_more(overall) && allows(&target.region) {
-            overall = Some((weight, target));
-        }
-    }
-    Homes {
-        overall: overall.map(|(_, target)| target),
-        near: near.map(|(_, target)| target),
-    }
-}
-
 fn is_full(service: &Service, target: &Target, running: u32, tokens: u64, prompt: &Prompt) -> bool {
     let slots = f64::from(target.slots.max(1));
     let queue = match service.engine {
--- a/crates/relay/src/decide.rs
+++ b/crates/relay/src/decide.rs
@@ -6,8 +6,9 @@
 
 use rand::Rng;
 
-use crate::choose::{ChoiceQuery, Chosen, NoTarget, UseRules, choose, homes_of};
+use crate::choose::{ChoiceQuery, Chosen, NoTarget, UseRules, choose};
 use crate::end::OwnEnd;
+use crate::homes::homes_of;
 use crate::host::Host;
 use crate::incoming::{Hop, Incoming};
 use crate::spill::{SpillQuery, choose_region};
@@ -29,7 +30,7 @@
 pub(crate) enum Destination {
     /// A target of the region.
     Target(Chosen),
-    /// A host of another region.
+    /// Another host, of this region or of another one.
     Host {
         address: SocketAddr,
         region: Arc<str>,
@@ -122,12 +123,11 @@
             return local.map(Destination::Target);
         }
         let own_ms = incoming.prompt.own_tokens() as f64 * pace.token_ms;
-        let near = match may_stay {
+        let may_ask = tried.refusals < MOST_REFUSALS;
+        let near = match may_stay && may_ask {
             true => self.host_near(now, service, tried, &local, homes.near, &incoming.prompt),
             false => None,
         };
-        let may_ask = tried.refusals < MOST_REFUSALS;
-        let near = near.filter(|_| may_ask);
         let stays = |local: Result<Chosen, NoTarget>| match near {
             Some(near) => Ok(Destination::Host {
                 address: near.address,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -19,6 +19,7 @@
 mod forward;
 mod head_timer;
 mod headers;
+mod homes;
 mod host;
 mod in_flight;
 mod incoming;
@@ -46,12 +47,11 @@
 mod verdict;
 
 pub use budgets::cold_sharers;
-pub use choose::{
-    ChoiceQuery, Chosen, Homes, NoTarget, UseRules, choose, home_of, homes_of, plain_cost_ms,
-};
+pub use choose::{ChoiceQuery, Chosen, NoTarget, UseRules, choose, plain_cost_ms};
 pub use clock::HostClock;
 pub use configuration::{Configuration, ListedTarget, PlatformWord};
 pub use directory::entry_hosts;
+pub use homes::{Homes, homes_of};
 pub use host::{Host, HostParts, OnChanged, short_hash};
 pub use metrics::HostMetrics;
 pub use names::{HeaderSet, PathSet};
--- a/crates/relay/tests/placing.rs
+++ b/crates/relay/tests/placing.rs
@@ -8,8 +8,7 @@
 use lw_base::prelude::*;
 use lw_relay::{
     ChoiceQuery, Chosen, EngineFacts, NoTarget, Plan, Prompt, RegionOffer, Service, ServicePace,
-    SpillQuery, Target, TargetLoad, UseRules, choose, choose_region, cold_sharers, home_of,
-    homes_of,
+    SpillQuery, Target, TargetLoad, UseRules, choose, choose_region, cold_sharers, homes_of,
 };
 use test_case::test_case;
 
@@ -53,7 +52,7 @@
 }
 
 fn pick(plan: &Plan, prompt: &Prompt, limit: Option<ColdLimit>) -> Result<Chosen, NoTarget> {
-    let home = home_of(plan, SERVICE, prompt, |_| true);
+    let home = homes_of(plan, SERVICE, prompt, "north", |_| true).overall;
     let query = ChoiceQuery {
         region: "north",
         service: SERVICE,
@@ -104,7 +103,9 @@
 fn a_further_copy_needs_a_free_slot(case: &BusyCase) {
     let plan = plan(4, true);
     let prompt = long_prompt("b");
-    let home = home_of(&plan, SERVICE, &prompt, |_| true).expect("a home");
+    let home = homes_of(&plan, SERVICE, &prompt, "north", |_| true)
+        .overall
+        .expect("a home");
     for target in &plan.targets[0] {
         target.load.borrow_mut().running = case.running;
     }
@@ -147,7 +148,9 @@
 fn a_copy_in_another_region_costs_more_than_the_way_to_the_home(case: &CopyCase) {
     let mut plan = plan(6, true);
     let prompt = long_prompt("b");
-    let home = home_of(&plan, SERVICE, &prompt, |_| true).expect("a home");
+    let home = homes_of(&plan, SERVICE, &prompt, "north", |_| true)
+        .overall
+        .expect("a home");
     let home = home.hash;
     for target in &mut plan.targets[0] {
         let is_home = target.hash == home;
