mesh, relay, platform: follow the store when it is restored from a copy

Cause: the mirror ordered states by revision alone. After a restore the store assigns revisions a second time, so a host ignored every later change whose revision was not above the one that it knew, and a host that had slept through the restore went on watching in the middle of the new history.

Change: the version of the state is the pair of era and revision, in mirror, watch, listings, heartbeats, updates between hosts, decoded values, logs and metrics. Encoded heartbeats and updates keep their first part; the era is a second part that older hosts do not read. A host that starts after the restore gets these states from its neighbours.

--- a/crates/mesh/src/heartbeat.rs
+++ b/crates/mesh/src/heartbeat.rs
@@ -57,6 +57,18 @@
     pub targets: Vec<TargetUsage>,
     /// Prompt parts that the sender routed recently; empty in heartbeats to other regions.
     pub placed: Vec<PlacedPart>,
+    /// Targets that have said in an answer that they are leaving, by the low half of the stable hash of their
+    /// incarnation; empty in heartbeats to other regions.
+    #[serde(skip)]
+    pub leaving: Vec<u32>,
+}
+
+/// The second part of an encoded heartbeat. Hosts of versions without it read only the first part.
+#[derive(Default, Serialize, Deserialize)]
+struct WireTrailer {
+    era: u64,
+    earlier_states: u16,
+    leaving: Vec<u32>,
 }
 
 /// The error of a heartbeat that cannot be encoded or decoded.
@@ -71,15 +83,28 @@
     ///
     /// Returns an error if serialization fails.
     pub fn encode(&self) -> Result<Vec<u8>, HeartbeatError> {
-        Ok(postcard::to_stdvec(self)?)
+        let trailer = WireTrailer {
+            era: self.status.as_of.era,
+            earlier_states: self.status.earlier_states,
+            leaving: self.leaving.clone(),
+        };
+        let bytes = postcard::to_stdvec(self)?;
+        Ok(postcard::to_extend(&trailer, bytes)?)
     }
 
-    /// Decodes a heartbeat from a datagram.
+    /// Decodes a heartbeat from a datagram. A heartbeat without the second part has era zero.
     ///
     /// # Errors
     ///
     /// Returns an error if the bytes are not a valid heartbeat.
     pub fn decode(bytes: &[u8]) -> Result<Self, HeartbeatError> {
-        Ok(postcard::from_bytes(bytes)?)
+        let (mut heartbeat, rest): (Self, _) = postcard::take_from_bytes(bytes)?;
+        if !rest.is_empty() {
+            let trailer: WireTrailer = postcard::from_bytes(rest)?;
+            heartbeat.status.as_of.era = trailer.era;
+            heartbeat.status.earlier_states = trailer.earlier_states;
+            heartbeat.leaving = trailer.leaving;
+        }
+        Ok(heartbeat)
     }
 }
--- a/crates/mesh/src/host_status.rs
+++ b/crates/mesh/src/host_status.rs
@@ -4,20 +4,47 @@
 
 use crate::heartbeat::ServiceUsage;
 use crate::stage::Stage;
+use crate::state_version::StateVersion;
 
 /// The status that a host reports in each heartbeat.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostStatus {
     /// The lifecycle stage of the host.
     pub stage: Stage,
-    /// The revision up to which its mirror contains every change.
-    pub as_of: u64,
+    /// The version up to which its mirror contains every change. The first part of a heartbeat contains only the
+    /// revision.
+    #[serde(with = "revision_only")]
+    pub as_of: StateVersion,
     /// The time since the platform last answered this host, in milliseconds; [`u16::MAX`] when unknown or longer.
     pub platform_age_ms: u16,
     /// The share of a processor core that the host may use, in thousandths.
     pub capacity_permille: u16,
     /// The usage of the services in its region.
     pub services: Vec<ServiceUsage>,
+    /// The number of keys whose state from before a restore of the store holds instead of the store's.
+    #[serde(skip)]
+    pub earlier_states: u16,
+}
+
+/// Serializes the revision of a state version without its era.
+mod revision_only {
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+    use crate::state_version::StateVersion;
+
+    pub(super) fn serialize<S: Serializer>(
+        version: &StateVersion,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        version.revision.serialize(serializer)
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<StateVersion, D::Error> {
+        let revision = u64::deserialize(deserializer)?;
+        Ok(StateVersion { era: 0, revision })
+    }
 }
 
 impl Default for HostStatus {
@@ -25,10 +52,11 @@
     fn default() -> Self {
         Self {
             stage: Stage::Starting,
-            as_of: 0,
+            as_of: StateVersion::default(),
             platform_age_ms: u16::MAX,
             capacity_permille: 0,
             services: Vec::new(),
+            earlier_states: 0,
         }
     }
 }
--- a/crates/mesh/src/host_table.rs
+++ b/crates/mesh/src/host_table.rs
@@ -11,6 +11,7 @@
 use crate::host_entry::{HostAddress, HostEntry, capacity_weight};
 use crate::host_status::HostStatus;
 use crate::stage::Stage;
+use crate::state_version::StateVersion;
 
 /// A host counts as live for this long after its last heartbeat, which tolerates six lost heartbeats in a row.
 pub const HEARTBEAT_TIMEOUT_MS: u64 = 2_500;
@@ -162,13 +163,23 @@
 
     /// Returns a live host whose copy of the platform's state is newer than `as_of`, preferably of the same region.
     #[must_use]
-    pub fn host_with_newer_state(&self, now: MonoMs, as_of: u64) -> Option<&HostEntry> {
+    pub fn host_with_newer_state(&self, now: MonoMs, as_of: StateVersion) -> Option<&HostEntry> {
         let newer = self
             .live_hosts(now)
             .filter(|entry| entry.status.as_of > as_of);
         newer.max_by_key(|entry| (self.is_same_region(entry), entry.status.as_of))
     }
 
+    /// Returns a live host of the era that holds states from before a restore of the store, preferably of the same
+    /// region.
+    #[must_use]
+    pub fn host_with_earlier_states(&self, now: MonoMs, era: u64) -> Option<&HostEntry> {
+        let holding = self
+            .live_hosts(now)
+            .filter(|entry| entry.status.as_of.era == era && entry.status.earlier_states > 0);
+        holding.max_by_key(|entry| (self.is_same_region(entry), entry.status.as_of))
+    }
+
     /// Returns the largest number of hosts known at one time in the region, including the local host. They share the
     /// limits of a target.
     ///
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -3,18 +3,26 @@
 //! [`Mirror`] is a host's copy of the platform's state; hosts forward it to hosts that the platform does not serve.
 //! [`HostTable`] tracks the other hosts by the [`Heartbeat`]s received from them.
 
+mod changed_keys;
 mod coverage;
+mod earlier_state;
 mod heartbeat;
 mod host_entry;
 mod host_status;
 mod host_table;
 mod mirror;
+mod mirror_update;
 mod stage;
+mod state_version;
 
+pub use changed_keys::ChangedKeys;
 pub use coverage::Coverage;
+pub use earlier_state::{EarlierState, EarlierStateView};
 pub use heartbeat::{Heartbeat, HeartbeatError, PlacedPart, ServiceUsage, TargetUsage};
 pub use host_entry::{HostAddress, HostEntry};
 pub use host_status::HostStatus;
 pub use host_table::{HEARTBEAT_TIMEOUT_MS, HostTable, Recipients, WATCHERS_PER_REGION};
-pub use mirror::{ChangedKeys, Item, KeyChange, Listing, Mirror, MirrorUpdate};
+pub use mirror::{Item, KeyChange, Listing, Mirror, MirrorItem};
+pub use mirror_update::{MirrorUpdate, MirrorUpdateError};
 pub use stage::Stage;
+pub use state_version::{StateVersion, StateVersionError};
--- a/crates/mesh/tests/hosts.rs
+++ b/crates/mesh/tests/hosts.rs
@@ -3,7 +3,9 @@
 use std::net::Ipv4Addr;
 
 use lw_base::prelude::*;
-use lw_mesh::{HEARTBEAT_TIMEOUT_MS, Heartbeat, HostAddress, HostStatus, HostTable, Stage};
+use lw_mesh::{
+    HEARTBEAT_TIMEOUT_MS, Heartbeat, HostAddress, HostStatus, HostTable, Stage, StateVersion,
+};
 use test_case::test_case;
 
 const NOW: MonoMs = MonoMs(100_000);
@@ -19,13 +21,18 @@
         },
         status: HostStatus {
             stage: Stage::Ready,
-            as_of: 7,
+            as_of: StateVersion {
+                era: 0,
+                revision: 7,
+            },
             platform_age_ms: 100,
             capacity_permille: 250,
             services: Vec::new(),
+            earlier_states: 0,
         },
         targets: Vec::new(),
         placed: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
--- a/crates/mesh/tests/mirror.rs
+++ b/crates/mesh/tests/mirror.rs
@@ -3,9 +3,16 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use lw_mesh::{Item, KeyChange, Listing, Mirror};
+use lw_base::prelude::*;
+use lw_mesh::{Item, KeyChange, Listing, Mirror, StateVersion};
 use test_case::test_case;
 
+const NOW: MonoMs = MonoMs(100_000);
+
+fn at(revision: u64) -> StateVersion {
+    StateVersion { era: 0, revision }
+}
+
 fn put(key: &str, revision: u64, value: &str) -> KeyChange {
     KeyChange {
         key: key.into(),
@@ -29,7 +36,7 @@
         (Arc::from(*key), Item { value, revision })
     });
     Listing {
-        as_of,
+        as_of: at(as_of),
         items: items.collect(),
     }
 }
@@ -88,24 +95,27 @@
     let mut mirror = Mirror::default();
     for step in case.steps {
         match step {
-            Step::Replace(listing) => drop(mirror.replace(listing)),
-            Step::Apply(changes, as_of) => drop(mirror.apply_changes(changes, as_of)),
+            Step::Replace(listing) => drop(mirror.replace(NOW, listing)),
+            Step::Apply(changes, as_of) => drop(mirror.apply_changes(NOW, changes, at(as_of))),
         }
     }
     let value = mirror.get("a").map(|item| item.value.clone());
     assert_eq!(value.as_deref(), case.value.map(str::as_bytes));
-    assert_eq!(mirror.as_of(), case.as_of);
+    assert_eq!(mirror.as_of(), at(case.as_of));
 }
 
 /// Guards against a plan that is not rebuilt because a changed key was not reported.
 #[test]
 fn changed_keys_are_reported_once() {
     let mut mirror = Mirror::default();
-    let changed =
-        mirror.apply_changes(vec![put("a", 1, "x"), put("b", 2, "y"), removed("b", 3)], 3);
+    let changed = mirror.apply_changes(
+        NOW,
+        vec![put("a", 1, "x"), put("b", 2, "y"), removed("b", 3)],
+        at(3),
+    );
     assert_eq!(changed.written, vec![Arc::from("a")]);
     assert_eq!(changed.removed, vec![Arc::from("b")]);
-    let changed = mirror.replace(listing(5, &[("a", 1, "x"), ("c", 5, "z")]));
+    let changed = mirror.replace(NOW, listing(5, &[("a", 1, "x"), ("c", 5, "z")]));
     assert_eq!(changed.written, vec![Arc::from("c")]);
     assert!(changed.removed.is_empty());
 }
@@ -115,8 +125,9 @@
 fn prefix_iteration_returns_only_matching_keys() {
     let mut mirror = Mirror::default();
     mirror.apply_changes(
+        NOW,
         vec![put("op/a", 1, ""), put("op/b", 2, ""), put("opx", 3, "")],
-        3,
+        at(3),
     );
     let keys: Vec<&str> = mirror.with_prefix("op/").map(|(key, _)| &**key).collect();
     assert_eq!(keys, ["op/a", "op/b"]);
@@ -126,30 +137,32 @@
 #[test]
 fn outdated_mirror_gets_changes_or_listing() {
     let mut source = Mirror::default();
-    source.replace(listing(5, &[("a", 4, "x")]));
+    source.replace(NOW, listing(5, &[("a", 4, "x")]));
     let mut follower = source.clone();
-    source.apply_changes(vec![put("b", 6, "y"), removed("a", 7)], 8);
+    source.apply_changes(NOW, vec![put("b", 6, "y"), removed("a", 7)], at(8));
     let update = source
-        .update_after(follower.as_of())
+        .update_after(NOW, follower.as_of())
         .expect("a newer state");
     assert!(matches!(update, lw_mesh::MirrorUpdate::Changes { .. }));
-    follower.apply_update(update);
-    assert_eq!((follower.as_of(), follower.get("a")), (8, None));
-    assert!(source.update_after(8).is_none());
-    let update = source.update_after(2).expect("a newer state");
-    assert!(matches!(update, lw_mesh::MirrorUpdate::Listing(_)));
+    follower.apply_update(NOW, update);
+    assert_eq!((follower.as_of(), follower.get("a")), (at(8), None));
+    assert!(source.update_after(NOW, at(8)).is_none());
+    let update = source.update_after(NOW, at(2)).expect("a newer state");
+    assert!(matches!(update, lw_mesh::MirrorUpdate::Listing { .. }));
 }
 
 /// Guards against an update without the changes that are no longer kept as recent ones.
 #[test]
 fn mirror_older_than_recent_changes_gets_listing() {
     let mut source = Mirror::default();
-    source.replace(listing(5, &[]));
+    source.replace(NOW, listing(5, &[]));
     for revision in 6..=400 {
-        source.apply_changes(vec![put(&format!("k{revision}"), revision, "x")], revision);
+        let written = put(&format!("k{revision}"), revision, "x");
+        source.apply_changes(NOW, vec![written], at(revision));
     }
     let mut follower = Mirror::default();
-    follower.replace(listing(6, &[("k6", 6, "x")]));
-    follower.apply_update(source.update_after(6).expect("a newer state"));
+    follower.replace(NOW, listing(6, &[("k6", 6, "x")]));
+    let update = source.update_after(NOW, at(6));
+    follower.apply_update(NOW, update.expect("a newer state"));
     assert_eq!(follower.with_prefix("k").count(), 395);
 }
--- a/crates/mesh/tests/wire_bytes.rs
+++ b/crates/mesh/tests/wire_bytes.rs
@@ -6,11 +6,16 @@
 
 use bytes::Bytes;
 use lw_mesh::{
-    Heartbeat, HostAddress, HostStatus, Item, KeyChange, Listing, MirrorUpdate, PlacedPart,
-    ServiceUsage, Stage, TargetUsage,
+    EarlierState, Heartbeat, HostAddress, HostStatus, Item, KeyChange, Listing, MirrorItem,
+    MirrorUpdate, PlacedPart, ServiceUsage, Stage, StateVersion, TargetUsage,
 };
 use test_case::test_case;
 
+/// Returns a version of the era that the fixtures with a second part state.
+fn at(revision: u64) -> StateVersion {
+    StateVersion { era: 9, revision }
+}
+
 fn heartbeat(stage: Stage) -> Heartbeat {
     Heartbeat {
         address: HostAddress {
@@ -22,7 +27,7 @@
         },
         status: HostStatus {
             stage,
-            as_of: 1_002,
+            as_of: at(1_002),
             platform_age_ms: 1_003,
             capacity_permille: 1_004,
             services: vec![ServiceUsage {
@@ -31,6 +36,7 @@
                 targets: 1_007,
                 free_slots: 1_008,
             }],
+            earlier_states: 8,
         },
         targets: vec![TargetUsage {
             target: 1_009,
@@ -44,6 +50,7 @@
             part: 1_015,
             tokens: 1_016,
         }],
+        leaving: vec![1_017],
     }
 }
 
@@ -51,14 +58,20 @@
 #[test_case(Stage::Ready, HEARTBEAT_READY; "ready")]
 #[test_case(Stage::Leaving, HEARTBEAT_LEAVING; "leaving")]
 fn heartbeat_bytes_are_stable(stage: Stage, fixture: &[u8]) {
-    let expected = heartbeat(stage);
+    let mut expected = heartbeat(stage);
+    let bytes = [fixture, HEARTBEAT_TRAILER].concat();
     assert_eq!(
         expected.encode().expect("the heartbeat can be encoded"),
-        fixture,
+        bytes,
         "encoded"
     );
-    let decoded = Heartbeat::decode(fixture).expect("the fixture can be decoded");
+    let decoded = Heartbeat::decode(&bytes).expect("the fixture can be decoded");
     assert_eq!(decoded, expected);
+    let decoded = Heartbeat::decode(fixture).expect("the first part can be decoded");
+    expected.status.as_of.era = 0;
+    expected.status.earlier_states = 0;
+    expected.leaving.clear();
+    assert_eq!(decoded, expected, "from a host that knows no eras");
 }
 
 fn changes() -> MirrorUpdate {
@@ -74,7 +87,7 @@
     };
     MirrorUpdate::Changes {
         changes: vec![written, removed],
-        as_of: 2_003,
+        as_of: at(2_003),
     }
 }
 
@@ -87,19 +100,49 @@
         (Arc::from("c"), item(b"vc", 2_004)),
         (Arc::from("d"), item(b"vd", 2_005)),
     ];
-    MirrorUpdate::Listing(Listing {
-        as_of: 2_006,
-        items: items.into(),
-    })
+    let earlier = EarlierState {
+        key: "e".into(),
+        item: MirrorItem {
+            value: Bytes::from_static(b"ve"),
+            version: StateVersion {
+                era: 8,
+                revision: 2_007,
+            },
+        },
+        is_removed: false,
+        version: StateVersion {
+            era: 7,
+            revision: 2_010,
+        },
+        listed_revision: Some(2_008),
+        age_ms: 2_009,
+    };
+    MirrorUpdate::Listing {
+        listing: Listing {
+            as_of: at(2_006),
+            items: items.into(),
+        },
+        earlier: vec![earlier],
+    }
 }
 
-#[test_case(&changes(), CHANGES; "changes")]
-#[test_case(&listing(), LISTING; "listing")]
-fn mirror_update_bytes_are_stable(expected: &MirrorUpdate, fixture: &[u8]) {
-    let bytes = postcard::to_stdvec(expected).expect("the update can be encoded");
-    assert_eq!(bytes, fixture, "encoded");
-    let decoded: MirrorUpdate = postcard::from_bytes(fixture).expect("the fixture can be decoded");
+#[test_case(&changes(), CHANGES, CHANGES_TRAILER; "changes")]
+#[test_case(&listing(), LISTING, LISTING_TRAILER; "listing")]
+fn mirror_update_bytes_are_stable(expected: &MirrorUpdate, fixture: &[u8], trailer: &[u8]) {
+    let bytes = expected
+        .clone()
+        .encode()
+        .expect("the update can be encoded");
+    let with_trailer = [fixture, trailer].concat();
+    assert_eq!(bytes, with_trailer, "encoded");
+    let decoded = MirrorUpdate::decode(&with_trailer).expect("the fixture can be decoded");
     assert_eq!(decoded, *expected);
+    let decoded = MirrorUpdate::decode(fixture).expect("the first part can be decoded");
+    let as_of = match &decoded {
+        MirrorUpdate::Changes { as_of, .. } => *as_of,
+        MirrorUpdate::Listing { listing, .. } => listing.as_of,
+    };
+    assert_eq!(as_of.era, 0, "from a host that knows no eras");
 }
 
 const HEARTBEAT_STARTING: &[u8] = &[
@@ -117,6 +160,12 @@
     234, 7, 235, 7, 236, 7, 1, 237, 7, 238, 7, 239, 7, 240, 7, 1, 241, 7, 242, 7, 243, 7, 244, 7,
     245, 7, 1, 246, 7, 247, 7, 248, 7,
 ];
+/// Era 9, eight earlier states, one leaving target.
+const HEARTBEAT_TRAILER: &[u8] = &[9, 8, 1, 249, 7];
+const CHANGES_TRAILER: &[u8] = &[9, 0];
+const LISTING_TRAILER: &[u8] = &[
+    9, 1, 1, 101, 2, 118, 101, 8, 215, 15, 0, 7, 218, 15, 1, 216, 15, 217, 15,
+];
 const CHANGES: &[u8] = &[
     0, 2, 1, 97, 209, 15, 1, 2, 118, 97, 1, 98, 210, 15, 0, 211, 15,
 ];
--- a/crates/relay/src/configuration.rs
+++ b/crates/relay/src/configuration.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use lw_base::prelude::*;
+use lw_mesh::StateVersion;
 
 use crate::plan::{CallerLimits, Service};
 use crate::route::RouteTable;
@@ -40,8 +41,8 @@
     pub is_leaving: bool,
     /// The remaining slow-start time when its entry was written, in milliseconds.
     pub cold_left_ms: u64,
-    /// The revision of its entry in the platform's store.
-    pub revision: u64,
+    /// The version of its entry in the platform's store.
+    pub version: StateVersion,
 }
 
 /// A consistent view of the platform's configuration and targets.
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -7,7 +7,7 @@
 use lw_admit::{ColdStartLimiter, ColdStartQuota, WindowedRetryBudget};
 use lw_base::prelude::*;
 use lw_base::stable_hash;
-use lw_mesh::{ChangedKeys, Coverage, HostTable, Mirror, Stage};
+use lw_mesh::{ChangedKeys, Coverage, EarlierStateView, HostTable, Mirror, Stage, StateVersion};
 
 use crate::budgets::cold_limit_hosts;
 use crate::clock::HostClock;
@@ -37,6 +37,8 @@
     pub started_ms: u64,
     /// Called after the mirror has changed, to build a plan from it.
     pub on_changed: OnChanged,
+    /// Decides whether a state from before a restore of the platform's store still holds.
+    pub holds_earlier_state: HoldsEarlierState,
 }
 
 /// The shared state of a gateway host. All its tasks run on one thread.
@@ -78,10 +80,13 @@
     pub(crate) connections: Cell<u32>,
     pub(crate) stop: tokio::sync::watch::Sender<StopStep>,
     on_changed: OnChanged,
+    holds_earlier_state: HoldsEarlierState,
 }
 
 /// Called after the mirror has changed.
 pub type OnChanged = Box<dyn Fn(&Host, &ChangedKeys)>;
+/// Returns whether a state from before a restore of the platform's store still holds.
+pub type HoldsEarlierState = Box<dyn Fn(&EarlierStateView<'_>) -> bool>;
 
 impl Host {
     /// Creates the state of a host that has no configuration and knows no other host yet.
@@ -93,6 +98,7 @@
             paths,
             started_ms,
             on_changed,
+            holds_earlier_state,
         } = parts;
         let hosts = HostTable::new(
             settings.host.clone(),
@@ -126,6 +132,7 @@
             connections: Cell::default(),
             stop: tokio::sync::watch::Sender::new(StopStep::Serve),
             on_changed,
+            holds_earlier_state,
         }
     }
 
@@ -164,10 +171,30 @@
         *self.coverage.borrow_mut() = coverage;
     }
 
-    /// Applies a change of the mirror and triggers a heartbeat.
-    pub fn mirror_changed(&self, changed: &ChangedKeys) {
-        (self.on_changed)(self, changed);
-        self.heartbeat_due.notify_one();
+    /// Updates the mirror, ends the earlier states that hold no longer, and puts the changes into force. Returns the
+    /// changed keys.
+    pub fn update_mirror(
+        &self,
+        update: impl FnOnce(&mut Mirror, MonoMs) -> ChangedKeys,
+    ) -> ChangedKeys {
+        let now = self.clock.now();
+        let mut mirror = self.mirror.borrow_mut();
+        let before = mirror.as_of();
+        let mut changed = update(&mut mirror, now);
+        let is_restored = before.era < mirror.as_of().era && before > StateVersion::default();
+        if is_restored {
+            log::warn!(before = before.to_string().as_str(), after = mirror.as_of().to_string().as_str(), earlier_states = mirror.earlier_states(); "the platform's store was restored from a copy");
+            self.metrics.store_restores.inc();
+        }
+        changed.merge(mirror.end_earlier_states(now, &self.holds_earlier_state));
+        self.metrics
+            .set_mirror(mirror.as_of(), mirror.earlier_states());
+        drop(mirror);
+        if is_restored || !changed.is_empty() {
+            (self.on_changed)(self, &changed);
+            self.heartbeat_due.notify_one();
+        }
+        changed
     }
 
     /// Returns the lifecycle stage of the process.
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -2,8 +2,10 @@
 
 use http::StatusCode;
 use lw_flow::AttemptFailure;
+use lw_mesh::StateVersion;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 /// The upper bounds of the latency buckets, in seconds: from a short answer without an engine to the longest deadline.
@@ -17,6 +19,11 @@
     request_s: Histogram,
     requests: IntGauge,
     connections: IntGauge,
+    mirror_era: IntGauge,
+    mirror_revision: IntGauge,
+    earlier_states: IntGauge,
+    /// Restores of the platform's store from a copy that this host noticed.
+    pub store_restores: IntCounter,
     /// Calls to the platform by kind and result.
     pub platform_calls: IntCounterVec,
 }
@@ -62,6 +69,26 @@
         };
         let requests = gauge("lacewingstile_relay_requests", "Requests being served");
         let connections = gauge("lacewingstile_relay_connections", "Open connections");
+        let mirror_era = gauge(
+            "lacewingstile_relay_mirror_era",
+            "Era of the mirror of the platform's store",
+        );
+        let mirror_revision = gauge(
+            "lacewingstile_relay_mirror_revision",
+            "Revision of the mirror of the platform's store",
+        );
+        let earlier_states = gauge(
+            "lacewingstile_relay_earlier_states",
+            "Keys whose state from before a restore of the store holds",
+        );
+        let store_restores = IntCounter::new(
+            "lacewingstile_relay_store_restores_total",
+            "Restores of the platform's store from a copy",
+        )
+        .expect("the names are valid");
+        registry
+            .register(Box::new(store_restores.clone()))
+            .expect("each name is used once");
         let options = HistogramOpts::new(
             "lacewingstile_relay_request_seconds",
             "Time from the arrival of a request to its end",
@@ -79,6 +106,10 @@
             request_s,
             requests,
             connections,
+            mirror_era,
+            mirror_revision,
+            earlier_states,
+            store_restores,
             platform_calls,
         }
     }
@@ -113,6 +144,13 @@
         self.attempt_failures.with_label_values(&[name]).inc();
     }
 
+    pub(crate) fn set_mirror(&self, as_of: StateVersion, earlier_states: usize) {
+        let gauge_value = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+        self.mirror_era.set(gauge_value(as_of.era));
+        self.mirror_revision.set(gauge_value(as_of.revision));
+        self.earlier_states.set(gauge_value(earlier_states as u64));
+    }
+
     pub(crate) fn set_load(&self, requests: u32, connections: u32) {
         self.requests.set(i64::from(requests));
         self.connections.set(i64::from(connections));
--- a/crates/relay/src/peer_heartbeats.rs
+++ b/crates/relay/src/peer_heartbeats.rs
@@ -6,7 +6,7 @@
 
 use lw_base::prelude::*;
 use lw_base::stable_hash;
-use lw_mesh::{Heartbeat, HostAddress, HostStatus, ServiceUsage, TargetUsage};
+use lw_mesh::{Heartbeat, HostAddress, HostStatus, ServiceUsage, StateVersion, TargetUsage};
 use tokio::net::UdpSocket;
 
 use crate::choose::{ChoiceQuery, TargetEligibility, choose};
@@ -83,17 +83,25 @@
 /// Returns the time since which this host is behind, or `None` when it is up to date.
 fn fetch_if_behind(host: &Rc<Host>, behind_since: Option<MonoMs>) -> Option<MonoMs> {
     let now = host.clock.now();
-    let as_of = host.mirror.borrow().as_of();
+    let mirror = host.mirror.borrow();
+    let as_of = mirror.as_of();
     let hosts = host.hosts.borrow();
-    let newer_host = hosts.host_with_newer_state(now, as_of)?;
+    let (source, known) = match hosts.host_with_newer_state(now, as_of) {
+        Some(newer_host) => (newer_host, as_of),
+        None if mirror.lacks_earlier_states() => {
+            let holding_host = hosts.host_with_earlier_states(now, as_of.era)?;
+            (holding_host, StateVersion::default())
+        }
+        None => return None,
+    };
     let since = behind_since.unwrap_or(now);
     let grace_ms = match host.hosts.borrow().is_watcher(now) {
         true => OWN_WATCH_GRACE_MS,
         false => 0,
     };
     if now.since_ms(since) >= grace_ms && !host.is_fetching_mirror.replace(true) {
-        let address = SocketAddr::from((newer_host.address.ip, host.settings.peer_port));
-        tokio::task::spawn_local(crate::peer_mirror::fetch(host.clone(), address));
+        let address = SocketAddr::from((source.address.ip, host.settings.peer_port));
+        tokio::task::spawn_local(crate::peer_mirror::fetch(host.clone(), address, known));
     }
     Some(since)
 }
@@ -202,9 +210,12 @@
             }),
             capacity_permille: host.settings.capacity_permille,
             services: service_usages(host, now),
+            earlier_states: u16::try_from(host.mirror.borrow().earlier_states())
+                .unwrap_or(u16::MAX),
         },
         targets: Vec::new(),
         placed: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
--- a/crates/relay/src/peer_mirror.rs
+++ b/crates/relay/src/peer_mirror.rs
@@ -6,7 +6,7 @@
 
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
-use lw_mesh::MirrorUpdate;
+use lw_mesh::{MirrorUpdate, StateVersion};
 
 use crate::connection::connect;
 use crate::headers::{MIRROR_AS_OF, header_text, header_value};
@@ -23,13 +23,13 @@
 /// Returns the changes after the version that the requesting host has.
 pub(crate) fn update_reply(host: &Host, headers: &HeaderMap) -> Reply {
     let mirror = host.mirror.borrow();
-    let known: u64 = header_text(headers, &MIRROR_AS_OF)
+    let known: StateVersion = header_text(headers, &MIRROR_AS_OF)
         .and_then(|text| text.parse().ok())
         .unwrap_or_default();
-    let Some(update) = mirror.update_after(known) else {
+    let Some(update) = mirror.update_after(host.clock.now(), known) else {
         return json_reply(StatusCode::NOT_FOUND, "{}".to_owned());
     };
-    match postcard::to_stdvec(&update) {
+    match update.encode() {
         Ok(bytes) => Reply::new(ReplyBody::whole(bytes)),
         Err(error) => {
             log::warn!(reason = error.to_string().as_str(); "the mirror could not be encoded");
@@ -38,9 +38,9 @@
     }
 }
 
-/// Fetches the changes that this host lacks from another host and applies them.
-pub(crate) async fn fetch(host: Rc<Host>, address: SocketAddr) {
-    let fetched = tokio::time::timeout(FETCH_TIMEOUT, fetch_update(&host, address)).await;
+/// Fetches the changes after the version `known` from another host and applies them.
+pub(crate) async fn fetch(host: Rc<Host>, address: SocketAddr, known: StateVersion) {
+    let fetched = tokio::time::timeout(FETCH_TIMEOUT, fetch_update(&host, address, known)).await;
     host.is_fetching_mirror.set(false);
     match fetched {
         Ok(Ok(Some(update))) => apply_update(&host, update),
@@ -55,28 +55,28 @@
 }
 
 fn apply_update(host: &Host, update: MirrorUpdate) {
-    let mut mirror = host.mirror.borrow_mut();
-    let before = mirror.as_of();
-    let changed = mirror.apply_update(update);
-    let after = mirror.as_of();
-    drop(mirror);
-    if changed.written.is_empty() && changed.removed.is_empty() {
+    let before = host.mirror.borrow().as_of();
+    let changed = host.update_mirror(|mirror, now| mirror.apply_update(now, update));
+    if changed.is_empty() {
         return;
     }
-    log::info!(before = before, after = after, written = changed.written.len(), removed = changed.removed.len(); "applied the platform state of another host");
-    host.mirror_changed(&changed);
+    let after = host.mirror.borrow().as_of();
+    log::info!(before = before.to_string().as_str(), after = after.to_string().as_str(), written = changed.written.len(), removed = changed.removed.len(); "applied the platform state of another host");
 }
 
-async fn fetch_update(host: &Host, address: SocketAddr) -> Result<Option<MirrorUpdate>, String> {
+async fn fetch_update(
+    host: &Host,
+    address: SocketAddr,
+    known: StateVersion,
+) -> Result<Option<MirrorUpdate>, String> {
     let now = host.clock.now();
-    let as_of = host.mirror.borrow().as_of();
     let mut connection = connect(address, CONNECT_TIMEOUT, now)
         .await
         .map_err(|error| error.to_string())?;
     let mut request = Request::new(Full::default());
     request
         .headers_mut()
-        .insert(MIRROR_AS_OF, header_value(as_of));
+        .insert(MIRROR_AS_OF, header_value(known));
     let host_name = header_value(address);
     request.headers_mut().insert(http::header::HOST, host_name);
     let sent = connection.sender.send_request(request).await;
@@ -86,6 +86,6 @@
     }
     let body = http_body_util::Limited::new(response.into_body(), MAX_UPDATE_BYTES);
     let body = body.collect().await.map_err(|error| error.to_string())?;
-    let update = postcard::from_bytes(&body.to_bytes());
+    let update = MirrorUpdate::decode(&body.to_bytes());
     update.map(Some).map_err(|error| error.to_string())
 }
--- a/crates/relay/src/target_registry.rs
+++ b/crates/relay/src/target_registry.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use lw_base::prelude::*;
+use lw_mesh::StateVersion;
 
 use crate::configuration::{ListedTarget, PlatformSnapshot};
 use crate::host::short_hash;
@@ -116,17 +117,23 @@
                 .entry(incarnation)
                 .or_insert_with(|| KnownTarget {
                     listed: ListedTarget {
-                        revision: 0,
+                        version: StateVersion::default(),
                         ..listed.clone()
                     },
                     load: Rc::default(),
                     retained_until: None,
                 });
             known.retained_until = None;
-            if known.listed.revision == listed.revision {
+            if known.listed.version == listed.version {
                 continue;
             }
-            known.listed = listed.clone();
+            // A target that has reported that it drains never accepts requests again; an entry that says otherwise comes
+            // from a copy of the store from before that report.
+            let is_leaving = known.listed.is_leaving || listed.is_leaving;
+            known.listed = ListedTarget {
+                is_leaving,
+                ..listed.clone()
+            };
             let mut load = known.load.borrow_mut();
             load.cold_until = match listed.cold_left_ms {
                 0 => load.cold_until,
--- a/crates/relay/tests/gateway/answers.rs
+++ b/crates/relay/tests/gateway/answers.rs
@@ -299,7 +299,7 @@
         },
         status: lw_mesh::HostStatus {
             stage: lw_mesh::Stage::Ready,
-            as_of: 0,
+            as_of: lw_mesh::StateVersion::default(),
             platform_age_ms: 0,
             capacity_permille: 250,
             services: vec![lw_mesh::ServiceUsage {
@@ -308,9 +308,11 @@
                 targets: 1,
                 free_slots: 8,
             }],
+            earlier_states: 0,
         },
         targets: Vec::new(),
         placed: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -247,6 +247,7 @@
         },
         started_ms: 1,
         on_changed: Box::new(|_, _| ()),
+        holds_earlier_state: Box::new(|_| false),
     }));
     for (address, kind) in [
         (host.settings.caller_address, ListenerKind::Callers),
--- a/crates/relay/tests/targets.rs
+++ b/crates/relay/tests/targets.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use lw_base::prelude::*;
+use lw_mesh::StateVersion;
 use lw_relay::{
     AttemptEnd, Configuration, ListedTarget, Plan, PlatformSnapshot, PrefixCacheEstimate, Prompt,
     Service, Target, TargetHealth, TargetRegistry,
@@ -22,7 +23,10 @@
         slots: 8,
         is_leaving: false,
         cold_left_ms: 0,
-        revision: 1,
+        version: StateVersion {
+            era: 0,
+            revision: 1,
+        },
     }
 }
 
