relay: obey targets that say in answers that they leave or want a pause

Cause: the header by which a leaving target marks its answers, and the Retry-After of its rejections, were not read.

Change: after the first marked answer, of any status or as the head of a stream, the target gets no new request in that process; requests in flight go on, waiting ones are placed again. Heartbeats name the leaving targets of the region, and an answer that is passed on names its leaving target to the host that forwarded the request. A 503 with Retry-After closes the target for this host until the time is over; the host returns a bit later, by a random part, with one request, and doubles the number of unanswered requests with each answer (target_pause.rs, pure). When all targets of a service want a pause, a request is refused at once, with the time of the first return plus a random delay; hosts that cover no target learn that time by heartbeats. Delays that are not numbers of seconds are logged and counted.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -17,12 +17,12 @@
 use crate::connection::{Connection, connect};
 use crate::head_verdict::{HeadFacts, HeadVerdict, classify_head};
 use crate::headers::{
-    LOCAL_OUTCOME, REMAINING_MS, SAME_REGION, TRIED_TARGETS, forwarded_answer_headers, header_text,
-    header_value, is_encoded, keep_alive_ms,
+    LEAVING_TARGET, LOCAL_OUTCOME, REMAINING_MS, SAME_REGION, TRIED_TARGETS,
+    forwarded_answer_headers, header_text, header_value, is_encoded, keep_alive_ms,
 };
 use crate::host::Host;
 use crate::in_flight::InFlight;
-use crate::incoming::Incoming;
+use crate::incoming::{Hop, Incoming};
 use crate::local_reply::{NOT_RUN, NOT_SENT};
 use crate::pool::PoolKey;
 use crate::target_health::AttemptEnd;
@@ -124,6 +124,7 @@
                 return AttemptResult::NoAnswer(failure);
             }
         };
+        self.record_target_notices(target, response.status(), response.headers());
         let verdict = classify_head(self.head_facts(&response, incoming, connection.reused));
         let is_other_incarnation = response.status() == StatusCode::MISDIRECTED_REQUEST;
         in_flight.record_end(match verdict {
@@ -131,7 +132,15 @@
             HeadVerdict::Answer => AttemptEnd::Answered,
             HeadVerdict::TargetError | HeadVerdict::AttemptFailed(_) => AttemptEnd::Failed,
         });
-        self.classify(response, connection, key, verdict, Some(in_flight))
+        let mut result = self.classify(response, connection, key, verdict, Some(in_flight));
+        if let AttemptResult::Answer(answer) | AttemptResult::TargetError(answer) = &mut result
+            && incoming.hop != Hop::Caller
+            && target.load.borrow().health.is_leaving()
+        {
+            let hash = header_value(target.hash);
+            answer.headers.insert(LEAVING_TARGET, hash);
+        }
+        result
     }
 
     /// Sends a request to another host, of this region or of another one.
@@ -165,6 +174,10 @@
             Ok(sent) => sent,
             Err(failure) => return AttemptResult::NoAnswer(failure),
         };
+        let leaving = header_text(response.headers(), &LEAVING_TARGET);
+        if let Some(hash) = leaving.and_then(|text| text.parse().ok()) {
+            self.record_leaving(hash);
+        }
         let verdict = match header_text(response.headers(), &LOCAL_OUTCOME) {
             Some(NOT_SENT) => return AttemptResult::NotSent,
             Some(NOT_RUN) => HeadVerdict::AttemptFailed(AttemptFailure::TargetRefused),
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -97,6 +97,11 @@
     /// The service has targets, but none can accept the request at the moment: each was tried already, or
     /// lacks a slot, memory or cold-start quota.
     Full,
+    /// Each target that was not tried has asked this host for a pause.
+    Paused {
+        /// The time at which the first of them opens again.
+        until: MonoMs,
+    },
 }
 
 /// The rules for the targets that this host may use.
@@ -127,6 +132,8 @@
     let mut best_suspect: Option<(f64, ChosenTarget)> = None;
     let mut has_target = false;
     let mut has_healthy = false;
+    let mut has_open = false;
+    let mut opens_at: Option<MonoMs> = None;
     for target in plan.targets_of(query.service) {
         if *target.region != *query.region || !plan.accepts_requests(target) {
             continue;
@@ -139,6 +146,14 @@
             continue;
         }
         let load = target.load.borrow();
+        if let Some(until) = load.health.closed_until(now) {
+            opens_at = Some(opens_at.map_or(until, |earliest| earliest.min(until)));
+            continue;
+        }
+        has_open = true;
+        if !load.health.may_send(now) {
+            continue;
+        }
         let is_cold = now < load.cold_until && service.cold_per_s > 0.0;
         if is_cold {
             let limit = (rules.limit)(service, target);
@@ -219,10 +234,11 @@
         true => best_healthy,
         false => best_healthy.or(best_suspect),
     };
-    match (chosen, has_target) {
+    match (chosen, opens_at) {
         (Some((_, chosen)), _) => Ok(chosen),
-        (None, true) => Err(NoTarget::Full),
-        (None, false) => Err(NoTarget::Absent),
+        (None, Some(until)) if !has_open => Err(NoTarget::Paused { until }),
+        (None, _) if has_target => Err(NoTarget::Full),
+        (None, _) => Err(NoTarget::Absent),
     }
 }
 
--- a/crates/relay/src/choose_host.rs
+++ b/crates/relay/src/choose_host.rs
@@ -92,6 +92,17 @@
         })
     }
 
+    /// Returns the time at which the targets of a service open again, if each host of the region that covers them
+    /// reports that they have asked for a pause.
+    pub(crate) fn paused_until(&self, now: MonoMs, service: &Service) -> Option<MonoMs> {
+        let hosts = self.hosts.borrow();
+        let usages = hosts.service_usage(now, service.hash);
+        let in_region = usages.filter(|(entry, ..)| entry.address.region == self.settings.region);
+        let paused = in_region.filter(|(.., usage)| usage.targets == 0 && usage.wait_ms < u16::MAX);
+        let opens_at = paused.map(|(_, at, usage)| at.plus_ms(u64::from(usage.wait_ms)));
+        opens_at.min()
+    }
+
     /// Returns the peer address of a host in another region: of two random hosts, the one with the shorter wait for the
     /// service.
     pub(crate) fn find_host_in_region(
--- a/crates/relay/src/decide.rs
+++ b/crates/relay/src/decide.rs
@@ -76,15 +76,27 @@
                 Err(refused) => refused,
             };
             let now = self.clock.now();
-            if now >= wait_until || refused == NoTarget::Absent {
-                let reason = match refused {
-                    NoTarget::Absent => "no target in an allowed region accepts requests",
-                    NoTarget::Full => "no target can accept the request at the moment",
-                };
-                return Err(LocalReply::not_run(
-                    reason,
-                    retry_delay_ms(incoming.route.latency_goal_ms),
-                ));
+            let goal_ms = incoming.route.latency_goal_ms;
+            match refused {
+                NoTarget::Absent => {
+                    return Err(LocalReply::not_run(
+                        "no target in an allowed region accepts requests",
+                        retry_delay_ms(goal_ms),
+                    ));
+                }
+                NoTarget::Paused { until } if until > wait_until => {
+                    return Err(LocalReply::not_run(
+                        "all targets have asked for a pause",
+                        until.since_ms(now) + retry_delay_ms(goal_ms),
+                    ));
+                }
+                NoTarget::Full | NoTarget::Paused { .. } if now >= wait_until => {
+                    return Err(LocalReply::not_run(
+                        "no target can accept the request at the moment",
+                        retry_delay_ms(goal_ms),
+                    ));
+                }
+                NoTarget::Full | NoTarget::Paused { .. } => {}
             }
             let _ = tokio::time::timeout(POLL_INTERVAL, capacity_changed).await;
         }
@@ -187,6 +199,9 @@
             return Ok(Destination::Host { address, region });
         }
         serve_in_region(local_choice).map_err(|refused| match refused {
+            NoTarget::Absent if let Some(until) = self.paused_until(now, service) => {
+                NoTarget::Paused { until }
+            }
             // Another region has the service but no free slot at the moment.
             NoTarget::Absent if self.serves_elsewhere(now, service, allows) => NoTarget::Full,
             refused => refused,
--- a/crates/relay/src/headers.rs
+++ b/crates/relay/src/headers.rs
@@ -24,6 +24,9 @@
 /// Requests a host's copy of the platform state, with the version that the sender already has.
 pub(crate) const MIRROR_AS_OF: HeaderName = HeaderName::from_static("x-relay-mirror");
 
+/// Names a target that has said in this answer that it is leaving, by its hash.
+pub(crate) const LEAVING_TARGET: HeaderName = HeaderName::from_static("x-relay-leaving");
+
 /// Headers that apply to one connection only.
 const HOP_BY_HOP: [HeaderName; 11] = [
     CONNECTION,
@@ -40,12 +43,13 @@
 ];
 
 /// Headers of the protocol between hosts; they are removed from requests of callers.
-const PEER_HEADERS: [HeaderName; 5] = [
+const PEER_HEADERS: [HeaderName; 6] = [
     REMAINING_MS,
     SAME_REGION,
     TRIED_TARGETS,
     LOCAL_OUTCOME,
     MIRROR_AS_OF,
+    LEAVING_TARGET,
 ];
 
 /// Returns the headers of a request that are forwarded to its target or to another host.
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -24,6 +24,7 @@
     earlier_states: IntGauge,
     /// Restores of the platform's store from a copy that this host noticed.
     pub store_restores: IntCounter,
+    pub(crate) target_notices: IntCounterVec,
     /// Calls to the platform by kind and result.
     pub platform_calls: IntCounterVec,
 }
@@ -55,6 +56,11 @@
             "Attempts without an answer",
             &["failure"],
         );
+        let target_notices = counters(
+            "lacewingstile_relay_target_notices_total",
+            "Targets that said that they are leaving, or asked for a pause",
+            &["notice"],
+        );
         let platform_calls = counters(
             "lacewingstile_relay_platform_calls_total",
             "Calls to the platform",
@@ -110,6 +116,7 @@
             mirror_revision,
             earlier_states,
             store_restores,
+            target_notices,
             platform_calls,
         }
     }
--- a/crates/relay/src/names.rs
+++ b/crates/relay/src/names.rs
@@ -23,6 +23,8 @@
     pub not_run: HeaderName,
     /// The delay before a retry, in seconds.
     pub retry_after: HeaderName,
+    /// Marks the answers of a target that is leaving.
+    pub leaving: HeaderName,
     /// The scheduling urgency of a request on an engine.
     pub urgency: HeaderName,
     /// Headers that only hosts may set; those of callers are removed.
--- a/crates/relay/src/peer_heartbeats.rs
+++ b/crates/relay/src/peer_heartbeats.rs
@@ -9,7 +9,7 @@
 use lw_mesh::{Heartbeat, HostAddress, HostStatus, ServiceUsage, StateVersion, TargetUsage};
 use tokio::net::UdpSocket;
 
-use crate::choose::{ChoiceQuery, TargetEligibility, choose};
+use crate::choose::{ChoiceQuery, NoTarget, TargetEligibility, choose};
 use crate::host::Host;
 use crate::prompt::{Prompt, PromptPart};
 use crate::target_load::HostTargetUsage;
@@ -124,6 +124,9 @@
     if heartbeat.address.region != host.settings.region {
         return;
     }
+    for hash in &heartbeat.leaving {
+        host.record_leaving(*hash);
+    }
     let sender = stable_hash(heartbeat.address.host.as_bytes());
     let plan = host.plan();
     for (service, targets) in plan.targets.iter().enumerate() {
@@ -169,6 +172,7 @@
     let mut detailed = summary.clone();
     detailed.targets = target_usages(host, now);
     detailed.placed = host.placed.borrow_mut().take_batch();
+    detailed.leaving = host.leaving_targets();
     send_to_all(host, socket, &detailed, &recipients.same_region).await;
     send_to_all(host, socket, &summary, &recipients.other_regions).await;
 }
@@ -275,9 +279,14 @@
         }
         ServiceUsage {
             service: service.hash,
-            wait_ms: chosen
-                .as_ref()
-                .map_or(u16::MAX, |chosen| chosen.expected_ms as u16),
+            wait_ms: match chosen {
+                Ok(ref chosen) => chosen.expected_ms as u16,
+                // Without targets, this is the time until the first of them opens again.
+                Err(NoTarget::Paused { until }) => {
+                    u16::try_from(until.since_ms(now)).unwrap_or(u16::MAX - 1)
+                }
+                Err(NoTarget::Absent | NoTarget::Full) => u16::MAX,
+            },
             targets: match chosen {
                 Ok(_) => targets,
                 Err(_) => 0,
--- a/crates/relay/src/plan.rs
+++ b/crates/relay/src/plan.rs
@@ -74,6 +74,12 @@
 }
 
 impl Plan {
+    /// Returns the target with this hash.
+    pub(crate) fn target_with_hash(&self, hash: u32) -> Option<&Target> {
+        let mut targets = self.targets.iter().flatten();
+        targets.find(|target| target.hash == hash)
+    }
+
     /// Returns the targets of a service.
     #[must_use]
     pub fn targets_of(&self, service: ServiceKey) -> &[Target] {
@@ -83,6 +89,8 @@
     /// Returns whether a target may receive new requests.
     #[must_use]
     pub fn accepts_requests(&self, target: &Target) -> bool {
-        target.is_in_service && !self.evacuated.contains(&target.zone)
+        target.is_in_service
+            && !self.evacuated.contains(&target.zone)
+            && !target.load.borrow().health.is_leaving()
     }
 }
--- a/crates/relay/src/target_health.rs
+++ b/crates/relay/src/target_health.rs
@@ -2,6 +2,8 @@
 
 use lw_base::prelude::*;
 
+use crate::target_pause::TargetPause;
+
 /// The duration of the first ejection, doubled with every consecutive failure.
 const INITIAL_EJECTION_MS: u64 = 400;
 /// The maximum duration of an ejection. A restarted target has a new incarnation, so probes after an ejection matter
@@ -40,6 +42,8 @@
     failure_rate: f64,
     unanswered: u32,
     silent_since: MonoMs,
+    is_leaving: bool,
+    pause: TargetPause,
 }
 
 impl TargetHealth {
@@ -64,6 +68,7 @@
                 self.silent_since = now;
                 self.consecutive_failures = 0;
                 self.failure_rate *= 1.0 - RATE_WEIGHT;
+                self.pause.record_accepted(now);
             }
             AttemptEnd::Failed => {
                 self.silent_since = now;
@@ -84,6 +89,35 @@
         }
     }
 
+    /// Records that the target has said in an answer that it is leaving. Returns false if that was known.
+    pub fn record_leaving(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_leaving, true)
+    }
+
+    /// Returns whether the target has said that it is leaving. Its entry may still say otherwise.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving
+    }
+
+    /// Closes the target for as long as it has asked this host to stay away; `draw` is a random number from 0 to 1.
+    /// Returns whether it was open before.
+    pub fn record_pause(&mut self, now: MonoMs, pause_ms: u64, draw: f64) -> bool {
+        self.pause.close(now, pause_ms, draw)
+    }
+
+    /// Returns when a target that has asked for a pause opens again.
+    #[must_use]
+    pub fn closed_until(&self, now: MonoMs) -> Option<MonoMs> {
+        self.pause.closed_until(now)
+    }
+
+    /// Returns whether the target may receive a request during or after a pause.
+    #[must_use]
+    pub fn may_send(&self, now: MonoMs) -> bool {
+        self.pause.may_send(now, self.unanswered)
+    }
+
     /// Returns whether new requests should use other targets; `answer_ms` is the usual time to an answer.
     #[must_use]
     pub fn is_suspect(&self, now: MonoMs, answer_ms: f64) -> bool {
--- a/crates/relay/tests/gateway/main.rs
+++ b/crates/relay/tests/gateway/main.rs
@@ -2,5 +2,6 @@
 
 mod answers;
 mod header_timeout;
+mod notices;
 mod plan_changes;
 mod support;
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -238,6 +238,7 @@
             pinned_target: name("x-target"),
             not_run: name("x-not-run"),
             retry_after: name("retry-after"),
+            leaving: name("x-leaving"),
             urgency: name("x-urgency"),
             reserved: vec![name("x-target"), name("x-urgency"), name("x-hold")],
         },
--- a/crates/relay/tests/targets.rs
+++ b/crates/relay/tests/targets.rs
@@ -196,3 +196,31 @@
     let prompt = Prompt::parse(None, Some("p29:10000,q:500"));
     assert_eq!(cache.cached_tokens(&prompt.parts), 10_000);
 }
+
+/// Guards against an entry that still says ready and puts a leaving target back into use, and against a restarted target
+/// that is not used because its former process was leaving.
+#[test]
+fn a_leaving_target_stays_out_of_use_until_it_restarts() {
+    let mut registry = TargetRegistry::default();
+    let plan = registry.plan(NOW, &snapshot(vec![listed("a")]), region_of);
+    available(&plan)[0]
+        .load
+        .borrow_mut()
+        .health
+        .record_leaving();
+    let written_again = ListedTarget {
+        version: StateVersion {
+            era: 0,
+            revision: 9,
+        },
+        ..listed("a")
+    };
+    let plan = registry.plan(NOW, &snapshot(vec![written_again]), region_of);
+    assert!(available(&plan).is_empty());
+    let restarted = ListedTarget {
+        started_at_ms: 2,
+        ..listed("a")
+    };
+    let plan = registry.plan(NOW, &snapshot(vec![restarted]), region_of);
+    assert_eq!(available(&plan).len(), 1);
+}
