admit, relay: let routes of a full service share it evenly

Change: RouteShares (pure, max-min fairness over recent rates) tells whether a route asks for less than an equal share. Such a request may take reserved places of a full plain target, and is sent to a covering host although no host reports a free slot. Full targets are counted in heartbeats, without free slots. Engines are left out: their requests differ in size a hundredfold.

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -7,6 +7,7 @@
 use crate::prompt::Prompt;
 use crate::service_timings::ServiceTimings;
 use crate::target::Target;
+use crate::target_load::HostTargetUsage;
 
 /// Queued requests that a plain target may have beyond its slots, as a multiple of the slots. Further requests wait at
 /// the host, which can still send them elsewhere.
@@ -16,6 +17,8 @@
 /// The same for requests with a long shared prefix: they gain most at the prefix owner, while short requests run
 /// equally well anywhere.
 const LONG_PREFIX_QUEUE_RATIO: f64 = 2.0;
+/// Places in the queue of a plain target that only routes within their share may take, as a multiple of the slots.
+const PLAIN_RESERVE_RATIO: f64 = 1.0;
 /// The fraction of an engine's memory that running requests may fill; above it the engine preempts requests.
 const MAX_MEMORY_SHARE: f64 = 0.9;
 /// Weight of a request's prefill time in its cost: the prefill also delays every other request of the engine.
@@ -60,6 +63,8 @@
     pub prefix_owner: Option<u32>,
     /// The owner over all regions lies in another region, so a copy on `prefix_owner` is an additional one.
     pub is_owner_in_other_region: bool,
+    /// The route of the request is within its share of the service, so it may take reserved places.
+    pub is_within_share: bool,
     /// Hashes of the incarnations that were tried already.
     pub tried: &'a [u32],
     /// Measured times of the service.
@@ -164,7 +169,7 @@
         let usage = load.total_usage(now);
         let is_suspect = load.health.is_suspect(now, query.timings.answer_ms);
         has_healthy |= !is_suspect;
-        if is_full(service, target, usage.running, usage.tokens, query.prompt) {
+        if is_full(service, target, usage, query) {
             continue;
         }
         let cached = load.cache.cached_tokens(&query.prompt.parts);
@@ -252,14 +257,24 @@
     FULL_USE_COST_MS * use_ratio.max(0.0)
 }
 
-fn is_full(service: &Service, target: &Target, running: u32, tokens: u64, prompt: &Prompt) -> bool {
+fn is_full(
+    service: &Service,
+    target: &Target,
+    usage: HostTargetUsage,
+    query: &ChoiceQuery<'_>,
+) -> bool {
+    let (running, prompt) = (usage.running, query.prompt);
     let slots = f64::from(target.slots.max(1));
     let queue = match service.engine {
         Some(_) if prompt.shared_prefix().is_some() => LONG_PREFIX_QUEUE_RATIO,
         Some(_) => ENGINE_QUEUE_RATIO,
         None => PLAIN_QUEUE_RATIO,
     };
-    if f64::from(running) >= slots * (1.0 + queue) || running >= service.max_connections {
+    let reserve = match service.engine {
+        None if query.is_within_share => PLAIN_RESERVE_RATIO,
+        _ => 0.0,
+    };
+    if f64::from(running) >= slots * (1.0 + queue + reserve) || running >= service.max_connections {
         return true;
     }
     let Some(engine) = service.engine else {
@@ -267,5 +282,6 @@
     };
     // An idle engine accepts a request of any size that fits its memory.
     running > 0
-        && (tokens + prompt.total_tokens()) as f64 > engine.memory_tokens as f64 * MAX_MEMORY_SHARE
+        && (usage.tokens + prompt.total_tokens()) as f64
+            > engine.memory_tokens as f64 * MAX_MEMORY_SHARE
 }
--- a/crates/relay/src/choose_host.rs
+++ b/crates/relay/src/choose_host.rs
@@ -5,12 +5,12 @@
 use lw_base::prelude::*;
 use lw_base::stable_hash_pair;
 use lw_mesh::ServiceUsage;
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, IteratorRandom};
 
 use crate::choose::{ChosenTarget, NoTarget, PREFILL_WEIGHT, plain_cost_ms};
 use crate::decide::AttemptHistory;
 use crate::host::Host;
-use crate::plan::Service;
+use crate::plan::{Plan, Service};
 use crate::prompt::Prompt;
 use crate::spill::RegionCandidate;
 use crate::target::Target;
@@ -41,16 +41,19 @@
         service: &Service,
         tried: &AttemptHistory,
         owner: Option<&Target>,
+        is_within_share: impl Fn() -> bool,
         allows: impl Fn(&str) -> bool,
     ) -> Vec<RegionCandidate> {
         let hosts = self.hosts.borrow();
         let recent_spills = self.recent_spills.borrow();
+        let may_use_reserve = is_within_share();
         let mut latest: FastMap<&str, (MonoMs, RegionCandidate)> = FastMap::default();
         for (entry, received_at, usage) in hosts.service_usage(now, service.hash) {
             let region = &entry.address.region;
             let is_own_region = *region == self.settings.region;
             let is_owner = owner.is_some_and(|owner| owner.region == *region);
-            let is_usable = (is_owner || has_free_slots(usage)) && allows(region);
+            let has_places = usage.targets > 0 && may_use_reserve;
+            let is_usable = (is_owner || has_places || has_free_slots(usage)) && allows(region);
             if is_own_region || !is_usable || tried.regions.contains(region) {
                 continue;
             }
@@ -92,6 +95,27 @@
         })
     }
 
+    /// Returns the address of a host that covers a target of the service in this region and was not tried yet. Such a
+    /// host has places for routes within their share although its targets are full.
+    pub(crate) fn find_covering_host(
+        &self,
+        plan: &Plan,
+        service: ServiceKey,
+        tried: &AttemptHistory,
+    ) -> Option<SocketAddr> {
+        let coverage = self.coverage.borrow();
+        let targets = plan.targets_of(service).iter();
+        let usable = targets.filter(|target| {
+            target.region == self.settings.region
+                && plan.accepts_requests(target)
+                && !tried.targets.contains(&target.hash)
+        });
+        let covering = usable.flat_map(|target| coverage.other_hosts(target.hash));
+        let addresses = covering.map(|ip| SocketAddr::from((*ip, self.settings.peer_port)));
+        let untried = addresses.filter(|address| !tried.hosts.contains(address));
+        untried.choose(&mut rand::rng())
+    }
+
     /// Returns the time at which the targets of a service open again, if each host of the region that covers them
     /// reports that they have asked for a pause.
     pub(crate) fn paused_until(&self, now: MonoMs, service: &Service) -> Option<MonoMs> {
--- a/crates/relay/src/decide.rs
+++ b/crates/relay/src/decide.rs
@@ -126,6 +126,7 @@
             prompt: &incoming.prompt,
             prefix_owner: owners.in_region.map(|owner| owner.hash),
             is_owner_in_other_region: owners.is_outside(region),
+            is_within_share: false,
             tried: &tried.targets,
             timings,
         };
@@ -136,10 +137,20 @@
             covers: &covers,
             limit: &limit,
         };
-        let local_choice = match is_region_allowed {
+        let mut local_choice = match is_region_allowed {
             true => choose(plan, &query, now, &rules),
             false => Err(NoTarget::Absent),
         };
+        // The share of the route matters only when the usual places are taken. Requests to engines differ in size by
+        // a factor of a hundred, so their number says nothing about a route's share.
+        let is_within_share = || service.engine.is_none() && self.is_within_share(now, incoming);
+        if matches!(local_choice, Err(NoTarget::Full)) && is_within_share() {
+            let query = ChoiceQuery {
+                is_within_share: true,
+                ..query
+            };
+            local_choice = choose(plan, &query, now, &rules);
+        }
         drop(coverage);
         if incoming.hop == Hop::Near {
             return local_choice.map(Destination::Target);
@@ -162,7 +173,17 @@
                 address: regional_host.address,
                 region: region.clone(),
             }),
-            None => local_choice.map(Destination::Target),
+            None => local_choice.map(Destination::Target).or_else(|refused| {
+                let covering = match may_forward && is_region_allowed && is_within_share() {
+                    true => self.find_covering_host(plan, key, tried),
+                    false => None,
+                };
+                let to_host = |address| Destination::Host {
+                    address,
+                    region: region.clone(),
+                };
+                covering.map(to_host).ok_or(refused)
+            }),
         };
         if incoming.hop == Hop::Region {
             return serve_in_region(local_choice);
@@ -186,7 +207,14 @@
             prefix_owner: owners
                 .global
                 .map(|owner| (owner.region.clone(), unshared_ms)),
-            candidates: self.region_candidates(now, service, tried, owners.global, allows),
+            candidates: self.region_candidates(
+                now,
+                service,
+                tried,
+                owners.global,
+                || local_cost_ms.is_none() && is_within_share(),
+                allows,
+            ),
         };
         if may_forward
             && let Some(candidate) = choose_region(&spill)
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -86,6 +86,7 @@
 
     /// Runs the request, with retries, and returns the response.
     pub(crate) async fn run(mut self) -> Reply {
+        self.host.record_asked(&self.incoming);
         let mut last: Option<AttemptFailure> = None;
         let mut target_error: Option<WholeAnswer> = None;
         loop {
@@ -308,12 +309,14 @@
     }
 
     fn finish_whole(self, answer: WholeAnswer) -> Reply {
+        self.host.record_served(&self.incoming);
         self.log_end(answer.status, "answered");
         let body = ReplyBody::whole(answer.body);
         self.response(answer.status, answer.headers, body)
     }
 
     fn finish_events(self, started: StartedStream) -> Reply {
+        self.host.record_served(&self.incoming);
         let status = started.first.answer.status;
         let headers = started.first.answer.headers.clone();
         let host = self.host.clone();
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use lw_admit::{ColdStartLimiter, ColdStartQuota, WindowedRetryBudget};
+use lw_admit::{ColdStartLimiter, ColdStartQuota, RouteShares, WindowedRetryBudget};
 use lw_base::prelude::*;
 use lw_base::stable_hash;
 use lw_mesh::{ChangedKeys, Coverage, EarlierStateView, HostTable, Mirror, Stage, StateVersion};
@@ -63,6 +63,8 @@
     pub(crate) pool: Pool,
     pub(crate) service_timings: RefCell<FastMap<Arc<str>, ServiceTimings>>,
     pub(crate) budgets: RefCell<FastMap<Arc<str>, WindowedRetryBudget>>,
+    /// The recent rates of routes by the name of their service.
+    pub(crate) route_shares: RefCell<FastMap<Arc<str>, RouteShares>>,
     /// Placed prompt parts that heartbeats have yet to announce to the region.
     pub(crate) placed: RefCell<PlacedPartQueue>,
     pub(crate) recent_spills: RefCell<RecentSpills>,
@@ -120,6 +122,7 @@
             pool: Pool::default(),
             service_timings: RefCell::default(),
             budgets: RefCell::default(),
+            route_shares: RefCell::default(),
             placed: RefCell::default(),
             recent_spills: RefCell::default(),
             coverage: RefCell::default(),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -42,6 +42,7 @@
 mod server;
 mod service_timings;
 mod settings;
+mod shares;
 mod spill;
 mod stop;
 mod target;
--- a/crates/relay/src/peer_heartbeats.rs
+++ b/crates/relay/src/peer_heartbeats.rs
@@ -263,6 +263,7 @@
             prompt: &prompt,
             prefix_owner: None,
             is_owner_in_other_region: false,
+            is_within_share: false,
             tried: &[],
             timings: host.timings_of(service),
         };
@@ -287,11 +288,15 @@
                 }
                 Err(NoTarget::Absent | NoTarget::Full) => u16::MAX,
             },
+            // Full targets have no free slots, but accept requests of routes that are within their share.
             targets: match chosen {
-                Ok(_) => targets,
+                Ok(_) | Err(NoTarget::Full) => targets,
+                Err(NoTarget::Absent | NoTarget::Paused { .. }) => 0,
+            },
+            free_slots: match chosen {
+                Ok(_) => u16::try_from(free_slots).unwrap_or(u16::MAX),
                 Err(_) => 0,
             },
-            free_slots: u16::try_from(free_slots).unwrap_or(u16::MAX),
         }
     });
     usages.collect()
--- a/crates/relay/tests/placing.rs
+++ b/crates/relay/tests/placing.rs
@@ -64,6 +64,7 @@
         prompt,
         prefix_owner: owner.map(|owner| owner.hash),
         is_owner_in_other_region: false,
+        is_within_share: false,
         tried: &[],
         timings: ServiceTimings::default(),
     };
@@ -127,6 +128,7 @@
         prompt: &prompt,
         prefix_owner: Some(owner.hash),
         is_owner_in_other_region: case.is_owner_in_other_region,
+        is_within_share: false,
         tried: &[],
         timings: ServiceTimings::default(),
     };
@@ -173,6 +175,7 @@
         prompt: &prompt,
         prefix_owner: Some(regional_owner.hash),
         is_owner_in_other_region: true,
+        is_within_share: false,
         tried: &[],
         timings: ServiceTimings::default(),
     };
