relay: choose engines by measured paces of streams and prompts

A running request was taken to cost 2 ms on an engine of 128 slots, queues were bounded by slots and not by time, and the prefill time of a token was three times too high, because it contained the constant part of the time to the first event.

Change: linear fits, per service and host, of the time between events over the running requests and of the time to the first event over the tokens to prefill replace these constants; a request is queued only where it can get a slot within its latency goal.

--- a/crates/admit/tests/route_shares.rs
+++ b/crates/admit/tests/route_shares.rs
@@ -49,7 +49,7 @@
     for _ in 0..200 {
         now = now.plus_ms(10);
         shares.record_asked(now, 1);
-        if now.0 % 40 == 0 {
+        if now.0.is_multiple_of(40) {
             shares.record_served(now, 1);
         }
     }
@@ -58,7 +58,7 @@
         now = now.plus_ms(5);
         shares.record_asked(now, 1);
         shares.record_asked(now, 2);
-        if now.0 % 40 == 0 {
+        if now.0.is_multiple_of(40) {
             shares.record_served(now, 1);
         }
     }
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -40,7 +40,13 @@
 /// Cost of a new copy of a long shared prefix on a target that neither owns nor caches it, as a multiple of the prefill
 /// time: each further copy displaces other prefixes from memory.
 pub(crate) const NEW_COPY_WEIGHT: f64 = 3.0;
-/// Cost of a fully used engine or target, in milliseconds, scaled by the use of its slots: tokens come more slowly.
+/// A request is not queued at an engine when it would wait longer than this fraction of its latency goal for a slot.
+const MAX_SLOT_WAIT_RATIO: f64 = 1.0;
+/// A request is delayed by each other one that runs on its engine, and delays it in turn.
+const SHARED_DELAY_WEIGHT: f64 = 2.0;
+/// The delay of one output token by each other request that runs on the engine, in milliseconds, until it is measured.
+const INITIAL_TOKEN_DELAY_MS: f64 = 0.14;
+/// Cost of a fully used plain target, in milliseconds, scaled by the use of its slots.
 const FULL_USE_COST_MS: f64 = 250.0;
 /// Up to this use of its slots, a plain target answers in its usual time.
 const UNDELAYED_USE_RATIO: f64 = 0.8;
@@ -63,6 +69,10 @@
     pub prefix_owner: Option<u32>,
     /// The owner over all regions lies in another region, so a copy on `prefix_owner` is an additional one.
     pub is_owner_in_other_region: bool,
+    /// The usual number of events in an answer of the route; zero if it is not known yet.
+    pub answer_events: f64,
+    /// The time in which the answer should begin, in milliseconds.
+    pub latency_goal_ms: f64,
     /// The route of the request is within its share of the service, so it may take reserved places.
     pub is_within_share: bool,
     /// Hashes of the incarnations that were tried already.
@@ -197,8 +207,14 @@
             Some(_) => LONG_PREFIX_SLOWDOWN_WEIGHT,
             None => 1.0,
         };
+        let slot_wait_ms = query.timings.slot_wait_ms(usage.running, target.slots);
+        let delay_ms = match query.timings.pace.slope() {
+            Some(gap_ms) if query.answer_events > 0.0 => query.answer_events * gap_ms,
+            _ => slowed_tokens * INITIAL_TOKEN_DELAY_MS,
+        };
+        let batch_ms = SHARED_DELAY_WEIGHT * delay_ms * f64::from(usage.running);
         let expected_ms = match service.engine {
-            Some(_) => usage.backlog_ms + prefill_ms + slowdown_ms,
+            Some(_) => usage.backlog_ms + prefill_ms + slowdown_ms + slot_wait_ms,
             None => query.timings.answer_ms * (1.0 + (use_ratio - UNDELAYED_USE_RATIO).max(0.0)),
         };
         let cost_ms = match service.engine {
@@ -207,7 +223,8 @@
                     + prefill_weight * prefill_ms
                     + copy_ms
                     + slowdown_weight * slowdown_ms
-                    + FULL_USE_COST_MS * use_ratio
+                    + slot_wait_ms
+                    + batch_ms
             }
             None => FULL_USE_COST_MS * use_ratio,
         } + FAILURE_COST_MS
@@ -280,6 +297,10 @@
     let Some(engine) = service.engine else {
         return false;
     };
+    let slot_wait_ms = query.timings.slot_wait_ms(running, target.slots);
+    if slot_wait_ms > query.latency_goal_ms * MAX_SLOT_WAIT_RATIO {
+        return true;
+    }
     // An idle engine accepts a request of any size that fits its memory.
     running > 0
         && (usage.tokens + prompt.total_tokens()) as f64
--- a/crates/relay/src/decide.rs
+++ b/crates/relay/src/decide.rs
@@ -126,6 +126,8 @@
             prompt: &incoming.prompt,
             prefix_owner: owners.in_region.map(|owner| owner.hash),
             is_owner_in_other_region: owners.is_outside(region),
+            answer_events: self.answer_events(incoming),
+            latency_goal_ms: incoming.route.latency_goal_ms as f64,
             is_within_share: false,
             tried: &tried.targets,
             timings,
--- a/crates/relay/src/event_relay.rs
+++ b/crates/relay/src/event_relay.rs
@@ -11,8 +11,10 @@
 
 use crate::answer::OpenAnswer;
 use crate::exchange::{AttemptStep, Exchange, StartedStream};
+use crate::in_flight::InFlight;
 use crate::reply::BodyStream;
 use crate::route::AnswerForm;
+use crate::route_measurements::CompletedStream;
 
 /// An answer of which the first complete event was read, or whose body has ended.
 pub(crate) struct FirstEvents {
@@ -79,6 +81,9 @@
     unsent: Bytes,
     ended: bool,
     is_end_logged: bool,
+    /// When the first event arrived, and how many requests ran on the engine then; `None` after a resume, whose events
+    /// come from two engines.
+    began: Option<(MonoMs, u32)>,
 }
 
 impl EventRelay {
@@ -89,8 +94,12 @@
             events,
             ended,
         } = started.first;
+        let now = exchange.host.clock.now();
+        let load = answer.in_flight.as_ref().map(InFlight::load);
+        let running = load.map_or(0, |load| load.borrow().total_usage(now).running);
         Self {
             exchange,
+            began: Some((now, running)),
             answer: Some(answer),
             cursor,
             unsent: events,
@@ -129,6 +138,7 @@
             };
             if self.ended {
                 if let Some(answer) = self.answer.take() {
+                    self.record_measurements(&answer);
                     let host = &self.exchange.host;
                     host.pool
                         .put(host.clock.now(), answer.key, answer.connection);
@@ -156,6 +166,20 @@
         }
     }
 
+    fn record_measurements(&self, answer: &OpenAnswer) {
+        let Some((began_at, running_at_start)) = self.began else {
+            return;
+        };
+        let host = &self.exchange.host;
+        let stream = CompletedStream {
+            events: self.cursor.events(),
+            took_ms: host.clock.now().since_ms(began_at),
+            running_at_start,
+            load: answer.in_flight.as_ref().map(InFlight::load),
+        };
+        host.record_stream(&self.exchange.incoming, &stream);
+    }
+
     /// Resumes the stream at another target after the last complete event.
     async fn resume(&mut self, failure: AttemptFailure) -> Result<(), &'static str> {
         let resumable = AnswerForm::Events { resumable: true };
@@ -165,6 +189,7 @@
             return Err("the stream cannot be resumed");
         }
         self.exchange.runs += 1;
+        self.began = None;
         let after = self.cursor.last_id();
         let mut last = failure;
         loop {
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -63,6 +63,8 @@
     pub(crate) pool: Pool,
     pub(crate) service_timings: RefCell<FastMap<Arc<str>, ServiceTimings>>,
     pub(crate) budgets: RefCell<FastMap<Arc<str>, WindowedRetryBudget>>,
+    /// The usual number of events in an answer, by the hash of the route's name.
+    pub(crate) answer_events: RefCell<FastMap<u64, f64>>,
     /// The recent rates of routes by the name of their service.
     pub(crate) route_shares: RefCell<FastMap<Arc<str>, RouteShares>>,
     /// Placed prompt parts that heartbeats have yet to announce to the region.
@@ -122,6 +124,7 @@
             pool: Pool::default(),
             service_timings: RefCell::default(),
             budgets: RefCell::default(),
+            answer_events: RefCell::default(),
             route_shares: RefCell::default(),
             placed: RefCell::default(),
             recent_spills: RefCell::default(),
--- a/crates/relay/src/in_flight.rs
+++ b/crates/relay/src/in_flight.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// Returns the load of the target.
+    pub(crate) fn load(&self) -> &RefCell<TargetLoad> {
+        &self.load
+    }
+
     /// Records that the target sent bytes.
     pub(crate) fn record_received(&self) {
         self.load
--- a/crates/relay/src/peer_heartbeats.rs
+++ b/crates/relay/src/peer_heartbeats.rs
@@ -263,6 +263,8 @@
             prompt: &prompt,
             prefix_owner: None,
             is_owner_in_other_region: false,
+            answer_events: 0.0,
+            latency_goal_ms: f64::INFINITY,
             is_within_share: false,
             tried: &[],
             timings: host.timings_of(service),
