admit: let a cold target have less than one request per second

Cause: the part of a host of a cold target's rate was rounded down, so a part below one request per second became zero, and the target got no request while it was cold. Seen by readers of the code.

Change: with a part below one per second, the window is longer instead.

--- a/crates/admit/src/cold_start_limiter.rs
+++ b/crates/admit/src/cold_start_limiter.rs
@@ -32,9 +32,21 @@
         ((per_s / 2.0) as usize).clamp(1, eligible_hosts.max(1))
     }
 
+    /// Returns the number of requests that this host may send in a window, and the length of the window in milliseconds.
+    /// With less than one request per second, the window is longer.
+    fn own_limit(quota: ColdStartQuota) -> (usize, u64) {
+        let own_per_s = quota.per_s / quota.hosts.max(1) as f64;
+        match own_per_s {
+            1.0.. => (own_per_s as usize, WINDOW_MS),
+            _ if own_per_s > 0.0 => (1, (WINDOW_MS as f64 / own_per_s) as u64),
+            _ => (0, WINDOW_MS),
+        }
+    }
+
     /// Consumes one request of this host's quota; returns false when the quota is used up.
     pub fn try_send(&mut self, now: MonoMs, quota: ColdStartQuota) -> bool {
-        self.sent_at.retain(|at| now.since_ms(*at) < WINDOW_MS);
+        let (_, window_ms) = Self::own_limit(quota);
+        self.sent_at.retain(|at| now.since_ms(*at) < window_ms);
         if !self.may_send(now, quota) {
             return false;
         }
@@ -45,8 +57,9 @@
     /// Returns true when [`Self::try_send`] would succeed.
     #[must_use]
     pub fn may_send(&self, now: MonoMs, quota: ColdStartQuota) -> bool {
+        let (limit, window_ms) = Self::own_limit(quota);
         let recent = self.sent_at.iter();
-        let recent = recent.filter(|at| now.since_ms(**at) < WINDOW_MS).count();
-        recent < (quota.per_s / quota.hosts.max(1) as f64) as usize
+        let recent = recent.filter(|at| now.since_ms(**at) < window_ms).count();
+        recent < limit
     }
 }
