mesh: tell one another which hosts of a large region are alive

Cause: a heartbeat goes to twelve hosts, so in a region of 110 hosts each host hears from another one every 3.7 s, and counts as dead after 2.5 s. Hosts then disagree on who covers a target and who may send to a cold one.

Change: heartbeats within a region larger than their fan-out also say when other hosts were heard from, own news first, at most 60 hosts of five to six bytes. The fan-out of large regions grows with the square root of their hosts, so that news reaches each host in two steps.

Measured: mesh/tests/hosts.rs plays 12, 26, 110 and 330 hosts of a region with 5% lost datagrams.

--- a/crates/mesh/src/heartbeat.rs
+++ b/crates/mesh/src/heartbeat.rs
@@ -5,6 +5,7 @@
 
 use crate::host_entry::HostAddress;
 use crate::host_status::HostStatus;
+use crate::sighting::Sighting;
 
 /// The sender's usage of one target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -61,6 +62,9 @@
     /// incarnation; empty in heartbeats to other regions.
     #[serde(skip)]
     pub leaving: Vec<u32>,
+    /// When other hosts of the region were heard from; empty in heartbeats to other regions.
+    #[serde(skip)]
+    pub sightings: Vec<Sighting>,
 }
 
 /// The second part of an encoded heartbeat. Hosts of versions without it read only the first part.
@@ -69,6 +73,7 @@
     era: u64,
     earlier_states: u16,
     leaving: Vec<u32>,
+    sightings: Vec<Sighting>,
 }
 
 /// The error of a heartbeat that cannot be encoded or decoded.
@@ -87,6 +92,7 @@
             era: self.status.as_of.era,
             earlier_states: self.status.earlier_states,
             leaving: self.leaving.clone(),
+            sightings: self.sightings.clone(),
         };
         let bytes = postcard::to_stdvec(self)?;
         Ok(postcard::to_extend(&trailer, bytes)?)
@@ -104,6 +110,7 @@
             heartbeat.status.as_of.era = trailer.era;
             heartbeat.status.earlier_states = trailer.earlier_states;
             heartbeat.leaving = trailer.leaving;
+            heartbeat.sightings = trailer.sightings;
         }
         Ok(heartbeat)
     }
--- a/crates/mesh/src/host_entry.rs
+++ b/crates/mesh/src/host_entry.rs
@@ -32,9 +32,19 @@
     pub last_heartbeat_at: Option<MonoMs>,
     /// The status from the last heartbeat, or the default if there was none.
     pub status: HostStatus,
+    /// When another host last heard from this one, if that is known.
+    pub last_sighting_at: Option<MonoMs>,
+    /// Another host has heard that this one is leaving.
+    pub is_seen_leaving: bool,
 }
 
 impl HostEntry {
+    /// Returns when the host was last heard from, by this host or by another one.
+    #[must_use]
+    pub fn heard_at(&self) -> Option<MonoMs> {
+        self.last_heartbeat_at.max(self.last_sighting_at)
+    }
+
     /// Returns the weight of the host in weighted selection, relative to other hosts.
     #[must_use]
     pub fn weight(&self) -> f64 {
--- a/crates/mesh/src/host_table.rs
+++ b/crates/mesh/src/host_table.rs
@@ -1,5 +1,6 @@
 //! The table of known hosts.
 
+use std::cmp::Reverse;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
@@ -10,6 +11,7 @@
 use crate::heartbeat::{Heartbeat, ServiceUsage};
 use crate::host_entry::{HostAddress, HostEntry, capacity_weight};
 use crate::host_status::HostStatus;
+use crate::sighting::Sighting;
 use crate::stage::Stage;
 use crate::state_version::StateVersion;
 
@@ -20,12 +22,21 @@
 /// A heartbeat with an earlier start time is accepted after this long without heartbeats of the later-started process,
 /// because the wall clock of a restarted host may have gone back.
 const RESTART_SILENCE_MS: u64 = 900;
-/// The maximum number of hosts of its region that a host sends each heartbeat to. Larger regions are covered in
-/// round-robin order, so that the bytes a host sends do not depend on the size of its region.
-const REGION_FAN_OUT: usize = 12;
+/// The minimum number of hosts of its region that a host sends each heartbeat to, if there are so many. Larger regions
+/// are covered in round-robin order.
+const MIN_REGION_FAN_OUT: usize = 12;
+/// The number of recipients in a large region, as a multiple of the square root of its hosts: a heartbeat and its
+/// sightings then reach each host in two steps, and the bytes that a host sends grow with that root.
+const REGION_FAN_OUT_RATIO: f64 = 1.5;
 /// The exclusive upper bound of a host's initial round. Hosts start together; if all began with the same round, they
 /// would all send to the same three hosts at a time, and each host would receive nothing from other regions for 6 s.
 const INITIAL_ROUND_LIMIT: u64 = 1 << 16;
+/// The maximum number of sightings in a heartbeat, which bounds its datagram. A host hears from a dozen others in an
+/// interval, so there is room for what they have heard.
+const MAX_SIGHTINGS: usize = 60;
+/// A heartbeat that was received within this time is passed on first, in milliseconds: the interval of heartbeats and a
+/// margin.
+const FIRST_HAND_MS: u64 = 450;
 /// The maximum number of known hosts of other regions that a host sends each heartbeat to.
 const REMOTE_FAN_OUT: usize = 3;
 
@@ -96,6 +107,8 @@
             address,
             last_heartbeat_at: None,
             status: HostStatus::default(),
+            last_sighting_at: None,
+            is_seen_leaving: false,
         };
         self.hosts.insert(entry.address.host.clone(), entry);
         self.update_peaks();
@@ -131,17 +144,70 @@
             address: heartbeat.address.clone(),
             last_heartbeat_at: Some(now),
             status: heartbeat.status.clone(),
+            last_sighting_at: None,
+            is_seen_leaving: false,
         };
         self.hosts.insert(entry.address.host.clone(), entry);
+        self.record_sightings(now, &heartbeat.sightings);
         self.update_peaks();
         true
     }
 
+    /// Records when another host has heard from hosts of this region. Hosts from which this host has had no heartbeat yet
+    /// stay unknown, since nothing is known of their status.
+    fn record_sightings(&mut self, now: MonoMs, sightings: &[Sighting]) {
+        if sightings.is_empty() {
+            return;
+        }
+        let by_hash: FastMap<u32, &Sighting> =
+            sightings.iter().map(|seen| (seen.host, seen)).collect();
+        for entry in self.hosts.values_mut() {
+            let Some(seen) = by_hash.get(&short_name_hash(&entry.address.host)) else {
+                continue;
+            };
+            let heard_at = seen.heard_at(now);
+            if entry.last_heartbeat_at.is_some() && entry.heard_at() < Some(heard_at) {
+                entry.last_sighting_at = Some(heard_at);
+                entry.is_seen_leaving |= seen.is_leaving();
+            }
+        }
+    }
+
+    /// Returns the news of live hosts of the region for the next heartbeat: none while each heartbeat reaches every host
+    /// of the region, otherwise the latest.
+    #[must_use]
+    pub fn sightings(&self, now: MonoMs) -> Vec<Sighting> {
+        if self.peak_in_region <= self.region_fan_out() + 1 {
+            return Vec::new();
+        }
+        let mut live: Vec<(bool, Reverse<MonoMs>, &HostEntry)> = self
+            .live_hosts(now)
+            .filter(|entry| self.is_same_region(entry))
+            .filter_map(|entry| {
+                let heard_at = entry.heard_at()?;
+                let is_second_hand = entry
+                    .last_heartbeat_at
+                    .is_none_or(|at| now.since_ms(at) > FIRST_HAND_MS);
+                Some((is_second_hand, Reverse(heard_at), entry))
+            })
+            .collect();
+        // Each heartbeat is passed on once by each host that received it; the rest of the room is for the latest of what
+        // others have told.
+        live.sort_unstable_by_key(|(is_second_hand, heard_at, _)| (*is_second_hand, *heard_at));
+        let latest = live.into_iter().take(MAX_SIGHTINGS);
+        let sightings = latest.filter_map(|(_, Reverse(heard_at), entry)| {
+            let is_leaving = entry.is_seen_leaving || entry.status.stage == Stage::Leaving;
+            let hash = short_name_hash(&entry.address.host);
+            Sighting::new(now, hash, heard_at, is_leaving)
+        });
+        sightings.collect()
+    }
+
     /// Removes hosts without a recent heartbeat. Hosts known only from the platform stay.
     pub fn prune(&mut self, now: MonoMs) {
         self.hosts.retain(|_, entry| {
             entry
-                .last_heartbeat_at
+                .heard_at()
                 .is_none_or(|at| now.since_ms(at) < FORGET_AFTER_MS)
         });
     }
@@ -149,15 +215,16 @@
     /// Returns the live hosts that accept requests.
     pub fn ready(&self, now: MonoMs) -> impl Iterator<Item = &HostEntry> {
         self.live_hosts(now)
-            .filter(|entry| entry.status.stage == Stage::Ready)
+            .filter(|entry| entry.status.stage == Stage::Ready && !entry.is_seen_leaving)
     }
 
-    /// Returns the hosts whose last heartbeat is at most [`HEARTBEAT_TIMEOUT_MS`] old.
+    /// Returns the hosts that were heard from at most [`HEARTBEAT_TIMEOUT_MS`] ago, by this host or by another one.
     pub fn live_hosts(&self, now: MonoMs) -> impl Iterator<Item = &HostEntry> {
         self.hosts.values().filter(move |entry| {
-            entry
-                .last_heartbeat_at
-                .is_some_and(|at| now.since_ms(at) <= HEARTBEAT_TIMEOUT_MS)
+            entry.last_heartbeat_at.is_some()
+                && entry
+                    .heard_at()
+                    .is_some_and(|at| now.since_ms(at) <= HEARTBEAT_TIMEOUT_MS)
         })
     }
 
@@ -277,7 +344,7 @@
     #[must_use]
     pub fn heartbeats_per_region_round(&self) -> usize {
         let others = self.peak_in_region.saturating_sub(1);
-        others.div_ceil(REGION_FAN_OUT).max(1)
+        others.div_ceil(self.region_fan_out()).max(1)
     }
 
     /// Returns the recipients of the next heartbeat and advances the round.
@@ -301,11 +368,17 @@
         // platform.
         other_regions.extend(seeds);
         Recipients {
-            same_region: round_robin(&same_region, self.round, REGION_FAN_OUT),
+            same_region: round_robin(&same_region, self.round, self.region_fan_out()),
             other_regions,
         }
     }
 
+    /// Returns the number of hosts of the region that a heartbeat is sent to.
+    fn region_fan_out(&self) -> usize {
+        let two_steps = REGION_FAN_OUT_RATIO * (self.peak_in_region as f64).sqrt();
+        MIN_REGION_FAN_OUT.max(two_steps.ceil() as usize)
+    }
+
     fn is_same_region(&self, entry: &HostEntry) -> bool {
         entry.address.region == self.region
     }
@@ -320,6 +393,11 @@
     }
 }
 
+/// Returns the low half of the stable hash of a host's name.
+fn short_name_hash(name: &str) -> u32 {
+    stable_hash(name.as_bytes()) as u32
+}
+
 /// Returns at most `count` items of `all`, in round-robin order over the rounds.
 fn round_robin(all: &[Ipv4Addr], round: usize, count: usize) -> Vec<Ipv4Addr> {
     if all.len() <= count {
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -12,6 +12,7 @@
 mod host_table;
 mod mirror;
 mod mirror_update;
+mod sighting;
 mod stage;
 mod state_version;
 
@@ -24,5 +25,6 @@
 pub use host_table::{HEARTBEAT_TIMEOUT_MS, HostTable, Recipients, WATCHERS_PER_REGION};
 pub use mirror::{Item, KeyChange, Listing, Mirror, MirrorItem};
 pub use mirror_update::{MirrorUpdate, MirrorUpdateError};
+pub use sighting::Sighting;
 pub use stage::Stage;
 pub use state_version::{StateVersion, StateVersionError};
--- a/crates/mesh/tests/hosts.rs
+++ b/crates/mesh/tests/hosts.rs
@@ -3,6 +3,7 @@
 use std::net::Ipv4Addr;
 
 use lw_base::prelude::*;
+use lw_base::stable_hash;
 use lw_mesh::{
     HEARTBEAT_TIMEOUT_MS, Heartbeat, HostAddress, HostStatus, HostTable, Stage, StateVersion,
 };
@@ -33,6 +34,7 @@
         targets: Vec::new(),
         placed: Vec::new(),
         leaving: Vec::new(),
+        sightings: Vec::new(),
     }
 }
 
@@ -276,3 +278,106 @@
     }
     assert!(covered.iter().all(|hosts| *hosts == 3), "{covered:?}");
 }
+
+/// The hosts of one region that send one another heartbeats every 400 ms.
+struct Region {
+    now: MonoMs,
+    tables: Vec<HostTable>,
+    /// The hosts from this index on were killed.
+    killed_from: usize,
+}
+
+impl Region {
+    fn start(hosts: usize) -> Self {
+        let name = |host: usize| format!("h{host}");
+        let address = |host: usize| {
+            let [high, low] = (host as u16).to_be_bytes();
+            Ipv4Addr::new(10, 0, high, low)
+        };
+        let mut tables: Vec<HostTable> = (0..hosts)
+            .map(|host| HostTable::new(name(host).into(), "north".into(), Vec::new(), 250))
+            .collect();
+        for table in &mut tables {
+            for host in 0..hosts {
+                let mut heartbeat = heartbeat(&name(host), "north", 0, 1);
+                heartbeat.address.ip = address(host);
+                table.record_heartbeat(NOW, &heartbeat);
+            }
+        }
+        Self {
+            now: NOW,
+            tables,
+            killed_from: hosts,
+        }
+    }
+
+    /// Lets each live host send a heartbeat, one after the other within 400 ms. Each twentieth datagram is lost.
+    fn send_heartbeats(&mut self) {
+        let hosts = self.tables.len() as u64;
+        for sender in 0..self.killed_from {
+            let now = self.now.plus_ms(400 * sender as u64 / hosts);
+            let mut heartbeat = heartbeat(&format!("h{sender}"), "north", 0, 1);
+            let [high, low] = (sender as u16).to_be_bytes();
+            heartbeat.address.ip = Ipv4Addr::new(10, 0, high, low);
+            heartbeat.sightings = self.tables[sender].sightings(now);
+            let bytes = heartbeat.encode().expect("the heartbeat can be encoded");
+            assert!(bytes.len() < 700, "{} bytes", bytes.len());
+            for ip in self.tables[sender].recipients().same_region {
+                let [_, _, high, low] = ip.octets();
+                let receiver = usize::from(u16::from_be_bytes([high, low]));
+                let datagram = format!("{} {sender} {receiver}", now.0);
+                let is_lost = stable_hash(datagram.as_bytes()).is_multiple_of(20);
+                if receiver < self.killed_from && !is_lost {
+                    self.tables[receiver].record_heartbeat(now, &heartbeat);
+                }
+            }
+        }
+        self.now = self.now.plus_ms(400);
+    }
+
+    /// Returns the smallest number of live hosts that a live host knows.
+    fn fewest_known(&self) -> usize {
+        let live = self.tables[..self.killed_from].iter();
+        live.map(|table| table.ready(self.now).count())
+            .min()
+            .unwrap_or(0)
+    }
+
+    /// Returns the number of hosts that consider themselves selected for a key.
+    fn selected(&self, key: &str, count: usize) -> usize {
+        let live = self.tables[..self.killed_from].iter();
+        live.filter(|table| table.is_selected(self.now, key, count))
+            .count()
+    }
+}
+
+/// Guards against hosts of a large region that time out at one another between two heartbeats: they disagree on who covers
+/// a target, and more hosts than intended send to a cold one.
+#[test_case(12; "each heartbeat reaches all hosts")]
+#[test_case(26; "a small region")]
+#[test_case(110; "a large region")]
+#[test_case(330; "a region of a thousand hosts in three")]
+fn all_hosts_of_a_region_know_which_of_them_are_alive(hosts: usize) {
+    let mut region = Region::start(hosts);
+    for round in 0..20 {
+        region.send_heartbeats();
+        assert_eq!(region.fewest_known(), hosts - 1, "round {round}");
+        for key in ["t1#1", "t2#1"] {
+            assert_eq!(region.selected(key, 4), 4, "round {round}");
+        }
+    }
+    region.killed_from = hosts * 3 / 4;
+    // The heartbeat timeout and two intervals for the last sightings.
+    let rounds = (HEARTBEAT_TIMEOUT_MS + 800).div_ceil(400);
+    for _ in 0..rounds {
+        region.send_heartbeats();
+    }
+    let live = region.tables[..region.killed_from].iter();
+    let known = live.map(|table| table.ready(region.now).count()).max();
+    assert_eq!(
+        known,
+        Some(region.killed_from - 1),
+        "killed hosts are dropped"
+    );
+    assert_eq!(region.selected("t1#1", 4), 4);
+}
--- a/crates/mesh/tests/wire_bytes.rs
+++ b/crates/mesh/tests/wire_bytes.rs
@@ -5,9 +5,10 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use lw_base::prelude::*;
 use lw_mesh::{
     EarlierState, Heartbeat, HostAddress, HostStatus, Item, KeyChange, Listing, MirrorItem,
-    MirrorUpdate, PlacedPart, ServiceUsage, Stage, StateVersion, TargetUsage,
+    MirrorUpdate, PlacedPart, ServiceUsage, Sighting, Stage, StateVersion, TargetUsage,
 };
 use test_case::test_case;
 
@@ -51,6 +52,9 @@
             tokens: 1_016,
         }],
         leaving: vec![1_017],
+        sightings: Sighting::new(MonoMs(500), 1_018, MonoMs(250), true)
+            .into_iter()
+            .collect(),
     }
 }
 
@@ -71,6 +75,7 @@
     expected.status.as_of.era = 0;
     expected.status.earlier_states = 0;
     expected.leaving.clear();
+    expected.sightings.clear();
     assert_eq!(decoded, expected, "from a host that knows no eras");
 }
 
@@ -160,8 +165,8 @@
     234, 7, 235, 7, 236, 7, 1, 237, 7, 238, 7, 239, 7, 240, 7, 1, 241, 7, 242, 7, 243, 7, 244, 7,
     245, 7, 1, 246, 7, 247, 7, 248, 7,
 ];
-/// Era 9, eight earlier states, one leaving target.
-const HEARTBEAT_TRAILER: &[u8] = &[9, 8, 1, 249, 7];
+/// Era 9, eight earlier states, one leaving target, one sighting of a leaving host 250 ms ago.
+const HEARTBEAT_TRAILER: &[u8] = &[9, 8, 1, 249, 7, 1, 250, 7, 133];
 const CHANGES_TRAILER: &[u8] = &[9, 0];
 const LISTING_TRAILER: &[u8] = &[
     9, 1, 1, 101, 2, 118, 101, 8, 215, 15, 0, 7, 218, 15, 1, 216, 15, 217, 15,
--- a/crates/relay/src/peer_heartbeats.rs
+++ b/crates/relay/src/peer_heartbeats.rs
@@ -173,6 +173,7 @@
     detailed.targets = target_usages(host, now);
     detailed.placed = host.placed.borrow_mut().take_batch();
     detailed.leaving = host.leaving_targets();
+    detailed.sightings = host.hosts.borrow().sightings(now);
     send_to_all(host, socket, &detailed, &recipients.same_region).await;
     send_to_all(host, socket, &summary, &recipients.other_regions).await;
 }
@@ -220,6 +221,7 @@
         targets: Vec::new(),
         placed: Vec::new(),
         leaving: Vec::new(),
+        sightings: Vec::new(),
     }
 }
 
--- a/crates/relay/tests/gateway/answers.rs
+++ b/crates/relay/tests/gateway/answers.rs
@@ -313,6 +313,7 @@
         targets: Vec::new(),
         placed: Vec::new(),
         leaving: Vec::new(),
+        sightings: Vec::new(),
     }
 }
 
--- a/crates/relay/tests/gateway/notices.rs
+++ b/crates/relay/tests/gateway/notices.rs
@@ -108,6 +108,7 @@
         targets: Vec::new(),
         placed: Vec::new(),
         leaving: Vec::new(),
+        sightings: Vec::new(),
     }
 }
 
