relay: name the end of the pause also in refusals after an attempt

Cause: a request whose only target rejected it with a delay was refused with the usual retry delay (140 ms where the target had asked for 700 ms), because a target that was tried did not count as closed. Found when the test of pauses was extended to the first refusal.

Change: targets that were tried count as closed too; a refusal after a rejected attempt names the later of the two delays.

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -112,7 +112,7 @@
     /// The service has targets, but none can accept the request at the moment: each was tried already, or
     /// lacks a slot, memory or cold-start quota.
     Full,
-    /// Each target that was not tried has asked this host for a pause.
+    /// Each target has asked this host for a pause.
     Paused {
         /// The time at which the first of them opens again.
         until: MonoMs,
@@ -157,16 +157,13 @@
             continue;
         }
         has_target = true;
-        if query.tried.contains(&target.hash) {
-            continue;
-        }
         let load = target.load.borrow();
         if let Some(until) = load.health.closed_until(now) {
             opens_at = Some(opens_at.map_or(until, |earliest| earliest.min(until)));
             continue;
         }
         has_open = true;
-        if !load.health.may_send(now) {
+        if query.tried.contains(&target.hash) || !load.health.may_send(now) {
             continue;
         }
         let is_cold = now < load.cold_until && service.cold_per_s > 0.0;
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -164,6 +164,13 @@
         let destination = match (decision, fallback) {
             (Ok(destination), _) => destination,
             (Err(reply), None) => return Err(reply),
+            // Both refusals hold, so the caller should come back when the later one ends.
+            (Err(reply), Some(fallback)) if fallback.outcome == Outcome::NotRun => {
+                return Err(LocalReply {
+                    retry_after_ms: fallback.retry_after_ms.max(reply.retry_after_ms),
+                    ..fallback
+                });
+            }
             (Err(_), Some(fallback)) => return Err(fallback),
         };
         let service = &self.incoming.service;
--- a/crates/relay/tests/gateway/notices.rs
+++ b/crates/relay/tests/gateway/notices.rs
@@ -135,6 +135,14 @@
     });
 }
 
+/// Returns the retry delay of a refusal, in milliseconds.
+fn retry_after_ms(answer: &CallerAnswer) -> u64 {
+    let seconds: f64 = header(&answer.head, "retry-after")
+        .and_then(|text| text.parse().ok())
+        .expect("a refusal names a retry delay");
+    (seconds * 1_000.0) as u64
+}
+
 struct PauseCase {
     retry_after: &'static str,
     /// The target gets no request for this time, in milliseconds; zero if the header is ignored.
@@ -159,6 +167,8 @@
         let host = start_host(ONCE, std::slice::from_ref(&target)).await;
         let first = call(host.settings.caller_address, &request("a0")).await;
         assert_eq!(first.status, 503);
+        let named_ms = retry_after_ms(&first);
+        assert!(named_ms + 20 >= case.pause_ms, "{named_ms}");
         let start = Instant::now();
         let mut index = 0;
         let mut answered_at = None;
@@ -173,9 +183,7 @@
             assert_eq!(answer.status, 503);
             assert!(start.elapsed() < Duration::from_millis(case.pause_ms + 600));
             assert_eq!(arrivals(&target), 1);
-            let retry_after_s: f64 = header(&answer.head, "retry-after")
-                .and_then(|text| text.parse().ok())
-                .expect("a refusal names a retry delay");
+            let retry_after_s = retry_after_ms(&answer) as f64 / 1_000.0;
             let rest_s = case.pause_ms as f64 / 1_000.0 - start.elapsed().as_secs_f64();
             assert!(
                 retry_after_s >= rest_s - 0.02,
