relay: log the prompt parts of failed attempts and the load of their targets

Cause: the logs of the incident show which engines crash, but neither what they were working on nor how busy they were, so that a bad part, overload and repeats cannot be told apart.

Change: the lines of failed attempts and of broken streams state the parts of the prompt as the caller sent them, at most 200 bytes; the former also the target's requests and slots. No decision changes.

--- a/crates/relay/src/event_relay.rs
+++ b/crates/relay/src/event_relay.rs
@@ -157,7 +157,7 @@
                     if let Some(answer) = self.answer.take()
                         && failure != AttemptFailure::DeadlineAfterSend
                     {
-                        log::info!(id = &*self.exchange.incoming.id, to = self.exchange.last_peer.as_str(), events = self.cursor.events(); "the target's stream ended before its end marker");
+                        log::info!(id = &*self.exchange.incoming.id, to = self.exchange.last_peer.as_str(), events = self.cursor.events(), parts = self.exchange.prompt_parts(); "the target's stream ended before its end marker");
                         drop(answer);
                     }
                     self.resume(failure).await?;
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -24,6 +24,9 @@
 /// The minimum remaining time for another attempt, in milliseconds; with less, the attempt would miss the deadline.
 const MIN_REMAINING_MS: u64 = 30;
 
+/// The largest number of bytes of a request's prompt parts in a log line.
+const MAX_LOGGED_PARTS_BYTES: usize = 200;
+
 /// The state of a request across its attempts.
 pub(crate) struct Exchange {
     pub(crate) host: Rc<Host>,
@@ -230,17 +233,17 @@
         let (answer, is_target_error) = match result {
             AttemptResult::NotSent => {
                 self.record_full_host(destination);
-                return self.record_failure(AttemptFailure::TargetRefused);
+                return self.record_failure(AttemptFailure::TargetRefused, None);
             }
             AttemptResult::NoAnswer(AttemptFailure::ConnectFailed) => {
-                return self.record_failure(AttemptFailure::ConnectFailed);
+                return self.record_failure(AttemptFailure::ConnectFailed, chosen.as_ref());
             }
             AttemptResult::NoAnswer(failure) => {
                 self.may_have_arrived = true;
                 if chosen.is_none() && failure == AttemptFailure::TargetRefused {
                     self.record_full_host(destination);
                 }
-                return self.record_failure(failure);
+                return self.record_failure(failure, chosen.as_ref());
             }
             AttemptResult::Answer(answer) => (answer, false),
             AttemptResult::TargetError(answer) => (answer, true),
@@ -254,7 +257,7 @@
                     self.record_timings(started, chosen.as_ref());
                     AttemptStep::Events(Box::new(StartedStream { first }))
                 }
-                Err(failure) => self.record_failure(failure),
+                Err(failure) => self.record_failure(failure, chosen.as_ref()),
             };
         }
         match answer.read_whole(&host, deadline).await {
@@ -265,7 +268,7 @@
                 self.record_timings(started, chosen.as_ref());
                 AttemptStep::Whole(answer)
             }
-            Err(failure) => self.record_failure(failure),
+            Err(failure) => self.record_failure(failure, chosen.as_ref()),
         }
     }
 
@@ -290,12 +293,28 @@
         }
     }
 
-    fn record_failure(&self, failure: AttemptFailure) -> AttemptStep {
-        log::info!(id = &*self.incoming.id, route = &*self.incoming.route.name, to = self.last_peer.as_str(), cold = self.is_cold, sends = self.sends, failure = format!("{failure:?}").as_str(); "an attempt failed");
+    fn record_failure(
+        &self,
+        failure: AttemptFailure,
+        chosen: Option<&ChosenTarget>,
+    ) -> AttemptStep {
+        let now = self.host.clock.now();
+        let running = chosen.map_or(0, |chosen| {
+            chosen.target.load.borrow().total_usage(now).running
+        });
+        let slots = chosen.map_or(0, |chosen| chosen.target.slots);
+        log::info!(id = &*self.incoming.id, route = &*self.incoming.route.name, to = self.last_peer.as_str(), cold = self.is_cold, running = running, slots = slots, parts = self.prompt_parts(), sends = self.sends, failure = format!("{failure:?}").as_str(); "an attempt failed");
         self.host.metrics.record_attempt_failure(failure);
         AttemptStep::NoAnswer(failure)
     }
 
+    /// Returns the prompt parts as the caller stated them, for the log.
+    pub(crate) fn prompt_parts(&self) -> &str {
+        let parts = header_text(&self.incoming.headers, &self.host.names.prompt_parts);
+        let parts = parts.unwrap_or_default();
+        parts.get(..MAX_LOGGED_PARTS_BYTES).unwrap_or(parts)
+    }
+
     /// Adds the time of an attempt to the measured timings of the service.
     fn record_timings(&self, started: MonoMs, chosen: Option<&ChosenTarget>) {
         let Some(chosen) = chosen else {
