relay: reproduce the part that crashes engine after engine

Six hosts of two regions on loopback, eight engines that crash when they begin to answer a request with one part and are back after 0.9 s; a request with the part every 250 ms, a sound one every 40 ms.

--- /dev/null
+++ b/crates/relay/tests/gateway/engine_fleet.rs
@@ -0,0 +1,227 @@
+//! Hosts of two regions with engines that crash when they begin to answer a request with a certain prompt part.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use lw_base::prelude::*;
+use lw_relay::{
+    EngineCapacity, Host, Plan, RouteTable, Service, Target, TargetLoad, run_heartbeats,
+};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+
+use crate::support::*;
+
+const REGIONS: [&str; 2] = ["north", "south"];
+/// An engine reads a prompt for this long before it sends the first event.
+const PREFILL: Duration = Duration::from_millis(30);
+const EVENT_INTERVAL: Duration = Duration::from_millis(20);
+const EVENTS_PER_ANSWER: u64 = 5;
+/// An engine is back this long after a crash, as a new incarnation at the same address.
+const RESTART_DELAY: Duration = Duration::from_millis(900);
+/// Hosts learn of the new incarnation after this time.
+const LISTING_DELAY: Duration = Duration::from_millis(200);
+
+type SharedLoad = Rc<RefCell<TargetLoad>>;
+
+/// A request that reached an engine.
+#[derive(Clone, Debug)]
+pub(crate) struct Arrival {
+    pub(crate) at: Instant,
+    pub(crate) parts: String,
+}
+
+struct Engine {
+    region: &'static str,
+    address: SocketAddr,
+    /// Counts the starts of the process.
+    incarnation: Cell<u64>,
+    crash: tokio::sync::Notify,
+}
+
+/// Hosts and engines of two regions.
+pub(crate) struct EngineFleet {
+    pub(crate) hosts: RefCell<Vec<Rc<Host>>>,
+    engines: Vec<Engine>,
+    options: RouteOptions,
+    addresses: Vec<Ipv4Addr>,
+    /// Engines crash when they begin to answer a request with one of these parts.
+    pub(crate) crashing_parts: RefCell<Vec<String>>,
+    pub(crate) arrivals: RefCell<Vec<Arrival>>,
+    pub(crate) crashes: RefCell<Vec<Instant>>,
+    /// The load of each incarnation of an engine as known to each host.
+    loads: RefCell<BTreeMap<(usize, String), SharedLoad>>,
+}
+
+impl EngineFleet {
+    /// Starts the fleet and waits until the hosts have heard from one another.
+    pub(crate) async fn start(
+        options: RouteOptions,
+        hosts_per_region: usize,
+        engines_per_region: usize,
+    ) -> Rc<Self> {
+        let mut engines = Vec::new();
+        let mut listeners = Vec::new();
+        for region in REGIONS {
+            for _ in 0..engines_per_region {
+                let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+                engines.push(Engine {
+                    region,
+                    address: listener.local_addr().expect("a bound socket"),
+                    incarnation: Cell::new(1),
+                    crash: tokio::sync::Notify::new(),
+                });
+                listeners.push(listener);
+            }
+        }
+        let addresses = (0..hosts_per_region * REGIONS.len()).map(|_| unique_loopback_address());
+        let fleet = Rc::new(Self {
+            hosts: RefCell::default(),
+            engines,
+            options,
+            addresses: addresses.collect(),
+            crashing_parts: RefCell::default(),
+            arrivals: RefCell::default(),
+            crashes: RefCell::default(),
+            loads: RefCell::default(),
+        });
+        for (index, listener) in listeners.into_iter().enumerate() {
+            tokio::task::spawn_local(fleet.clone().run_engine(index, listener));
+        }
+        for index in 0..fleet.addresses.len() {
+            let region = REGIONS[index / hosts_per_region];
+            let seeds = fleet.addresses.clone();
+            let plan = fleet.plan(index);
+            let host = start_host_in(region, fleet.addresses[index], seeds, plan).await;
+            run_heartbeats(host.clone()).await.expect("a free port");
+            fleet.hosts.borrow_mut().push(host);
+        }
+        // Longer than two intervals of heartbeats.
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        fleet
+    }
+
+    fn plan(&self, host: usize) -> Plan {
+        let mut plan = plan_with_route(self.options, &[]);
+        plan.services = NamedArena::default();
+        let service = plan.services.push(
+            "s",
+            Service {
+                name: "s".into(),
+                hash: 1,
+                max_connections: 100,
+                cold_ms: 0,
+                cold_per_s: 0.0,
+                engine: Some(EngineCapacity {
+                    memory_tokens: 200_000,
+                }),
+            },
+        );
+        plan.routes = RouteTable::new([route_of(self.options, service)]);
+        let targets = self.engines.iter().enumerate().map(|(index, engine)| {
+            let incarnation = format!("t{index}#{}", engine.incarnation.get());
+            let mut loads = self.loads.borrow_mut();
+            let load = loads.entry((host, incarnation.clone())).or_default();
+            Target {
+                id: incarnation.as_str().into(),
+                hash: lw_relay::short_hash(&incarnation),
+                incarnation: incarnation.into(),
+                service,
+                address: engine.address,
+                zone: "z".into(),
+                region: engine.region.into(),
+                slots: 16,
+                is_in_service: true,
+                load: load.clone(),
+            }
+        });
+        plan.targets = vec![targets.collect()];
+        plan
+    }
+
+    /// Serves as one engine: until it crashes, and again after a delay.
+    async fn run_engine(self: Rc<Self>, index: usize, mut listener: TcpListener) {
+        let engine = &self.engines[index];
+        loop {
+            let mut connections = JoinSet::new();
+            loop {
+                tokio::select! {
+                    accepted = listener.accept() => {
+                        let (stream, _) = accepted.expect("a connection");
+                        connections.spawn_local(self.clone().serve(index, stream));
+                    }
+                    () = engine.crash.notified() => break,
+                }
+            }
+            self.crashes.borrow_mut().push(Instant::now());
+            drop(listener);
+            connections.shutdown().await;
+            tokio::time::sleep(RESTART_DELAY).await;
+            let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+            socket.set_reuseaddr(true).expect("a socket option");
+            socket.bind(engine.address).expect("the engine's own port");
+            listener = socket.listen(64).expect("a bound socket");
+            engine.incarnation.set(engine.incarnation.get() + 1);
+            let fleet = self.clone();
+            tokio::task::spawn_local(async move {
+                tokio::time::sleep(LISTING_DELAY).await;
+                let hosts = fleet.hosts.borrow();
+                for (index, host) in hosts.iter().enumerate() {
+                    host.set_plan(fleet.plan(index));
+                }
+            });
+        }
+    }
+
+    async fn serve(self: Rc<Self>, index: usize, mut stream: TcpStream) {
+        let engine = &self.engines[index];
+        while let Some(head) = read_request(&mut stream).await {
+            let id = header(&head, "x-attempt").unwrap_or_default();
+            let parts = header(&head, "x-parts").unwrap_or_default();
+            let target = header(&head, "x-target").unwrap_or_default();
+            if target != format!("t{index}#{}", engine.incarnation.get()) {
+                let answer = format!(
+                    "HTTP/1.1 421 Misdirected Request\r\nx-attempt: {id}\r\ncontent-length: 0\r\n\r\n"
+                );
+                if stream.write_all(answer.as_bytes()).await.is_err() {
+                    return;
+                }
+                continue;
+            }
+            let is_crashing = {
+                let crashing = self.crashing_parts.borrow();
+                parts
+                    .split(',')
+                    .filter_map(|part| part.split_once(':'))
+                    .any(|(id, _)| crashing.iter().any(|crashing| crashing == id))
+            };
+            self.arrivals.borrow_mut().push(Arrival {
+                at: Instant::now(),
+                parts,
+            });
+            tokio::time::sleep(PREFILL).await;
+            let head = stream_head().replace(ATTEMPT_ID, &id);
+            if stream.write_all(head.as_bytes()).await.is_err() {
+                return;
+            }
+            if is_crashing {
+                engine.crash.notify_one();
+                std::future::pending::<()>().await;
+            }
+            for number in 1..=EVENTS_PER_ANSWER {
+                let part = chunk(&event(number));
+                if stream.write_all(part.as_bytes()).await.is_err() {
+                    return;
+                }
+                tokio::time::sleep(EVENT_INTERVAL).await;
+            }
+            if stream.write_all(b"0\r\n\r\n").await.is_err() {
+                return;
+            }
+        }
+    }
+}
--- a/crates/relay/tests/gateway/main.rs
+++ b/crates/relay/tests/gateway/main.rs
@@ -1,7 +1,9 @@
 //! Tests of a gateway host between callers and scripted targets, on loopback.
 
 mod answers;
+mod crashing_parts;
 mod endless_answers;
+mod engine_fleet;
 mod header_timeout;
 mod notices;
 mod plan_changes;
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -137,7 +137,7 @@
 }
 
 /// Reads a request and returns its head, or `None` when the connection ends.
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
+pub(crate) async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     let mut buffer = [0; 4_096];
     loop {
@@ -202,7 +202,7 @@
 ///
 /// With an address of its own, a host can use fixed ports. A port that was probed as free may be taken by a parallel
 /// test before it is bound, which fails about one run in a hundred.
-fn unique_loopback_address() -> Ipv4Addr {
+pub(crate) fn unique_loopback_address() -> Ipv4Addr {
     static NEXT: AtomicU8 = AtomicU8::new(1);
     let process = (std::process::id() % 200) as u8 + 10;
     Ipv4Addr::new(127, process, 80, NEXT.fetch_add(1, Ordering::Relaxed))
@@ -215,7 +215,17 @@
 
 /// Starts a host with one route to the given targets.
 pub(crate) async fn start_host(options: RouteOptions, targets: &[ScriptedTarget]) -> Rc<Host> {
-    let ip = unique_loopback_address();
+    let plan = plan_with_route(options, targets);
+    start_host_in("north", unique_loopback_address(), Vec::new(), plan).await
+}
+
+/// Starts a host in a region.
+pub(crate) async fn start_host_in(
+    region: &str,
+    ip: Ipv4Addr,
+    seeds: Vec<Ipv4Addr>,
+    plan: Plan,
+) -> Rc<Host> {
     let address = |port| SocketAddr::from((ip, port));
     let name = HeaderName::from_static;
     let host = Rc::new(Host::new(HostParts {
@@ -223,13 +233,13 @@
             host: ip.to_string().into(),
             ip,
             zone: "z".into(),
-            region: "north".into(),
+            region: region.into(),
             zones: FastMap::default(),
             caller_address: address(CALLER_PORT),
             ready_address: address(READY_PORT),
             directory_address: address(DIRECTORY_PORT),
             peer_port: PEER_PORT,
-            seeds: Vec::new(),
+            seeds,
             capacity_permille: 250,
             bounds: Bounds {
                 grace_ms: 8_000,
@@ -273,11 +283,11 @@
             .await
             .expect("a free port");
     }
-    host.set_plan(plan_with_route(options, targets));
+    host.set_plan(plan);
     host
 }
 
-fn route_of(options: RouteOptions, service: ServiceKey) -> Route {
+pub(crate) fn route_of(options: RouteOptions, service: ServiceKey) -> Route {
     Route {
         name: "r".into(),
         host: "a.example".into(),
