--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -44,9 +44,9 @@
 /// The maximum number of crashes of a part in one heartbeat.
 const MAX_REPORTED_CRASHES: usize = 6;
 
-/// A part that was put into quarantine, with the evidence.
+/// A part in quarantine, with the evidence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Confirmed {
+pub struct QuarantinedPart {
     /// The part.
     pub part: PartKey,
     /// The position of the part in prompts, counted from zero.
@@ -100,7 +100,7 @@
         target: u32,
         crashed_at: MonoMs,
         parts: &[PartKey],
-    ) -> Vec<Confirmed> {
+    ) -> Vec<QuarantinedPart> {
         for (position, part) in parts.iter().enumerate() {
             let position = u8::try_from(position).unwrap_or(u8::MAX);
             let crash = Crash {
@@ -113,7 +113,7 @@
     }
 
     /// Adds what another host has told. Returns the parts that enter the quarantine by all that is known now.
-    pub fn merge(&mut self, now: MonoMs, reports: &[PartReport]) -> Vec<Confirmed> {
+    pub fn merge(&mut self, now: MonoMs, reports: &[PartReport]) -> Vec<QuarantinedPart> {
         let mut entered = Vec::new();
         let before = |age_ms: u32| MonoMs(now.0.saturating_sub(u64::from(age_ms)));
         for report in reports {
@@ -149,7 +149,7 @@
         part: PartKey,
         position: u8,
         until: MonoMs,
-    ) -> Option<Confirmed> {
+    ) -> Option<QuarantinedPart> {
         let survived_at = self.survivals.latest(part);
         let record = self.record_of(now, part);
         record.position = record.position.max(position);
@@ -164,7 +164,7 @@
             return None;
         }
         record.quarantined_until = Some(until);
-        Some(Confirmed {
+        Some(QuarantinedPart {
             part,
             position: record.position,
             crashes: record.crashes.len(),
@@ -199,11 +199,26 @@
         !parts.iter().any(is_suspect)
     }
 
-    /// Returns the parts that are in quarantine, with its end.
-    pub fn in_quarantine(&self, now: MonoMs) -> impl Iterator<Item = (PartKey, MonoMs)> {
+    /// Returns the parts that are in quarantine.
+    pub fn in_quarantine(&self, now: MonoMs) -> impl Iterator<Item = QuarantinedPart> {
         let records = self.records.iter();
         let records = records.filter(move |(_, record)| record.is_quarantined(now));
-        records.filter_map(|(part, record)| Some((*part, record.quarantined_until?)))
+        records.filter_map(|(part, record)| {
+            Some(QuarantinedPart {
+                part: *part,
+                position: record.position,
+                crashes: record.crashes.len(),
+                until: record.quarantined_until?,
+            })
+        })
+    }
+
+    /// Returns whether targets have answered requests with the part, and it is not in quarantine.
+    #[must_use]
+    pub fn is_cleared(&self, now: MonoMs, part: PartKey) -> bool {
+        let record = self.records.get(&part);
+        let is_quarantined = record.is_some_and(|record| record.is_quarantined(now));
+        !is_quarantined && self.is_answered(now, part)
     }
 
     /// Returns the news for a heartbeat: quarantined parts, then suspects by their number of crashes, and some parts that
@@ -323,7 +338,7 @@
 
     /// Puts the parts that explain the crashes into quarantine, one after the other: each of them explains crashes that
     /// then no longer count against other parts.
-    fn confirm(&mut self, now: MonoMs) -> Vec<Confirmed> {
+    fn confirm(&mut self, now: MonoMs) -> Vec<QuarantinedPart> {
         self.prune(now);
         let mut confirmed = Vec::new();
         while let Some((part, crashes)) = self.find_cause(now) {
@@ -331,7 +346,7 @@
             let until = now.plus_ms(QUARANTINE_MS);
             record.quarantined_until = Some(until);
             record.changed_at = now;
-            confirmed.push(Confirmed {
+            confirmed.push(QuarantinedPart {
                 part,
                 position: record.position,
                 crashes,
--- a/crates/quarantine/tests/rules.rs
+++ b/crates/quarantine/tests/rules.rs
@@ -56,7 +56,7 @@
     }
     let mut quarantined: Vec<PartKey> = quarantine
         .in_quarantine(now)
-        .map(|(part, _)| part)
+        .map(|entry| entry.part)
         .collect();
     let mut expected = keys(case.quarantined);
     quarantined.sort_unstable();
--- a/crates/relay/src/crash_watch.rs
+++ b/crates/relay/src/crash_watch.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use lw_base::prelude::*;
-use lw_quarantine::{Confirmed, PartKey, PartReport};
+use lw_quarantine::{PartKey, PartReport, QuarantinedPart};
 use tokio::net::TcpStream;
 
 use crate::choose::ChosenTarget;
@@ -108,7 +108,7 @@
             .may_repeat(now, &prompt.shared_parts)
     }
 
-    fn record_entered(&self, now: MonoMs, entered: &[Confirmed], from: &str) {
+    fn record_entered(&self, now: MonoMs, entered: &[QuarantinedPart], from: &str) {
         for confirmed in entered {
             log::warn!(part = confirmed.part.to_string().as_str(), position = confirmed.position, crashes = confirmed.crashes, left_ms = confirmed.until.since_ms(now), from = from; "a prompt part enters the quarantine: it crashes targets");
             self.metrics.quarantined_parts.inc();
