admit, mesh, relay: hand out all of a cold target's limit

Cause: each sending host rounded its part of the limit down, so three hosts used 6 of 8 requests.

Change: the first hosts in the order of the parts hold one request more, as many as remain when the limit is divided. The sum stays at the limit rounded down, and a host's part does not grow when it counts more hosts. The bound of that case is the one of the other calm cases again.

--- a/crates/admit/src/cold_start_limiter.rs
+++ b/crates/admit/src/cold_start_limiter.rs
@@ -9,6 +9,8 @@
     pub per_s: f64,
     /// The number of hosts that may send to the target, see [`ColdStartLimiter::sending_hosts`].
     pub hosts: usize,
+    /// This host may send one request more than the others, see [`ColdStartLimiter::remaining_parts`].
+    pub has_remaining_part: bool,
 }
 
 /// The one-second window of the limit plus a margin for requests in transit when the window begins.
@@ -34,12 +36,22 @@
         ((per_s / 2.0) as usize).clamp(1, eligible_hosts.max(1))
     }
 
+    /// Returns how many of the sending hosts may send one request more than the others, because the limit is not a multiple
+    /// of their number.
+    #[must_use]
+    pub fn remaining_parts(per_s: f64, sending_hosts: usize) -> usize {
+        (per_s as usize) % sending_hosts.max(1)
+    }
+
     /// Returns the number of requests that this host may send in a window, and the length of the window in milliseconds.
     /// With less than one request per second, the window is longer.
     fn own_limit(quota: ColdStartQuota) -> (usize, u64) {
         let own_per_s = quota.per_s / quota.hosts.max(1) as f64;
         match own_per_s {
-            1.0.. => (own_per_s as usize, WINDOW_MS),
+            1.0.. => {
+                let own = own_per_s as usize;
+                (own + usize::from(quota.has_remaining_part), WINDOW_MS)
+            }
             _ if own_per_s > 0.0 => (1, (WINDOW_MS as f64 / own_per_s) as u64),
             _ => (0, WINDOW_MS),
         }
--- a/crates/admit/tests/cold_start.rs
+++ b/crates/admit/tests/cold_start.rs
@@ -7,21 +7,24 @@
 struct Case {
     per_s: f64,
     hosts: usize,
+    has_remaining_part: bool,
     /// The requests that one host sends in 20 s if it tries every 10 ms.
     sent: std::ops::RangeInclusive<usize>,
 }
 
 // Guards against a target that never gets a request while it is cold, because a rate below one per second was rounded down
 // to zero, and against a rate that is exceeded.
-#[test_case(&Case { per_s: 4.0, hosts: 2, sent: 32..=40 }; "two requests per second")]
-#[test_case(&Case { per_s: 1.0, hosts: 1, sent: 16..=20 }; "one request per second")]
-#[test_case(&Case { per_s: 0.5, hosts: 1, sent: 8..=10 }; "one request in two seconds")]
-#[test_case(&Case { per_s: 1.0, hosts: 4, sent: 4..=5 }; "a quarter of one request per second")]
-#[test_case(&Case { per_s: 0.0, hosts: 1, sent: 0..=0 }; "no requests")]
+#[test_case(&Case { per_s: 4.0, hosts: 2, has_remaining_part: false, sent: 32..=40 }; "two requests per second")]
+#[test_case(&Case { per_s: 1.0, hosts: 1, has_remaining_part: false, sent: 16..=20 }; "one request per second")]
+#[test_case(&Case { per_s: 0.5, hosts: 1, has_remaining_part: false, sent: 8..=10 }; "one request in two seconds")]
+#[test_case(&Case { per_s: 1.0, hosts: 4, has_remaining_part: false, sent: 4..=5 }; "a quarter of one request per second")]
+#[test_case(&Case { per_s: 5.0, hosts: 2, has_remaining_part: true, sent: 48..=60 }; "three of five requests per second")]
+#[test_case(&Case { per_s: 0.0, hosts: 1, has_remaining_part: false, sent: 0..=0 }; "no requests")]
 fn a_host_sends_its_part_of_the_rate(case: &Case) {
     let quota = ColdStartQuota {
         per_s: case.per_s,
         hosts: case.hosts,
+        has_remaining_part: case.has_remaining_part,
     };
     let mut limiter = ColdStartLimiter::default();
     let sent = (0..2_000)
@@ -55,6 +58,7 @@
     let quota = ColdStartQuota {
         per_s: 4.0,
         hosts: 2,
+        has_remaining_part: false,
     };
     let start = MonoMs(50_000);
     let mut limiter = ColdStartLimiter::default();
--- a/crates/admit/tests/shared.rs
+++ b/crates/admit/tests/shared.rs
@@ -15,15 +15,17 @@
 #[test_case(&ColdCase { per_s: 1.5, eligible_hosts: 40 }; "a slow target in a large region")]
 fn hosts_together_stay_within_the_cold_start_quota(case: &ColdCase) {
     let hosts = ColdStartLimiter::sending_hosts(case.per_s, case.eligible_hosts);
-    let quota = ColdStartQuota {
-        per_s: case.per_s,
-        hosts,
-    };
+    let remaining_parts = ColdStartLimiter::remaining_parts(case.per_s, hosts);
     let mut limiters = vec![ColdStartLimiter::default(); hosts];
     let mut sent = Vec::new();
     for step in 0..8_000 {
         let now = MonoMs(100_000 + step);
-        for limiter in &mut limiters {
+        for (rank, limiter) in limiters.iter_mut().enumerate() {
+            let quota = ColdStartQuota {
+                per_s: case.per_s,
+                hosts,
+                has_remaining_part: rank < remaining_parts,
+            };
             if limiter.try_reserve(now, quota) {
                 limiter.record_sent(now);
                 sent.push(now.0);
--- a/crates/mesh/src/host_table.rs
+++ b/crates/mesh/src/host_table.rs
@@ -295,18 +295,18 @@
     /// selects for `key`.
     #[must_use]
     pub fn is_selected(&self, now: MonoMs, key: &str, count: usize) -> bool {
-        self.is_among(self.live_hosts(now), key, count)
+        self.rank_among(self.live_hosts(now), key) < count
     }
 
-    /// Returns whether the local host has one of `count` parts of a limit that the hosts of the region share: it is one of
-    /// the `count` known hosts, silent ones included, that weighted rendezvous hashing selects for `key`.
+    /// Returns the rank of the local host, from zero, among the known hosts of the region, silent ones included, in the
+    /// order of weighted rendezvous hashing for `key`. A limit with `n` parts belongs to the first `n` of them.
     ///
     /// Hosts that do not hear one another cannot agree on which of them are alive. If each of them divided the limit among
     /// the hosts that it hears from, they would hand out more parts than there are, and a host that is heard again would
     /// use its part beside the one that had replaced it.
     #[must_use]
-    pub fn holds_share(&self, key: &str, count: usize) -> bool {
-        self.is_among(self.hosts.values(), key, count)
+    pub fn share_rank(&self, key: &str) -> usize {
+        self.rank_among(self.hosts.values(), key)
     }
 
     /// Returns whether the local host knows other hosts of its region, and the weight of each of them.
@@ -317,12 +317,8 @@
         others.peek().is_some() && others.all(|entry| entry.status.capacity_permille > 0)
     }
 
-    fn is_among<'a>(
-        &'a self,
-        others: impl Iterator<Item = &'a HostEntry>,
-        key: &str,
-        count: usize,
-    ) -> bool {
+    /// Returns the rank of the local host among itself and `others`.
+    fn rank_among<'a>(&'a self, others: impl Iterator<Item = &'a HostEntry>, key: &str) -> usize {
         let same_region = others.filter(|entry| self.is_same_region(entry));
         let mut names: Vec<(&[u8], f64)> = same_region
             .map(|entry| (entry.address.host.as_bytes(), entry.weight()))
@@ -332,10 +328,10 @@
             capacity_weight(self.capacity_permille),
         ));
         let order = ranked_by_weight(stable_hash(key.as_bytes()), &names);
-        order
-            .into_iter()
-            .take(count)
-            .any(|index| names[index].0 == self.name.as_bytes())
+        let own = order
+            .iter()
+            .position(|index| names[*index].0 == self.name.as_bytes());
+        own.unwrap_or(order.len())
     }
 
     /// Returns whether the local host has to watch the platform: it is one of the [`WATCHERS_PER_REGION`] selected
--- a/crates/relay/src/cold_start.rs
+++ b/crates/relay/src/cold_start.rs
@@ -55,10 +55,11 @@
     let per_s = limit_per_s * COLD_LIMIT_FRACTION;
     let sharing_hosts = cold_limit_hosts(up_ms, hosts.peak_hosts_in_region())?;
     let sending_hosts = ColdStartLimiter::sending_hosts(per_s, sharing_hosts);
-    let holds_share = hosts.holds_share(incarnation, sending_hosts);
-    holds_share.then_some(ColdStartQuota {
+    let rank = hosts.share_rank(incarnation);
+    (rank < sending_hosts).then(|| ColdStartQuota {
         per_s,
         hosts: sending_hosts,
+        has_remaining_part: rank < ColdStartLimiter::remaining_parts(per_s, sending_hosts),
     })
 }
 
--- a/crates/relay/tests/cold_targets/main.rs
+++ b/crates/relay/tests/cold_targets/main.rs
@@ -63,7 +63,7 @@
 };
 
 // Guards against hosts that disagree on which hosts of the region send to a cold target: together they exceeded its limit.
-#[test_case(&Case { hosts: 3, faults: CALM, min_use: 0.4 }; "a small region, calm")]
+#[test_case(&Case { hosts: 3, faults: CALM, min_use: 0.5 }; "a small region, calm")]
 #[test_case(&Case { hosts: 22, faults: CALM, min_use: 0.5 }; "calm")]
 #[test_case(&Case { hosts: 110, faults: CALM, min_use: 0.5 }; "a large region, calm")]
 #[test_case(&Case { hosts: 3, faults: HALF_CUT_OFF, min_use: 0.2 }; "a small region, half cut off")]
--- a/crates/relay/tests/placing.rs
+++ b/crates/relay/tests/placing.rs
@@ -263,6 +263,7 @@
     let limit = ColdStartQuota {
         per_s: 4.0,
         hosts: 2,
+        has_remaining_part: false,
     };
     let mut sent = 0;
     while let Ok(chosen) = pick(&plan, &Prompt::default(), Some(limit)) {
