relay: do not take a late copy of an answer for the next one

Cause: answers are matched by the attempt id, but an error or rejection without an id was accepted on a connection that had served another request. When a target sent a second copy of one late, the next caller got an answer that was not its own, or was told that its request had not run while it ran.

Change: an error without an id counts only on a connection without an earlier request; a connection on which a target rejected a request without an id is not used again.

Measured: of four new tests, three failed before (a 404, a 500 and a false 503 for the second request); all pass.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -251,9 +251,14 @@
     }
 
     /// Returns the connection of a rejection without a body to the pool.
+    ///
+    /// A target may send a second copy of a rejection later. Without an id, the copy could be taken for the rejection of the
+    /// next request on the connection, which runs.
     fn pool_after_rejection(&self, answer: OpenAnswer) {
         use http_body::Body;
-        if answer.body.is_end_stream() {
+        let is_target = answer.in_flight.is_some();
+        let is_identified = answer.headers.contains_key(&self.names.attempt_id);
+        if answer.body.is_end_stream() && (is_identified || !is_target) {
             self.pool
                 .put(self.clock.now(), answer.key, answer.connection);
         }
--- a/crates/relay/src/head_verdict.rs
+++ b/crates/relay/src/head_verdict.rs
@@ -34,8 +34,9 @@
 /// Classifies the head of an answer.
 ///
 /// Answers are matched by the id of the attempt, because a target may send a surplus answer, which then arrives where
-/// the next one is expected. A rejection without an id counts only on a connection without an earlier request, where no
-/// surplus answer can be pending.
+/// the next one is expected. An answer without an id counts only on a connection without an earlier request, where no
+/// surplus answer can be pending. The exception are rejections that state that the request has not run: connections on
+/// which one came without an id are not used again.
 #[must_use]
 pub fn classify_head(head: HeadFacts) -> HeadVerdict {
     if head.same_attempt == Some(false) {
@@ -48,6 +49,9 @@
             false => HeadVerdict::AttemptFailed(AttemptFailure::TargetRefused),
         };
     }
+    if head.same_attempt.is_none() && head.reused {
+        return HeadVerdict::AttemptFailed(AttemptFailure::CrossedAnswer);
+    }
     if head.status.is_informational() {
         return HeadVerdict::AttemptFailed(AttemptFailure::AnswerIncomplete);
     }
--- a/crates/relay/tests/gateway/answers.rs
+++ b/crates/relay/tests/gateway/answers.rs
@@ -102,6 +102,44 @@
     });
 }
 
+struct LateCopyCase {
+    /// The answer to the first request.
+    first: String,
+    /// What follows on its connection once the connection is used again, or after a while.
+    late: String,
+    /// The status of the answer to the second request.
+    status: u16,
+}
+
+const REJECTION_WITHOUT_ID: &str = "HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+const ERROR_WITHOUT_ID: &str = "HTTP/1.1 500 Error\r\nx-seal: s\r\ncontent-length: 4\r\n\r\nlate";
+
+// Guards against a second copy of an answer that arrives when its connection is in use again: the next caller would get the
+// answer to another request, or be told that its request has not run.
+#[test_case(&LateCopyCase { first: ok_response("one"), late: ok_response("late").replace(ATTEMPT_ID, "a1"), status: 502 }; "a success")]
+#[test_case(&LateCopyCase { first: ok_response("one"), late: ERROR_WITHOUT_ID.to_owned(), status: 502 }; "an error without an id")]
+#[test_case(&LateCopyCase { first: ok_response("one"), late: ERROR_WITHOUT_ID.replace("500 Error", "404 Not Found"), status: 502 }; "a client error without an id")]
+#[test_case(&LateCopyCase { first: REJECTION_WITHOUT_ID.to_owned(), late: REJECTION_WITHOUT_ID.to_owned(), status: 200 }; "a rejection without an id")]
+fn a_late_copy_of_an_answer_is_not_the_answer_to_the_next_request(case: &LateCopyCase) {
+    on_one_thread(async {
+        let script = vec![
+            vec![
+                send(case.first.as_str()),
+                // Ends early when the next request arrives on the connection.
+                Action::Wait(1_000),
+                send(case.late.as_str()),
+            ],
+            vec![send(ok_response("two"))],
+        ];
+        let target = ScriptedTarget::start(script).await;
+        let host = start_host(ONCE, std::slice::from_ref(&target)).await;
+        call(host.settings.caller_address, &request("a1")).await;
+        let second = call(host.settings.caller_address, &request("a2")).await;
+        assert_eq!(second.status, case.status, "{second:?}");
+        assert!(!second.body.contains("late"), "{second:?}");
+    });
+}
+
 /// Guards against lost or duplicated events, and against a resumed stream that follows a partial event.
 #[test]
 fn a_broken_stream_is_resumed_at_another_target() {
