relay: answer requests that arrive as a planned stop closes connections

Cause: a connection was closed as idle, and the queue of the listener dropped, on what the runtime had noticed, not on what had arrived. On a busy host, a request that waited in the kernel was reset. New connections after the second step were closed before their first request. A request counted as ended once its answer was handed to the server library, so the process could exit while a slow reader had received a part of it.

Change: before it closes a connection or a listener, the host lets the runtime notice what has arrived; connections wait 1 s for their first request; queued connections are accepted. A request counts until its answer is flushed. The process waits up to 1 s for connections without a request.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -11,7 +11,6 @@
 use crate::choose::ChosenTarget;
 use crate::decide::{AttemptHistory, Destination, retry_delay_ms};
 use crate::event_relay::{EventRelay, FirstEvents};
-use crate::forward::RequestGuard;
 use crate::headers::header_text;
 use crate::host::Host;
 use crate::incoming::{Hop, Incoming};
@@ -44,7 +43,6 @@
     is_budget_counted: bool,
     /// The target of the last attempt; `None` if it went to another host.
     pub(crate) chosen: Option<ChosenTarget>,
-    _guard: RequestGuard,
 }
 
 /// A streamed answer with its first events.
@@ -65,7 +63,7 @@
 }
 
 impl Exchange {
-    pub(crate) fn new(host: Rc<Host>, incoming: Incoming, guard: RequestGuard) -> Self {
+    pub(crate) fn new(host: Rc<Host>, incoming: Incoming) -> Self {
         let tried = AttemptHistory {
             targets: incoming.tried_before.clone(),
             ..AttemptHistory::default()
@@ -80,7 +78,6 @@
             may_have_arrived: false,
             is_budget_counted: false,
             chosen: None,
-            _guard: guard,
         }
     }
 
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -38,7 +38,7 @@
 pub(crate) struct RequestGuard(Rc<Host>);
 
 impl RequestGuard {
-    fn begin(host: &Rc<Host>) -> Self {
+    pub(crate) fn begin(host: &Rc<Host>) -> Self {
         host.requests.set(host.requests.get() + 1);
         Self(host.clone())
     }
@@ -59,10 +59,9 @@
     if kind == ListenerKind::Peers && request.headers().contains_key(MIRROR_AS_OF) {
         return crate::peer_mirror::update_reply(&host, request.headers());
     }
-    let guard = RequestGuard::begin(&host);
     let (head, body) = request.into_parts();
     match read(&host, head, body, kind).await {
-        Ok(incoming) => Exchange::new(host, incoming, guard).run().await,
+        Ok(incoming) => Exchange::new(host, incoming).run().await,
         Err((id, rejection)) => {
             log::info!(id = id.as_str(), status = rejection.status.as_u16(); "{}", rejection.reason);
             host.metrics.record_end(rejection.status, 0);
--- a/crates/relay/src/head_timer.rs
+++ b/crates/relay/src/head_timer.rs
@@ -1,6 +1,6 @@
-//! The timeout for the head of a request.
+//! The progress of a caller's connection: the timeout for the head of a request, and the end of its answer.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -9,8 +9,11 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::{Instant, Sleep, sleep_until};
 
+use crate::forward::RequestGuard;
+
 /// The response to a caller whose head is incomplete at the timeout; the connection is then closed. The request has not
 /// run.
 const HEAD_TIMEOUT_RESPONSE: &[u8] =
@@ -31,19 +34,43 @@
     Request,
 }
 
-/// The phase of a connection, shared by its stream and its service.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct HeadPhase(Rc<Cell<Phase>>);
+#[derive(Default)]
+struct Progress {
+    phase: Cell<Phase>,
+    /// The head of a request has arrived on the connection.
+    is_used: Cell<bool>,
+    became_used: Notify,
+    /// The request whose answer was handed to the server library, until the library has written it.
+    unflushed: RefCell<Option<RequestGuard>>,
+}
+
+/// The progress of a connection, shared by its stream, its service and the body of its answer.
+#[derive(Clone, Default)]
+pub(crate) struct ConnectionProgress(Rc<Progress>);
 
-impl HeadPhase {
+impl ConnectionProgress {
     /// Records that a head is complete.
     pub(crate) fn head_complete(&self) {
-        self.0.set(Phase::Request);
+        self.0.phase.set(Phase::Request);
+        self.0.is_used.set(true);
+        self.0.became_used.notify_waiters();
     }
 
     /// Records that the body of the request was read and its answer begins: further bytes belong to the next request.
     pub(crate) fn response_started(&self) {
-        self.0.set(Phase::Idle);
+        self.0.phase.set(Phase::Idle);
+    }
+
+    /// Keeps a request counted until its answer is written to the connection.
+    pub(crate) fn hold_until_flushed(&self, guard: RequestGuard) {
+        self.0.unflushed.replace(Some(guard));
+    }
+
+    /// Waits until the head of a request has arrived on the connection.
+    pub(crate) async fn used(&self) {
+        while !self.0.is_used.get() {
+            self.0.became_used.notified().await;
+        }
     }
 }
 
@@ -53,17 +80,17 @@
 /// from an idle connection.
 pub(crate) struct HeadTimedStream {
     stream: TcpStream,
-    phase: HeadPhase,
+    progress: ConnectionProgress,
     timeout: Duration,
     /// Set while a head is incomplete.
     timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl HeadTimedStream {
-    pub(crate) fn new(stream: TcpStream, phase: HeadPhase, timeout: Duration) -> Self {
+    pub(crate) fn new(stream: TcpStream, progress: ConnectionProgress, timeout: Duration) -> Self {
         Self {
             stream,
-            phase,
+            progress,
             timeout,
             timer: None,
         }
@@ -71,7 +98,7 @@
 
     /// Returns an error once a head has been incomplete for longer than the timeout.
     fn poll_head_timeout(&mut self, context: &mut Context<'_>) -> Poll<io::Error> {
-        let Phase::Head { since } = self.phase.0.get() else {
+        let Phase::Head { since } = self.progress.0.phase.get() else {
             self.timer = None;
             return Poll::Pending;
         };
@@ -102,9 +129,9 @@
         {
             return this.poll_head_timeout(context).map(Err);
         }
-        if buffer.filled().len() > before && matches!(this.phase.0.get(), Phase::Idle) {
+        if buffer.filled().len() > before && matches!(this.progress.0.phase.get(), Phase::Idle) {
             let since = Instant::now();
-            this.phase.0.set(Phase::Head { since });
+            this.progress.0.phase.set(Phase::Head { since });
             this.timer = None;
         }
         Poll::Ready(Ok(()))
@@ -121,7 +148,11 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(context)
+        let this = self.get_mut();
+        // The server library flushes the connection once its own buffer is empty.
+        ready!(Pin::new(&mut this.stream).poll_flush(context))?;
+        this.progress.0.unflushed.take();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/relay/src/reply.rs
+++ b/crates/relay/src/reply.rs
@@ -9,6 +9,9 @@
 use http::{HeaderValue, Response, StatusCode};
 use http_body::{Body, Frame, SizeHint};
 
+use crate::forward::RequestGuard;
+use crate::head_timer::ConnectionProgress;
+
 /// A stream of body data. An error closes the connection, so that a truncated body never looks complete to the caller.
 pub(crate) type BodyStream = Pin<Box<dyn Stream<Item = io::Result<Bytes>>>>;
 
@@ -69,3 +72,53 @@
         }
     }
 }
+
+/// A body that keeps its request counted until the answer is written to the connection.
+pub(crate) struct CountedBody {
+    body: ReplyBody,
+    guard: Option<RequestGuard>,
+    progress: ConnectionProgress,
+}
+
+impl CountedBody {
+    pub(crate) fn new(
+        body: ReplyBody,
+        guard: Option<RequestGuard>,
+        progress: ConnectionProgress,
+    ) -> Self {
+        Self {
+            body,
+            guard,
+            progress,
+        }
+    }
+}
+
+impl Drop for CountedBody {
+    fn drop(&mut self) {
+        // The server library drops a body once it has taken all of it, before it has written the last part.
+        if let Some(guard) = self.guard.take() {
+            self.progress.hold_until_flushed(guard);
+        }
+    }
+}
+
+impl Body for CountedBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -12,10 +12,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use crate::head_timer::{HeadPhase, HeadTimedStream};
+use crate::forward::RequestGuard;
+use crate::head_timer::{ConnectionProgress, HeadTimedStream};
 use crate::host::Host;
-use crate::reply::Reply;
-use crate::stop::StopStep;
+use crate::reply::{CountedBody, Reply};
+use crate::stop::{LAST_REQUEST_WAIT_MS, StopStep};
 
 /// Who connects to a listener.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,10 +33,40 @@
     Metrics,
 }
 
+impl ListenerKind {
+    /// Returns whether connections and requests of the listener count towards the load of the host.
+    fn is_counted(self) -> bool {
+        matches!(self, Self::Callers | Self::Peers)
+    }
+}
+
+/// Counts a connection as open until it is dropped.
+struct ConnectionGuard(Option<Rc<Host>>);
+
+impl ConnectionGuard {
+    fn begin(host: &Rc<Host>, kind: ListenerKind) -> Self {
+        if !kind.is_counted() {
+            return Self(None);
+        }
+        host.connections.set(host.connections.get() + 1);
+        Self(Some(host.clone()))
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        if let Some(host) = &self.0 {
+            host.connections.set(host.connections.get() - 1);
+        }
+    }
+}
+
 /// The delay after a failed accept, for example when no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// The idle timeout of connections of other hosts, in milliseconds.
 const PEER_IDLE_TIMEOUT_MS: u64 = 30_000;
+/// How long a connection without a request stays open during a planned stop.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(LAST_REQUEST_WAIT_MS);
 /// The listen backlog; when it overflows, callers of a burst must retransmit their SYN.
 const LISTEN_BACKLOG: u32 = 1_024;
 
@@ -59,6 +90,7 @@
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = wait_for_step(&mut stop, |step| closes_listener(step, kind)) => {
+                accept_waiting(&host, &listener, kind).await;
                 log::info!(door = format!("{kind:?}").as_str(); "the listener is closed");
                 return;
             }
@@ -75,6 +107,15 @@
     }
 }
 
+/// Accepts the connections that are in the queue of a listener; closing the listener would reset them.
+async fn accept_waiting(host: &Rc<Host>, listener: &TcpListener, kind: ListenerKind) {
+    // Lets the runtime notice what has arrived.
+    tokio::task::yield_now().await;
+    while let Ok(Ok((stream, _))) = tokio::time::timeout(Duration::ZERO, listener.accept()).await {
+        tokio::task::spawn_local(serve_stream(host.clone(), stream, kind));
+    }
+}
+
 /// Waits until the planned stop has reached a step.
 ///
 /// The reference that the channel returns holds the channel's lock, so it must be dropped here: a caller that kept it
@@ -90,11 +131,11 @@
 }
 
 fn closes_listener(step: StopStep, kind: ListenerKind) -> bool {
-    matches!(kind, ListenerKind::Callers | ListenerKind::Peers) && step >= StopStep::CloseListener
+    kind.is_counted() && step >= StopStep::CloseListener
 }
 
 fn closes_idle_connections(step: StopStep, kind: ListenerKind) -> bool {
-    matches!(kind, ListenerKind::Callers | ListenerKind::Peers) && step >= StopStep::CloseIdle
+    kind.is_counted() && step >= StopStep::CloseIdle
 }
 
 async fn serve_stream(host: Rc<Host>, stream: TcpStream, kind: ListenerKind) {
@@ -106,20 +147,23 @@
         ListenerKind::Peers => PEER_IDLE_TIMEOUT_MS,
         _ => limits.idle_timeout_ms,
     };
-    let phase = HeadPhase::default();
+    let progress = ConnectionProgress::default();
     let head_timeout = Duration::from_millis(limits.header_timeout_ms);
-    let stream = HeadTimedStream::new(stream, phase.clone(), head_timeout);
+    let stream = HeadTimedStream::new(stream, progress.clone(), head_timeout);
     let mut stop = host.stop.subscribe();
-    host.connections.set(host.connections.get() + 1);
+    let _counted = ConnectionGuard::begin(&host, kind);
     let state = host.clone();
+    let used = progress.clone();
     let service = service_fn(move |request| {
         let host = state.clone();
-        let phase = phase.clone();
+        let progress = progress.clone();
         async move {
-            phase.head_complete();
+            progress.head_complete();
+            let guard = kind.is_counted().then(|| RequestGuard::begin(&host));
             let reply = handle(host, request, kind).await;
-            phase.response_started();
-            Ok::<Reply, Infallible>(reply)
+            progress.response_started();
+            let reply = reply.map(|body| CountedBody::new(body, guard, progress));
+            Ok::<_, Infallible>(reply)
         }
     });
     let mut builder = http1::Builder::new();
@@ -129,14 +173,21 @@
         .header_read_timeout(Duration::from_millis(idle_ms) + head_timeout);
     let serving = builder.serve_connection(TokioIo::new(stream), service);
     let mut serving = std::pin::pin!(serving);
+    let must_close = async {
+        wait_for_step(&mut stop, |step| closes_idle_connections(step, kind)).await;
+        // The first request of a connection follows its opening by a round trip.
+        let _ = tokio::time::timeout(FIRST_REQUEST_TIMEOUT, used.used()).await;
+        // Lets the runtime notice a request that has arrived, but was not read yet.
+        tokio::task::yield_now().await;
+    };
     let ended = tokio::select! {
+        biased;
         ended = &mut serving => ended,
-        () = wait_for_step(&mut stop, |step| closes_idle_connections(step, kind)) => {
+        () = must_close => {
             serving.as_mut().graceful_shutdown();
             serving.await
         }
     };
-    host.connections.set(host.connections.get() - 1);
     if let Err(error) = ended {
         log::debug!(reason = error.to_string().as_str(); "a server connection closed with an error");
     }
--- a/crates/relay/src/stop.rs
+++ b/crates/relay/src/stop.rs
@@ -21,12 +21,18 @@
 /// The time until which new connections are accepted, in milliseconds after the signal, because some callers use
 /// outdated answers of the directory.
 const ACCEPT_UNTIL_MS: u64 = 3_000;
+/// The end of [`LAST_REQUEST_WAIT_MS`], in milliseconds after the signal.
+const LAST_REQUEST_UNTIL_MS: u64 = ACCEPT_UNTIL_MS + LAST_REQUEST_WAIT_MS;
 /// How long before the end of the grace period the process exits, in milliseconds, so that it is not killed.
 const EXIT_MARGIN_MS: u64 = 250;
 
-/// Returns the step at `stopped_ms` after the signal, with `requests` still in flight.
+/// How long after [`ACCEPT_UNTIL_MS`] a host waits for the first request of a connection that was just opened, in
+/// milliseconds: several round trips to distant callers.
+pub(crate) const LAST_REQUEST_WAIT_MS: u64 = 1_000;
+
+/// Returns the step at `stopped_ms` after the signal, with `requests` still in flight and `connections` still open.
 #[must_use]
-pub fn stop_step(stopped_ms: u64, grace_ms: u64, requests: u32) -> StopStep {
+pub fn stop_step(stopped_ms: u64, grace_ms: u64, requests: u32, connections: u32) -> StopStep {
     if stopped_ms + EXIT_MARGIN_MS >= grace_ms {
         return StopStep::Exit;
     }
@@ -34,6 +40,7 @@
         ..ANNOUNCE_UNTIL_MS => StopStep::Announce,
         ANNOUNCE_UNTIL_MS..ACCEPT_UNTIL_MS => StopStep::CloseIdle,
         _ if requests > 0 => StopStep::CloseListener,
+        ..LAST_REQUEST_UNTIL_MS if connections > 0 => StopStep::CloseListener,
         _ => StopStep::Exit,
     }
 }
--- a/crates/relay/tests/gateway/answers.rs
+++ b/crates/relay/tests/gateway/answers.rs
@@ -306,6 +306,70 @@
     });
 }
 
+/// Guards against a planned stop that ends the process while a caller still reads a large answer.
+#[test]
+fn a_planned_stop_waits_for_slow_readers() {
+    const BODY_BYTES: usize = 12 * 1024 * 1024;
+    on_one_thread(async {
+        let text = ok_response(&"x".repeat(BODY_BYTES));
+        let target = ScriptedTarget::start(vec![vec![send(text)]]).await;
+        let host = start_host(ONCE, std::slice::from_ref(&target)).await;
+        let mut caller = connect_with_small_buffer(host.settings.caller_address).await;
+        let sent = caller.write_all(request("a1").as_bytes()).await;
+        sent.expect("the host reads");
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        assert_eq!(host.requests(), 1, "the answer is not sent completely");
+        let answer = read_answer(&mut caller).await;
+        assert!(answer.is_complete && answer.body.len() == BODY_BYTES);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        assert_eq!(host.requests(), 0);
+    });
+}
+
+/// What a caller has done when the host, which had no time to notice it, takes a step of the planned stop.
+struct RaceCase {
+    is_connection_used: bool,
+    step: lw_relay::StopStep,
+}
+
+// Guards against a planned stop that closes a connection, or the queue of new ones, although a request is in it.
+#[test_case(&RaceCase { is_connection_used: true, step: lw_relay::StopStep::CloseIdle }; "a used connection")]
+#[test_case(&RaceCase { is_connection_used: true, step: lw_relay::StopStep::CloseListener }; "a used connection, and the listener closes")]
+#[test_case(&RaceCase { is_connection_used: false, step: lw_relay::StopStep::CloseIdle }; "a new connection")]
+#[test_case(&RaceCase { is_connection_used: false, step: lw_relay::StopStep::CloseListener }; "a new connection, and the listener closes")]
+fn a_planned_stop_answers_requests_that_have_just_arrived(case: &RaceCase) {
+    use std::io::Write;
+
+    on_one_thread(async {
+        let target = ScriptedTarget::start(vec![vec![send(ok_response("x"))]]).await;
+        let host = start_host(ONCE, std::slice::from_ref(&target)).await;
+        let address = host.settings.caller_address;
+        let mut used = None;
+        if case.is_connection_used {
+            let mut caller = tokio::net::TcpStream::connect(address)
+                .await
+                .expect("the host listens");
+            let sent = caller.write_all(request("a1").as_bytes()).await;
+            sent.expect("the host reads");
+            assert_eq!(read_answer(&mut caller).await.status, 200);
+            used = Some(caller.into_std().expect("a socket"));
+        }
+        // From here to the step, the host does not run.
+        let mut caller = match used {
+            Some(caller) => caller,
+            None => std::net::TcpStream::connect(address).expect("the host listens"),
+        };
+        caller
+            .write_all(request("a2").as_bytes())
+            .expect("the socket has room");
+        host.set_stop_step(case.step);
+        caller.set_nonblocking(true).expect("a socket option");
+        let mut caller = tokio::net::TcpStream::from_std(caller).expect("a socket");
+        let answer = read_answer(&mut caller).await;
+        assert_eq!((answer.status, &*answer.body), (200, "x"));
+    });
+}
+
 /// Guards against a directory that lists a host that announced its stop.
 #[test]
 fn the_directory_does_not_list_a_leaving_host() {
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -363,6 +363,15 @@
     read_answer(&mut stream).await
 }
 
+/// Connects with a receive buffer that holds a small part of a large answer.
+pub(crate) async fn connect_with_small_buffer(address: SocketAddr) -> TcpStream {
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    socket
+        .set_recv_buffer_size(8 * 1_024)
+        .expect("a socket option");
+    socket.connect(address).await.expect("the host listens")
+}
+
 /// Reads an answer until it is complete or the connection closes.
 pub(crate) async fn read_answer(stream: &mut TcpStream) -> CallerAnswer {
     let mut bytes = Vec::new();
--- a/crates/relay/tests/routing.rs
+++ b/crates/relay/tests/routing.rs
@@ -108,17 +108,23 @@
 struct StopCase {
     stopped_ms: u64,
     requests: u32,
+    connections: u32,
     step: StopStep,
 }
 
 // Guards against aborted requests, and against a process that is killed because it does not exit in time.
-#[test_case(&StopCase { stopped_ms: 0, requests: 0, step: StopStep::Announce }; "the stop is announced first")]
-#[test_case(&StopCase { stopped_ms: 2_500, requests: 9, step: StopStep::CloseIdle }; "idle connections close next")]
-#[test_case(&StopCase { stopped_ms: 5_000, requests: 1, step: StopStep::CloseListener }; "a running request completes")]
-#[test_case(&StopCase { stopped_ms: 3_100, requests: 0, step: StopStep::Exit }; "no request is left")]
-#[test_case(&StopCase { stopped_ms: 7_800, requests: 5, step: StopStep::Exit }; "the grace period ends")]
+#[test_case(&StopCase { stopped_ms: 0, requests: 0, connections: 0, step: StopStep::Announce }; "the stop is announced first")]
+#[test_case(&StopCase { stopped_ms: 2_500, requests: 9, connections: 9, step: StopStep::CloseIdle }; "idle connections close next")]
+#[test_case(&StopCase { stopped_ms: 5_000, requests: 1, connections: 1, step: StopStep::CloseListener }; "a running request completes")]
+#[test_case(&StopCase { stopped_ms: 3_100, requests: 0, connections: 0, step: StopStep::Exit }; "no request is left")]
+#[test_case(&StopCase { stopped_ms: 3_100, requests: 0, connections: 2, step: StopStep::CloseListener }; "connections without a request are left")]
+#[test_case(&StopCase { stopped_ms: 4_100, requests: 0, connections: 2, step: StopStep::Exit }; "connections stay without a request")]
+#[test_case(&StopCase { stopped_ms: 7_800, requests: 5, connections: 5, step: StopStep::Exit }; "the grace period ends")]
 fn a_planned_stop_follows_its_steps(case: &StopCase) {
-    assert_eq!(stop_step(case.stopped_ms, 8_000, case.requests), case.step);
+    assert_eq!(
+        stop_step(case.stopped_ms, 8_000, case.requests, case.connections),
+        case.step
+    );
 }
 
 struct CapacityCase {
