relay: disconnect callers that read nothing of their answer

Cause: the idle timeout covers only the time before a request. A caller that stopped reading held its answer, up to 16 MB of the host's memory, for as long as it kept the connection open; a stream was held until its deadline.

Change: connections of callers and hosts get the idle timeout as TCP_USER_TIMEOUT, so the kernel closes one whose peer acknowledges nothing, or keeps its window closed, for that long. A first version timed writes that do not proceed; it cut slow readers, because a full socket buffer takes no byte until a third of it is free, and was dropped.

Measured: two of three new tests failed before; all pass, among them a slow reader. Five new tests with streams of targets passed before the change and stay: slow ones are complete, and those with a byte now and then end with the request's deadline.

--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -143,10 +143,15 @@
         log::debug!(reason = error.to_string().as_str(); "TCP_NODELAY could not be set");
     }
     let limits = host.plan.borrow().limits;
-    let idle_ms = match kind {
+    let idle_timeout = Duration::from_millis(match kind {
         ListenerKind::Peers => PEER_IDLE_TIMEOUT_MS,
         _ => limits.idle_timeout_ms,
-    };
+    });
+    // Closes connections whose peer does not read. Only the kernel knows how much it has read: a write to a full socket
+    // buffer also waits for long when the peer reads slowly.
+    if let Err(error) = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(idle_timeout)) {
+        log::debug!(reason = error.to_string().as_str(); "TCP_USER_TIMEOUT could not be set");
+    }
     let progress = ConnectionProgress::default();
     let head_timeout = Duration::from_millis(limits.header_timeout_ms);
     let stream = HeadTimedStream::new(stream, progress.clone(), head_timeout);
@@ -170,7 +175,7 @@
     builder
         .timer(TokioTimer::new())
         // Covers the idle time and the head together; `HeadTimedStream` enforces the timeout of the head alone.
-        .header_read_timeout(Duration::from_millis(idle_ms) + head_timeout);
+        .header_read_timeout(idle_timeout + head_timeout);
     let serving = builder.serve_connection(TokioIo::new(stream), service);
     let mut serving = std::pin::pin!(serving);
     let must_close = async {
--- a/crates/relay/tests/gateway/answers.rs
+++ b/crates/relay/tests/gateway/answers.rs
@@ -102,6 +102,106 @@
     });
 }
 
+struct PaceCase {
+    /// What the target sends at each interval, in this order; the last one repeats until the client closes.
+    pieces: &'static [&'static str],
+    interval_ms: u64,
+    is_complete: bool,
+}
+
+// Guards against slow streams that are cut before their deadline of 1.5 s, and against stalled ones that a byte now and
+// then keeps open for ever.
+#[test_case(&PaceCase { pieces: &["id: 1\n\n", "id: 2\n\n", "id: 3\n\n", ""], interval_ms: 330, is_complete: true }; "a slow stream")]
+#[test_case(&PaceCase { pieces: &["id: 1\n\n", "id: 2\ndata: ", "x", "x", "x", "x\n\n", ""], interval_ms: 150, is_complete: true }; "a slow event")]
+#[test_case(&PaceCase { pieces: &["id: 1\n\n", "x"], interval_ms: 100, is_complete: false }; "a byte now and then in an event")]
+#[test_case(&PaceCase { pieces: &["id: 1\n\n", ":\n\n"], interval_ms: 100, is_complete: false }; "comments without an event")]
+#[test_case(&PaceCase { pieces: &[":", "x"], interval_ms: 100, is_complete: false }; "a byte now and then before the first event")]
+fn streams_end_with_their_last_event_or_their_deadline(case: &PaceCase) {
+    on_one_thread(async {
+        let mut actions = vec![send(stream_head())];
+        let repeats = if case.is_complete { 0 } else { 40 };
+        let last = case.pieces.last().copied();
+        let pieces = case.pieces.iter().copied();
+        for piece in pieces.chain(last.into_iter().cycle().take(repeats)) {
+            let text = if piece.is_empty() {
+                "0\r\n\r\n".to_owned()
+            } else {
+                chunk(piece)
+            };
+            actions.extend([send(text), Action::Wait(case.interval_ms)]);
+        }
+        let target = ScriptedTarget::start(vec![actions]).await;
+        let host = start_host(STREAM, std::slice::from_ref(&target)).await;
+        let started = std::time::Instant::now();
+        let answer = call(host.settings.caller_address, &request("a1")).await;
+        let is_whole = answer.status == 200 && answer.is_complete;
+        assert_eq!(is_whole, case.is_complete, "{answer:?}");
+        assert!(started.elapsed() < Duration::from_millis(2_000));
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        assert_eq!(host.requests(), 0);
+    });
+}
+
+/// The idle timeout of callers in the tests of slow readers, in milliseconds.
+const READER_IDLE_MS: u64 = 600;
+
+struct ReaderCase {
+    options: RouteOptions,
+    answer: Vec<Action>,
+    /// The caller reads up to 256 KiB at this interval; it reads nothing if there is none.
+    read_interval_ms: Option<u64>,
+    /// Whether the connection is still open after six times the idle timeout.
+    is_open: bool,
+}
+
+fn large_answer() -> Vec<Action> {
+    vec![send(ok_response(&"x".repeat(12 * 1024 * 1024)))]
+}
+
+fn endless_stream() -> Vec<Action> {
+    vec![
+        send(stream_head()),
+        Action::SendWithoutEnd(chunk(&event(1))),
+    ]
+}
+
+// Guards against callers that stop reading and hold an answer and its memory for ever, and against slow readers that are
+// taken for such.
+#[test_case(ReaderCase { options: ONCE, answer: large_answer(), read_interval_ms: None, is_open: false }; "a caller that does not read an answer")]
+#[test_case(ReaderCase { options: STREAM, answer: endless_stream(), read_interval_ms: None, is_open: false }; "a caller that does not read a stream")]
+#[test_case(ReaderCase { options: ONCE, answer: large_answer(), read_interval_ms: Some(100), is_open: true }; "a slow reader of an answer")]
+fn callers_that_do_not_read_are_disconnected(case: ReaderCase) {
+    on_one_thread(async move {
+        let target = ScriptedTarget::start(vec![case.answer]).await;
+        let options = RouteOptions {
+            timeout_ms: 60_000,
+            ..case.options
+        };
+        let host = start_host(options, std::slice::from_ref(&target)).await;
+        let mut plan = (*host.plan()).clone();
+        plan.limits.idle_timeout_ms = READER_IDLE_MS;
+        host.set_plan(plan);
+        let mut caller = connect_with_small_buffer(host.settings.caller_address).await;
+        let request = request("a1").replace("x-remaining: 1500", "x-remaining: 60000");
+        let sent = caller.write_all(request.as_bytes()).await;
+        sent.expect("the host reads");
+        tokio::time::sleep(Duration::from_millis(READER_IDLE_MS / 2)).await;
+        assert_eq!(host.connections(), 1);
+        let end = tokio::time::Instant::now() + Duration::from_millis(6 * READER_IDLE_MS);
+        let mut buffer = vec![0; 256 * 1024];
+        while tokio::time::Instant::now() < end {
+            let interval_ms = case.read_interval_ms.unwrap_or(READER_IDLE_MS);
+            tokio::time::sleep(Duration::from_millis(interval_ms)).await;
+            if case.read_interval_ms.is_some() {
+                let read = tokio::io::AsyncReadExt::read(&mut caller, &mut buffer).await;
+                assert!(read.expect("the connection is open") > 0);
+            }
+        }
+        assert_eq!(host.connections() > 0, case.is_open);
+        assert_eq!(host.requests() > 0, case.is_open);
+    });
+}
+
 struct LateCopyCase {
     /// The answer to the first request.
     first: String,
