relay: do not send a request after its deadline

Cause: the time that is left was computed before the connection, and checked before the decision. A host that was suspended meanwhile sent the request after its deadline, with the time that had been left before, and answered 504 (may have run).

Change: the time is computed when the request is written. With none left the request is not sent, the connection goes back to the pool, and the caller gets 503 (not run).

Measured: the new test failed before (504, and the request arrived 100 ms after its deadline); passes.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::header::HOST;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming as HyperBody;
 use lw_base::prelude::*;
@@ -64,6 +64,16 @@
     pub(crate) tried: Vec<u32>,
 }
 
+/// The target or host that an attempt goes to.
+struct AttemptPeer<'a> {
+    key: PoolKey,
+    /// The header that states the time until the deadline.
+    remaining_name: &'a HeaderName,
+    connect_timeout: Duration,
+    /// The attempt is abandoned when this target is suspect.
+    watched_target: Option<&'a ChosenTarget>,
+}
+
 impl Host {
     /// Sends a request to a target and updates the target's load and health.
     pub(crate) async fn try_target(
@@ -76,8 +86,6 @@
         let now = self.clock.now();
         let mut headers = self.request_headers(incoming, plan);
         headers.insert(self.names.pinned_target.clone(), header_value(&target.id));
-        let remaining = header_value(incoming.deadline.since_ms(now));
-        headers.insert(self.names.remaining_ms.clone(), remaining);
         let service = &chosen.service;
         if service.engine.is_some() {
             self.record_placed_parts(now, incoming, chosen);
@@ -109,16 +117,13 @@
                 self.record_cold_send(incoming, chosen, reservation.quota, at.since_ms(now));
             }
         };
-        let sent = self
-            .send(
-                incoming,
-                key,
-                headers,
-                REGION_CONNECT_TIMEOUT,
-                watched_target,
-                on_connected,
-            )
-            .await;
+        let peer = AttemptPeer {
+            key,
+            remaining_name: &self.names.remaining_ms,
+            connect_timeout: REGION_CONNECT_TIMEOUT,
+            watched_target,
+        };
+        let sent = self.send(incoming, headers, &peer, on_connected).await;
         let (response, connection) = match sent {
             Ok(sent) => sent,
             Err(failure) => {
@@ -167,8 +172,6 @@
         plan: &AttemptPlan,
     ) -> AttemptResult {
         let mut headers = self.request_headers(incoming, plan);
-        let remaining = incoming.deadline.since_ms(self.clock.now());
-        headers.insert(REMAINING_MS, header_value(remaining));
         if !plan.tried.is_empty() {
             let tried: Vec<String> = plan.tried.iter().map(u32::to_string).collect();
             headers.insert(TRIED_TARGETS, header_value(tried.join(",")));
@@ -182,9 +185,13 @@
         };
         headers.remove(&self.names.remaining_ms);
         let key = (address, 0);
-        let sent = self
-            .send(incoming, key, headers, connect_timeout, None, |_| ())
-            .await;
+        let peer = AttemptPeer {
+            key,
+            remaining_name: &REMAINING_MS,
+            connect_timeout,
+            watched_target: None,
+        };
+        let sent = self.send(incoming, headers, &peer, |_| ()).await;
         let (response, connection) = match sent {
             Ok(sent) => sent,
             Err(failure) => return AttemptResult::NoAnswer(failure),
@@ -296,12 +303,11 @@
     async fn send(
         &self,
         incoming: &Incoming,
-        key: PoolKey,
         headers: HeaderMap,
-        connect_timeout: Duration,
-        watched_target: Option<&ChosenTarget>,
+        peer: &AttemptPeer<'_>,
         on_connected: impl Fn(MonoMs),
     ) -> Result<(Response<HyperBody>, Connection), AttemptFailure> {
+        let key = peer.key;
         let deadline = self.clock.instant(incoming.deadline);
         let mut request = build_request(incoming, headers)?;
         let mut stale_connections = 0;
@@ -317,7 +323,7 @@
             };
             let mut connection = match pooled {
                 Some(connection) => connection,
-                None => match connect(key.0, connect_timeout, now).await {
+                None => match connect(key.0, peer.connect_timeout, now).await {
                     Ok(connection) => connection,
                     Err(error) => {
                         log::debug!(id = &*incoming.id, peer = key.0.to_string().as_str(), reason = error.to_string().as_str(); "could not connect to the target or host");
@@ -326,9 +332,18 @@
                 },
             };
             let reused = connection.reused;
-            on_connected(self.clock.now());
+            let now = self.clock.now();
+            let remaining_ms = incoming.deadline.since_ms(now);
+            if remaining_ms == 0 {
+                // The host was suspended, or the connection took too long.
+                self.pool.put(now, key, connection);
+                return Err(AttemptFailure::ConnectFailed);
+            }
+            let remaining = header_value(remaining_ms);
+            request.headers_mut().insert(peer.remaining_name, remaining);
+            on_connected(now);
             let response = connection.sender.try_send_request(request);
-            let response = self.wait_head(response, deadline, watched_target);
+            let response = self.wait_head(response, deadline, peer.watched_target);
             match response.await {
                 Ok(Ok(response)) => return Ok((response, connection)),
                 Ok(Err(mut error)) => {
--- a/crates/relay/tests/gateway/plan_changes.rs
+++ b/crates/relay/tests/gateway/plan_changes.rs
@@ -150,3 +150,27 @@
         assert_eq!(answer.status, case.status, "{answer:?}");
     });
 }
+
+/// Guards against a host that was suspended while a request waited, and sends it after its deadline.
+#[test]
+fn a_request_is_not_sent_after_its_deadline() {
+    on_one_thread(async {
+        let target = ScriptedTarget::start(vec![vec![Action::Send(ok_response("x"))]]).await;
+        let options = RouteOptions {
+            latency_goal_ms: 4_000,
+            ..ONCE
+        };
+        let host = start_host(options, std::slice::from_ref(&target)).await;
+        let load = host.plan().targets[0][0].load.clone();
+        load.borrow_mut().running = 1_000;
+        let address = host.settings.caller_address;
+        let caller = tokio::task::spawn_local(async move { call(address, &request("a1")).await });
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        load.borrow_mut().running = 0;
+        // The request may take 1,500 ms.
+        std::thread::sleep(Duration::from_millis(1_600));
+        let answer = caller.await.expect("the caller task completes");
+        assert_eq!(answer.status, 503, "{answer:?}");
+        assert_eq!(target.request_heads.borrow().len(), 0);
+    });
+}
