relay: keep requests at a target when another one loses its connection

Cause: requests that wait for an answer and may be repeated were tried elsewhere as soon as their target was suspect, also when only the connection of another request had broken. Sound work was started again and used the retry budget.

Change: a waiting request is tried elsewhere when its target sends nothing for long or accepts no connection; a broken connection counts only against new requests. A request that is not written because of its deadline does not count against its target.

Measured: the new test failed before (the second target ran both requests); passes.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -36,7 +36,7 @@
 /// The longest idle time, in milliseconds, of a pooled connection for a request that must not run twice: when the
 /// connection closes while the request is sent, the outcome is unknown.
 const ONCE_MAX_IDLE_MS: u64 = 2_500;
-/// How often a waiting attempt checks whether its target is suspect.
+/// How often a waiting attempt checks whether its target is given up.
 const SUSPECT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// The smallest prompt part that is announced to other hosts; prefill of a smaller one takes less time than its
 /// announcement.
@@ -58,7 +58,7 @@
 pub(crate) struct AttemptPlan {
     /// The id of the last event that the caller has received.
     pub(crate) last_event_id: Option<u64>,
-    /// The attempt may be abandoned when its target is suspect.
+    /// The attempt may be abandoned when its target is given up.
     pub(crate) may_abandon: bool,
     /// The targets on which the request was tried already, by hash.
     pub(crate) tried: Vec<u32>,
@@ -70,7 +70,7 @@
     /// The header that states the time until the deadline.
     remaining_name: &'a HeaderName,
     connect_timeout: Duration,
-    /// The attempt is abandoned when this target is suspect.
+    /// The attempt is abandoned when this target is given up.
     watched_target: Option<&'a ChosenTarget>,
 }
 
@@ -127,12 +127,16 @@
         let (response, connection) = match sent {
             Ok(sent) => sent,
             Err(failure) => {
+                let is_late = incoming.deadline <= self.clock.now();
                 let end = match failure {
+                    // The request was not written because of its deadline.
+                    AttemptFailure::ConnectFailed if is_late => AttemptEnd::Neutral,
                     AttemptFailure::DeadlineAfterSend => AttemptEnd::Failed,
-                    _ => AttemptEnd::Unreachable,
+                    AttemptFailure::ConnectFailed => AttemptEnd::Unreachable,
+                    _ => AttemptEnd::Broken,
                 };
                 in_flight.record_end(end);
-                if failure == AttemptFailure::ConnectFailed {
+                if end == AttemptEnd::Unreachable {
                     self.pool.drop_idle(key);
                 }
                 return AttemptResult::NoAnswer(failure);
@@ -363,7 +367,7 @@
         }
     }
 
-    /// Waits for the head of an answer until the deadline, or until `watched_target` is suspect.
+    /// Waits for the head of an answer until the deadline, or until `watched_target` is given up.
     async fn wait_head<F: Future>(
         &self,
         response: F,
@@ -385,7 +389,7 @@
             }
             let load = chosen.target.load.borrow();
             let answer_ms = chosen.expected_ms;
-            if load.health.is_suspect(self.clock.now(), answer_ms) {
+            if load.health.is_given_up(self.clock.now(), answer_ms) {
                 return Err(AttemptFailure::AnswerLost);
             }
         }
--- a/crates/relay/src/in_flight.rs
+++ b/crates/relay/src/in_flight.rs
@@ -56,7 +56,10 @@
         load.health.record_end(now, end);
         if matches!(
             end,
-            AttemptEnd::Failed | AttemptEnd::Unreachable | AttemptEnd::Replaced
+            AttemptEnd::Failed
+                | AttemptEnd::Unreachable
+                | AttemptEnd::Broken
+                | AttemptEnd::Replaced
         ) {
             // The target did not do the prefill.
             let without_prefill = load
--- a/crates/relay/src/target_health.rs
+++ b/crates/relay/src/target_health.rs
@@ -26,8 +26,10 @@
     Answered,
     /// The target answered with an error or a rejection.
     Failed,
-    /// The connection could not be opened, or it broke.
+    /// The connection could not be opened.
     Unreachable,
+    /// The connection broke before the answer.
+    Broken,
     /// Another incarnation answers at the address, so this one has ended.
     Replaced,
     /// The result does not depend on the health of the target.
@@ -38,6 +40,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct TargetHealth {
     consecutive_failures: u32,
+    /// The last attempt to open a connection failed, and the target has sent nothing since.
+    is_unreachable: bool,
     ejected_until: MonoMs,
     failure_rate: f64,
     unanswered: u32,
@@ -58,11 +62,17 @@
     /// Records that the target sent bytes.
     pub fn record_received(&mut self, now: MonoMs) {
         self.silent_since = now;
+        self.is_unreachable = false;
     }
 
     /// Records the result of an attempt, as soon as the head of its answer arrives or it is known that none will come.
     pub fn record_end(&mut self, now: MonoMs, end: AttemptEnd) {
         self.unanswered = self.unanswered.saturating_sub(1);
+        match end {
+            AttemptEnd::Unreachable => self.is_unreachable = true,
+            AttemptEnd::Answered | AttemptEnd::Failed => self.is_unreachable = false,
+            AttemptEnd::Broken | AttemptEnd::Replaced | AttemptEnd::Neutral => {}
+        }
         match end {
             AttemptEnd::Answered => {
                 self.silent_since = now;
@@ -75,7 +85,7 @@
                 self.consecutive_failures = 0;
                 self.failure_rate += RATE_WEIGHT * (1.0 - self.failure_rate);
             }
-            AttemptEnd::Unreachable => {
+            AttemptEnd::Unreachable | AttemptEnd::Broken => {
                 self.consecutive_failures += 1;
                 self.failure_rate += RATE_WEIGHT * (1.0 - self.failure_rate);
                 let doublings = (self.consecutive_failures - 1).min(4);
@@ -124,9 +134,19 @@
         // After consecutive failures, only one request at a time probes the target: otherwise an unreachable target
         // delays every request sent to it until the connection times out.
         let is_probe_pending = self.consecutive_failures > 0 && self.unanswered > 0;
+        now < self.ejected_until || is_probe_pending || self.is_silent(now, answer_ms)
+    }
+
+    /// Returns whether requests that wait for an answer should be tried elsewhere. A connection that broke says nothing
+    /// about the other ones.
+    #[must_use]
+    pub fn is_given_up(&self, now: MonoMs, answer_ms: f64) -> bool {
+        self.is_unreachable || self.is_silent(now, answer_ms)
+    }
+
+    fn is_silent(&self, now: MonoMs, answer_ms: f64) -> bool {
         let max_silence_ms = MIN_SILENCE_MS.max(answer_ms * SILENCE_ANSWER_MULTIPLE) as u64;
-        let is_silent = self.unanswered > 0 && now.since_ms(self.silent_since) > max_silence_ms;
-        now < self.ejected_until || is_probe_pending || is_silent
+        self.unanswered > 0 && now.since_ms(self.silent_since) > max_silence_ms
     }
 
     /// Returns the share of recent answers that were failures.
--- a/crates/relay/tests/gateway/answers.rs
+++ b/crates/relay/tests/gateway/answers.rs
@@ -142,6 +142,31 @@
     });
 }
 
+/// Guards against work that is started again elsewhere because another request lost its connection to the same target.
+#[test]
+fn a_lost_answer_does_not_end_other_requests_at_its_target() {
+    on_one_thread(async {
+        let first = ScriptedTarget::start(vec![
+            vec![Action::Wait(150), Action::Reset],
+            vec![Action::Wait(400), send(ok_response("one"))],
+        ])
+        .await;
+        let second = ScriptedTarget::start(vec![vec![send(ok_response("two"))]]).await;
+        let targets = [first, second];
+        let host = start_host(REPEATABLE, &targets).await;
+        // The load on the second target makes the first one preferred.
+        host.plan().targets[0][1].load.borrow_mut().running = 4;
+        let address = host.settings.caller_address;
+        let lost = tokio::task::spawn_local(async move { call(address, &request("a1")).await });
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let answer = call(address, &request("a2")).await;
+        assert_eq!(answer.body, "one", "{answer:?}");
+        let lost = lost.await.expect("the caller task completes");
+        assert_eq!(lost.body, "two", "{lost:?}");
+        assert_eq!(targets[1].request_heads.borrow().len(), 1);
+    });
+}
+
 /// The idle timeout of callers in the tests of slow readers, in milliseconds.
 const READER_IDLE_MS: u64 = 600;
 
--- a/crates/relay/tests/targets.rs
+++ b/crates/relay/tests/targets.rs
@@ -152,19 +152,21 @@
     unanswered: bool,
     checked_after_ms: u64,
     is_suspect: bool,
+    is_given_up: bool,
 }
 
 // Guards against requests to targets that are down or silent, and against healthy targets that stay ejected.
-#[test_case(&HealthCase { ends: vec![AttemptEnd::Answered; 3], unanswered: false, checked_after_ms: 0, is_suspect: false }; "healthy")]
-#[test_case(&HealthCase { ends: vec![AttemptEnd::Unreachable], unanswered: false, checked_after_ms: 0, is_suspect: true }; "unreachable")]
-#[test_case(&HealthCase { ends: vec![AttemptEnd::Unreachable], unanswered: false, checked_after_ms: 500, is_suspect: false }; "available after the ejection")]
-#[test_case(&HealthCase { ends: vec![AttemptEnd::Unreachable; 4], unanswered: false, checked_after_ms: 1_000, is_suspect: true }; "ejected longer after consecutive failures")]
-#[test_case(&HealthCase { ends: vec![AttemptEnd::Failed; 6], unanswered: false, checked_after_ms: 0, is_suspect: false }; "error answers do not eject")]
-#[test_case(&HealthCase { ends: vec![AttemptEnd::Unreachable], unanswered: true, checked_after_ms: 500, is_suspect: true }; "one request at a time probes a target that failed")]
-#[test_case(&HealthCase { ends: vec![AttemptEnd::Unreachable, AttemptEnd::Answered], unanswered: true, checked_after_ms: 500, is_suspect: false }; "back in use after an answer")]
-#[test_case(&HealthCase { ends: vec![AttemptEnd::Replaced], unanswered: false, checked_after_ms: 4_000, is_suspect: true }; "replaced but still listed")]
-#[test_case(&HealthCase { ends: vec![], unanswered: true, checked_after_ms: 2_000, is_suspect: true }; "silent")]
-#[test_case(&HealthCase { ends: vec![], unanswered: true, checked_after_ms: 100, is_suspect: false }; "not silent yet")]
+#[test_case(&HealthCase { ends: vec![AttemptEnd::Answered; 3], unanswered: false, checked_after_ms: 0, is_suspect: false, is_given_up: false }; "healthy")]
+#[test_case(&HealthCase { ends: vec![AttemptEnd::Unreachable], unanswered: false, checked_after_ms: 0, is_suspect: true, is_given_up: true }; "unreachable")]
+#[test_case(&HealthCase { ends: vec![AttemptEnd::Unreachable], unanswered: false, checked_after_ms: 500, is_suspect: false, is_given_up: true }; "available after the ejection")]
+#[test_case(&HealthCase { ends: vec![AttemptEnd::Unreachable; 4], unanswered: false, checked_after_ms: 1_000, is_suspect: true, is_given_up: true }; "ejected longer after consecutive failures")]
+#[test_case(&HealthCase { ends: vec![AttemptEnd::Failed; 6], unanswered: false, checked_after_ms: 0, is_suspect: false, is_given_up: false }; "error answers do not eject")]
+#[test_case(&HealthCase { ends: vec![AttemptEnd::Unreachable], unanswered: true, checked_after_ms: 500, is_suspect: true, is_given_up: true }; "one request at a time probes a target that failed")]
+#[test_case(&HealthCase { ends: vec![AttemptEnd::Unreachable, AttemptEnd::Answered], unanswered: true, checked_after_ms: 500, is_suspect: false, is_given_up: false }; "back in use after an answer")]
+#[test_case(&HealthCase { ends: vec![AttemptEnd::Broken], unanswered: true, checked_after_ms: 0, is_suspect: true, is_given_up: false }; "a broken connection")]
+#[test_case(&HealthCase { ends: vec![AttemptEnd::Replaced], unanswered: false, checked_after_ms: 4_000, is_suspect: true, is_given_up: false }; "replaced but still listed")]
+#[test_case(&HealthCase { ends: vec![], unanswered: true, checked_after_ms: 2_000, is_suspect: true, is_given_up: true }; "silent")]
+#[test_case(&HealthCase { ends: vec![], unanswered: true, checked_after_ms: 100, is_suspect: false, is_given_up: false }; "not silent yet")]
 fn request_results_decide_whether_a_target_is_suspect(case: &HealthCase) {
     let mut health = TargetHealth::default();
     let mut now = NOW;
@@ -178,6 +180,7 @@
     }
     let checked_at = now.plus_ms(case.checked_after_ms);
     assert_eq!(health.is_suspect(checked_at, 50.0), case.is_suspect);
+    assert_eq!(health.is_given_up(checked_at, 50.0), case.is_given_up);
 }
 
 /// Guards against an estimate that includes parts which an engine has evicted long ago.
