relay: do not take a stream without an event for complete

Cause: a stream may have neither a length nor chunks and end with its connection. A target that crashed after the head and before the first event ended such a stream like a complete one, so the caller got an empty success, and the crash would have counted as an answer in favour of the prompt's parts.

Change: a stream that ends without an event is broken off, unless it continues after an event that the caller has.

--- a/crates/relay/src/event_relay.rs
+++ b/crates/relay/src/event_relay.rs
@@ -53,6 +53,11 @@
         loop {
             match next_stream_part(&mut answer, &mut cursor, deadline).await {
                 StreamPart::Failed(failure) => return Err(failure),
+                // Only a stream that continues after its last event has none left. A body without a length also ends when its
+                // target crashes before the first event.
+                StreamPart::End if cursor.last_id().is_none() => {
+                    return Err(AttemptFailure::AnswerIncomplete);
+                }
                 StreamPart::End => {
                     return Ok(Self {
                         answer,
--- a/crates/relay/tests/gateway/answers.rs
+++ b/crates/relay/tests/gateway/answers.rs
@@ -142,6 +142,36 @@
     });
 }
 
+struct UnframedCase {
+    /// The body of a stream without a length or chunks.
+    body: String,
+    end: Action,
+    status: u16,
+    is_complete: bool,
+}
+
+// Guards against a stream that is delimited by the close of its connection and broken off, but looks complete.
+#[test_case(UnframedCase { body: format!("{}{}", event(1), event(2)), end: Action::Close, status: 200, is_complete: true }; "closed after an event")]
+#[test_case(UnframedCase { body: format!("{}id: 2\ndata: pi", event(1)), end: Action::Close, status: 200, is_complete: false }; "closed inside an event")]
+#[test_case(UnframedCase { body: format!("{}{}", event(1), event(2)), end: Action::Reset, status: 200, is_complete: false }; "reset after an event")]
+#[test_case(UnframedCase { body: "id: 1\ndata: pi".to_owned(), end: Action::Close, status: 502, is_complete: true }; "closed inside the first event")]
+#[test_case(UnframedCase { body: String::new(), end: Action::Close, status: 502, is_complete: true }; "closed before the first event")]
+fn unframed_streams_are_complete_only_after_an_event(case: UnframedCase) {
+    on_one_thread(async move {
+        let head = stream_head().replace("transfer-encoding: chunked\r\n", "");
+        let actions = vec![
+            send(format!("{head}{}", case.body)),
+            Action::Wait(100),
+            case.end,
+        ];
+        let target = ScriptedTarget::start(vec![actions]).await;
+        let host = start_host(STREAM, std::slice::from_ref(&target)).await;
+        let answer = call(host.settings.caller_address, &request("a1")).await;
+        let seen = (answer.status, answer.is_complete);
+        assert_eq!(seen, (case.status, case.is_complete), "{answer:?}");
+    });
+}
+
 /// Guards against work that is started again elsewhere because another request lost its connection to the same target.
 #[test]
 fn a_lost_answer_does_not_end_other_requests_at_its_target() {
