quarantine, relay: state the end of a quarantine in refusals, not this host's

Cause: each host ends a quarantine later by a time of its own, so that one of them tries the part first. A refusal stated that later time, and the receiving host adopted it as the end; hosts could extend a quarantine for one another for as long as requests with the part came.

Change: a refusal carries the end of the quarantine for other hosts, and the time at which this host tries again for the caller. An end that has passed is not adopted.

--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -11,4 +11,4 @@
 
 pub use part_key::PartKey;
 pub use part_report::{CrashReport, PartReport};
-pub use quarantine::{QUARANTINE_MS, Quarantine, QuarantinedPart};
+pub use quarantine::{QUARANTINE_MS, Quarantine, QuarantinedPart, Refusal};
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -57,6 +57,17 @@
     pub until: MonoMs,
 }
 
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// The part that crashes targets.
+    pub part: PartKey,
+    /// The end of the quarantine, which other hosts adopt.
+    pub until: MonoMs,
+    /// When this host sends the part to targets again.
+    pub released_at: MonoMs,
+}
+
 /// The prompt parts that have crashed targets, and those that are kept away from targets.
 ///
 /// Load: requests with a bad part arrive at all hosts, several a second, among sound ones that share their other parts. A
@@ -153,7 +164,7 @@
         let survived_at = self.survivals.latest(part);
         let record = self.record_of(now, part);
         record.position = record.position.max(position);
-        if record.is_quarantined(now) {
+        if record.is_quarantined(now) || until <= now {
             return None;
         }
         let is_cleared = survived_at.is_some_and(|survived_at| {
@@ -172,13 +183,17 @@
         })
     }
 
-    /// Returns the first of these parts that is in quarantine, and for how long.
+    /// Returns the refusal of a request with these parts, if one of them is kept away from targets.
     #[must_use]
-    pub fn quarantined(&self, now: MonoMs, parts: &[PartKey]) -> Option<(PartKey, MonoMs)> {
+    pub fn refusal(&self, now: MonoMs, parts: &[PartKey]) -> Option<Refusal> {
         parts.iter().find_map(|part| {
             let until = self.records.get(part)?.quarantined_until?;
-            let until = until.plus_ms(self.release_delay_ms);
-            (now < until).then_some((*part, until))
+            let released_at = until.plus_ms(self.release_delay_ms);
+            (now < released_at).then_some(Refusal {
+                part: *part,
+                until,
+                released_at,
+            })
         })
     }
 
--- a/crates/quarantine/tests/fleet/model.rs
+++ b/crates/quarantine/tests/fleet/model.rs
@@ -177,7 +177,7 @@
             })
             .collect();
         let at_ms = self.at_ms();
-        let is_refused = self.hosts[host].quarantined(self.now, &parts).is_some();
+        let is_refused = self.hosts[host].refusal(self.now, &parts).is_some();
         if !is_crashing {
             self.outcome.sound.push((at_ms, !is_refused));
         }
--- a/crates/quarantine/tests/rules.rs
+++ b/crates/quarantine/tests/rules.rs
@@ -72,7 +72,7 @@
         quarantine.record_crash(now, target, now, &[key("x")]);
     }
     let now = START.plus_ms(1_200);
-    assert!(quarantine.quarantined(now, &[key("x")]).is_some());
+    assert!(quarantine.refusal(now, &[key("x")]).is_some());
     (quarantine, now)
 }
 
@@ -84,15 +84,15 @@
     let (mut second, _) = with_quarantined_part(200_000);
     let parts = [key("x")];
     let now = start.plus_ms(QUARANTINE_MS + 1);
-    assert!(first.quarantined(now, &parts).is_none());
-    assert!(second.quarantined(now, &parts).is_some());
+    assert!(first.refusal(now, &parts).is_none());
+    assert!(second.refusal(now, &parts).is_some());
     let mut first = first;
     let entered = first.record_crash(now, 50, now, &parts);
     assert_eq!(entered.len(), 1);
     second.merge(now, &first.reports(now));
     let later = start.plus_ms(AFTER_RELEASE_MS);
-    assert!(first.quarantined(later, &parts).is_some());
-    assert!(second.quarantined(later, &parts).is_some());
+    assert!(first.refusal(later, &parts).is_some());
+    assert!(second.refusal(later, &parts).is_some());
 }
 
 /// Guards against a quarantine that comes back by the news of hosts that have not heard of the answer yet.
@@ -104,9 +104,9 @@
     let now = now.plus_ms(100);
     assert_eq!(first.record_survival(now, &parts), parts);
     first.merge(now, &second.reports(now));
-    assert!(first.quarantined(now, &parts).is_none());
+    assert!(first.refusal(now, &parts).is_none());
     second.merge(now, &first.reports(now));
-    assert!(second.quarantined(now, &parts).is_none());
+    assert!(second.refusal(now, &parts).is_none());
 }
 
 /// Guards against a host that ignores a quarantine because it has seen answers from before the part crashed targets.
@@ -116,13 +116,13 @@
     let mut second = Quarantine::new(0);
     second.record_survival(START, &[key("x")]);
     second.merge(now, &first.reports(now));
-    assert!(second.quarantined(now, &[key("x")]).is_some());
+    assert!(second.refusal(now, &[key("x")]).is_some());
     let mut third = Quarantine::new(0);
     third.record_survival(START, &[key("x")]);
     let entered = third.adopt(now, key("x"), 0, now.plus_ms(QUARANTINE_MS));
     assert!(entered.is_some());
     third.merge(now, &second.reports(now));
-    assert!(third.quarantined(now, &[key("x")]).is_some());
+    assert!(third.refusal(now, &[key("x")]).is_some());
 }
 
 /// Guards against a request that goes from one crash to the next because it may be repeated.
@@ -148,7 +148,7 @@
         quarantine.record_crash(now, 1_000 + number, now, &[part]);
         quarantine.record_survival(now, &[key(&format!("other {number}"))]);
     }
-    assert!(quarantine.quarantined(now, &[key("x")]).is_some());
+    assert!(quarantine.refusal(now, &[key("x")]).is_some());
     assert!(quarantine.reports(now).len() <= 20);
     let bytes: usize = quarantine
         .reports(now)
@@ -157,3 +157,17 @@
         .sum();
     assert!(bytes < 700, "{bytes} bytes of news");
 }
+
+/// Guards against hosts that extend a quarantine for one another, because each ends it at another time.
+#[test]
+fn hosts_that_end_a_quarantine_later_do_not_extend_it() {
+    let (mut first, start) = with_quarantined_part(0);
+    let (second, _) = with_quarantined_part(200_000);
+    let parts = [key("x")];
+    let now = start.plus_ms(QUARANTINE_MS + 1);
+    let refusal = second
+        .refusal(now, &parts)
+        .expect("the second host still refuses");
+    first.adopt(now, key("x"), 0, refusal.until);
+    assert!(first.refusal(now, &parts).is_none());
+}
--- a/crates/relay/src/crash_watch.rs
+++ b/crates/relay/src/crash_watch.rs
@@ -9,6 +9,7 @@
 
 use crate::choose::ChosenTarget;
 use crate::host::Host;
+use crate::local_reply::LocalReply;
 use crate::prompt::Prompt;
 use crate::target::Target;
 
@@ -92,12 +93,13 @@
         self.record_entered(now, entered.as_slice(), from);
     }
 
-    /// Returns the first part of a prompt that is in quarantine, and for how long, in milliseconds.
-    pub(crate) fn quarantined_part(&self, prompt: &Prompt) -> Option<(PartKey, u64)> {
+    /// Returns the reply to a request that is refused because of a part of its prompt.
+    pub(crate) fn refuse_prompt(&self, prompt: &Prompt) -> Option<LocalReply> {
         let now = self.clock.now();
         let quarantine = self.quarantine.borrow();
-        let (part, until) = quarantine.quarantined(now, &prompt.shared_parts)?;
-        Some((part, until.since_ms(now)))
+        let refusal = quarantine.refusal(now, &prompt.shared_parts)?;
+        self.metrics.quarantine_refusals.inc();
+        Some(LocalReply::quarantined(now, refusal))
     }
 
     /// Returns whether a failed request may be sent to another target as far as its prompt is concerned.
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -144,12 +144,10 @@
                 return Err(fallback);
             }
         }
-        if let Some((part, left_ms)) = self.host.quarantined_part(&self.incoming.prompt) {
-            self.host.metrics.quarantine_refusals.inc();
-            let is_not_run = fallback.is_none_or(|fallback| fallback.outcome == Outcome::NotRun);
-            return Err(match (is_not_run, fallback) {
-                (false, Some(fallback)) => fallback,
-                _ => LocalReply::quarantined(part, left_ms),
+        if let Some(refusal) = self.host.refuse_prompt(&self.incoming.prompt) {
+            return Err(match fallback {
+                Some(fallback) if fallback.outcome != Outcome::NotRun => fallback,
+                _ => refusal,
             });
         }
         if remaining_ms == 0 {
--- a/crates/relay/src/local_reply.rs
+++ b/crates/relay/src/local_reply.rs
@@ -2,7 +2,7 @@
 
 use http::{HeaderValue, StatusCode};
 use lw_base::prelude::*;
-use lw_quarantine::PartKey;
+use lw_quarantine::{PartKey, Refusal};
 
 use crate::headers::{LOCAL_OUTCOME, QUARANTINED_PART, header_value};
 use crate::names::HeaderNames;
@@ -22,8 +22,8 @@
     pub(crate) reason: &'static str,
     /// When the caller should retry, in milliseconds.
     pub(crate) retry_after_ms: Option<u64>,
-    /// The part of the prompt because of which the request is refused.
-    pub(crate) quarantined_part: Option<PartKey>,
+    /// The part of the prompt because of which the request is refused, and how long its quarantine lasts, in milliseconds.
+    pub(crate) quarantined_part: Option<(PartKey, u64)>,
 }
 
 impl LocalReply {
@@ -38,12 +38,12 @@
         }
     }
 
-    /// Returns a 503 for a request with a part that crashes targets and stays in quarantine for `left_ms` milliseconds.
-    pub(crate) fn quarantined(part: PartKey, left_ms: u64) -> Self {
+    /// Returns a 503 for a request with a part that crashes targets.
+    pub(crate) fn quarantined(now: MonoMs, refusal: Refusal) -> Self {
         let reason = "a part of the prompt crashes targets; requests with it are refused";
         Self {
-            quarantined_part: Some(part),
-            ..Self::not_run(reason, left_ms)
+            quarantined_part: Some((refusal.part, refusal.until.since_ms(now))),
+            ..Self::not_run(reason, refusal.released_at.since_ms(now))
         }
     }
 
@@ -88,8 +88,7 @@
         let mut reply = json_reply(self.status, body);
         let headers = reply.headers_mut();
         headers.insert(LOCAL_OUTCOME, HeaderValue::from_static(outcome));
-        if let Some(part) = self.quarantined_part {
-            let left_ms = self.retry_after_ms.unwrap_or_default();
+        if let Some((part, left_ms)) = self.quarantined_part {
             headers.insert(QUARANTINED_PART, header_value(format!("{part} {left_ms}")));
         }
         if let Some(after_ms) = self.retry_after_ms {
