relay: refuse waiting requests whose part enters the quarantine

Cause: the quarantine was asked before a request waits for a slot, not while it waits, although a comment said so.

Change: it is asked at each decision of the wait. A refusal because of a part also replaces an earlier refusal, so that other hosts learn the part.

Measured: the new test failed before (the request was sent); passes.

--- a/crates/relay/src/decide.rs
+++ b/crates/relay/src/decide.rs
@@ -71,6 +71,9 @@
         };
         loop {
             let capacity_changed = self.capacity_changed.notified();
+            if let Some(refusal) = self.refuse_prompt(&incoming.prompt) {
+                return Err(refusal);
+            }
             let refused = match self.decide_now(incoming, tried) {
                 Ok(destination) => return Ok(destination),
                 Err(refused) => refused,
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -144,12 +144,6 @@
                 return Err(fallback);
             }
         }
-        if let Some(refusal) = self.host.refuse_prompt(&self.incoming.prompt) {
-            return Err(match fallback {
-                Some(fallback) if fallback.outcome != Outcome::NotRun => fallback,
-                _ => refusal,
-            });
-        }
         if remaining_ms == 0 {
             return Err(LocalReply::not_run(
                 "the deadline passed before the request was sent",
@@ -168,6 +162,11 @@
         let destination = match (decision, fallback) {
             (Ok(destination), _) => destination,
             (Err(reply), None) => return Err(reply),
+            (Err(reply), Some(fallback))
+                if fallback.outcome == Outcome::NotRun && reply.quarantined_part.is_some() =>
+            {
+                return Err(reply);
+            }
             // Both refusals hold, so the caller should come back when the later one ends.
             (Err(reply), Some(fallback)) if fallback.outcome == Outcome::NotRun => {
                 return Err(LocalReply {
--- a/crates/relay/tests/gateway/crashing_parts.rs
+++ b/crates/relay/tests/gateway/crashing_parts.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use lw_quarantine::PartKey;
+
 use crate::engine_fleet::EngineFleet;
 use crate::support::*;
 
@@ -114,3 +116,30 @@
         assert!(after >= MIN_SOUND_RATIO * before, "{after} of {before}");
     });
 }
+
+/// Guards against a request that waits for a slot while its part enters the quarantine, and is sent all the same.
+#[test]
+fn a_waiting_request_is_refused_when_its_part_enters_the_quarantine() {
+    on_one_thread(async {
+        let target = ScriptedTarget::start(vec![vec![Action::Send(ok_response("x"))]]).await;
+        let options = RouteOptions {
+            // The longest wait is a fraction of `latency_goal_ms`.
+            latency_goal_ms: 4_000,
+            ..ONCE
+        };
+        let host = start_host(options, std::slice::from_ref(&target)).await;
+        let load = host.plan().targets[0][0].load.clone();
+        load.borrow_mut().running = 1_000;
+        let address = host.settings.caller_address;
+        let sent = prompt_request("a1", "10:92,bad:60,f1:200");
+        let caller = tokio::task::spawn_local(async move { call(address, &sent).await });
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let until = host.clock.now().plus_ms(60_000);
+        host.adopt_quarantine(PartKey::of_id(b"bad"), 1, until, "a test");
+        load.borrow_mut().running = 0;
+        let answer = caller.await.expect("the caller task completes");
+        assert_eq!(answer.status, 503, "{answer:?}");
+        assert!(answer.body.contains("crashes targets"), "{answer:?}");
+        assert_eq!(target.request_heads.borrow().len(), 0);
+    });
+}
