quarantine, relay: model hundreds of hosts; log a failed accept during a stop

Cause: the model of the quarantine ended at 72 hosts, and the loop that accepts the queue of a closing listener dropped an error without a line.

Change: a case with 295 hosts and 215 engines; a warning for the error.

--- a/crates/quarantine/tests/fleet/main.rs
+++ b/crates/quarantine/tests/fleet/main.rs
@@ -34,6 +34,7 @@
 #[test_case(&Load { sound_parts: &[200, 3], crashing_position: 0, ..LOAD }; "the first part")]
 #[test_case(&Load { hosts: 3, engines: 4, sound_per_s: 40.0, ..LOAD }; "a small fleet")]
 #[test_case(&Load { hosts: 72, engines: 90, sound_per_s: 180.0, ..LOAD }; "a large fleet")]
+#[test_case(&Load { hosts: 295, engines: 215, sound_per_s: 180.0, ..LOAD }; "a fleet of hundreds of hosts")]
 #[test_case(&Load { other_crashes_per_s: 0.5, ..LOAD }; "engines crash for other reasons too")]
 #[test_case(&Load { restarts_ms: half_restart, ..LOAD }; "half of the hosts restart")]
 #[test_case(&Load { power_loss_ms: Some(8_000), ..LOAD }; "half of the engines lose power")]
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -111,8 +111,16 @@
 async fn accept_waiting(host: &Rc<Host>, listener: &TcpListener, kind: ListenerKind) {
     // Lets the runtime notice what has arrived.
     tokio::task::yield_now().await;
-    while let Ok(Ok((stream, _))) = tokio::time::timeout(Duration::ZERO, listener.accept()).await {
-        tokio::task::spawn_local(serve_stream(host.clone(), stream, kind));
+    while let Ok(accepted) = tokio::time::timeout(Duration::ZERO, listener.accept()).await {
+        match accepted {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve_stream(host.clone(), stream, kind));
+            }
+            Err(error) => {
+                log::warn!(reason = error.to_string().as_str(); "accepting a waiting connection failed; the others in the queue are reset");
+                return;
+            }
+        }
     }
 }
 
