--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -14,6 +14,7 @@
 mod mirror_update;
 mod sighting;
 mod stage;
+mod state_evidence;
 mod state_version;
 
 pub use changed_keys::ChangedKeys;
@@ -27,4 +28,5 @@
 pub use mirror_update::{MirrorUpdate, MirrorUpdateError};
 pub use sighting::Sighting;
 pub use stage::Stage;
+pub use state_evidence::{StateDoubt, StateEvidence};
 pub use state_version::{StateVersion, StateVersionError};
--- /dev/null
+++ b/crates/mesh/src/state_evidence.rs
@@ -0,0 +1,73 @@
+//! Tracks what a host has heard that shows its copy of the platform's state to be current.
+
+use lw_base::prelude::*;
+
+use crate::host_status::HostStatus;
+use crate::state_version::StateVersion;
+
+/// Hosts hear from one another every 400 ms; a host that knows others and hears from none of them for three intervals is
+/// isolated, or has just been suspended.
+const CONTACT_TIMEOUT_MS: u64 = 1_200;
+/// The maximum age of the platform's last answer to this host or to one that it hears from: the wait time of a watch plus
+/// a margin.
+const PLATFORM_TIMEOUT_MS: u64 = 5_500;
+
+/// Why the copy of the platform's state may be out of date.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StateDoubt {
+    /// No other host is heard from, so nobody would tell this host of a change.
+    Isolated,
+    /// Neither this host nor one that it hears from has had an answer from the platform.
+    PlatformSilent,
+}
+
+/// The evidence that a host's copy of the platform's state is current.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StateEvidence {
+    /// When a host was last heard from that has no newer state, or the platform last answered this host's watch.
+    agreed_at: MonoMs,
+    /// When the platform last answered this host, or a host that has no newer state.
+    platform_answered_at: MonoMs,
+}
+
+impl StateEvidence {
+    /// Records that the platform has answered this host's watch or listing.
+    pub fn record_watch_answer(&mut self, now: MonoMs) {
+        self.agreed_at = now;
+        self.platform_answered_at = now;
+    }
+
+    /// Records that the platform has answered another call of this host.
+    pub fn record_platform_answer(&mut self, now: MonoMs) {
+        self.platform_answered_at = now;
+    }
+
+    /// Records a heartbeat; `own` is the version of this host's copy.
+    pub fn record_heartbeat(&mut self, now: MonoMs, own: StateVersion, status: &HostStatus) {
+        if status.as_of > own || status.as_of == StateVersion::default() {
+            return;
+        }
+        self.agreed_at = now;
+        if status.platform_age_ms < u16::MAX {
+            let answered_at = MonoMs(now.0.saturating_sub(u64::from(status.platform_age_ms)));
+            self.platform_answered_at = self.platform_answered_at.max(answered_at);
+        }
+    }
+
+    /// Returns why the state may be out of date, or `None` if it is current; `knows_hosts` is whether the host knows any
+    /// other host.
+    #[must_use]
+    pub fn doubt(&self, now: MonoMs, knows_hosts: bool) -> Option<StateDoubt> {
+        if knows_hosts && now.since_ms(self.agreed_at) > CONTACT_TIMEOUT_MS {
+            return Some(StateDoubt::Isolated);
+        }
+        (now.since_ms(self.platform_answered_at) > PLATFORM_TIMEOUT_MS)
+            .then_some(StateDoubt::PlatformSilent)
+    }
+
+    /// Returns the time since the last evidence of both kinds, in milliseconds.
+    #[must_use]
+    pub fn age_ms(&self, now: MonoMs) -> u64 {
+        now.since_ms(self.agreed_at.min(self.platform_answered_at))
+    }
+}
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -8,7 +8,8 @@
 use lw_base::prelude::*;
 use lw_base::stable_hash;
 use lw_mesh::{
-    ChangedKeys, Coverage, EarlierStateView, HostTable, ListedHost, Mirror, Stage, StateVersion,
+    ChangedKeys, Coverage, EarlierStateView, HostTable, ListedHost, Mirror, Stage, StateDoubt,
+    StateEvidence, StateVersion,
 };
 use lw_quarantine::Quarantine;
 
@@ -82,7 +83,9 @@
     pub(crate) is_fetching_mirror: Cell<bool>,
     /// The platform listed an earlier process of this host when this one started.
     pub(crate) is_restart: Cell<bool>,
-    /// When the platform last answered.
+    /// What shows that the mirror is current.
+    pub state_evidence: Cell<StateEvidence>,
+    /// When the platform last answered the watch of this host.
     pub platform_answered_at: Cell<Option<MonoMs>>,
     /// Notified when a target frees a slot or a new plan is in force.
     pub(crate) capacity_changed: Rc<tokio::sync::Notify>,
@@ -143,6 +146,7 @@
             heartbeat_due: Rc::default(),
             is_fetching_mirror: Cell::default(),
             is_restart: Cell::default(),
+            state_evidence: Cell::default(),
             platform_answered_at: Cell::default(),
             capacity_changed: Rc::default(),
             stage: Cell::default(),
@@ -245,6 +249,34 @@
         self.connections.get()
     }
 
+    /// Records that the platform has answered a watch or listing of this host.
+    pub fn record_watch_answer(&self) {
+        let now = self.clock.now();
+        let mut evidence = self.state_evidence.get();
+        evidence.record_watch_answer(now);
+        self.state_evidence.set(evidence);
+        self.platform_answered_at.set(Some(now));
+    }
+
+    /// Records that the platform has answered another call of this host.
+    pub fn record_platform_answer(&self) {
+        let mut evidence = self.state_evidence.get();
+        evidence.record_platform_answer(self.clock.now());
+        self.state_evidence.set(evidence);
+    }
+
+    /// Returns why the mirror may be out of date, or `None` if it is current.
+    #[must_use]
+    pub fn state_doubt(&self, now: MonoMs) -> Option<StateDoubt> {
+        let knows_hosts = self.hosts.borrow().peak_hosts_overall() > 1;
+        self.state_evidence.get().doubt(now, knows_hosts)
+    }
+
+    /// Returns the time since this host last had evidence that its mirror is current, in milliseconds.
+    pub(crate) fn state_age_ms(&self) -> u64 {
+        self.state_evidence.get().age_ms(self.clock.now())
+    }
+
     /// Moves to a step of the planned stop. Every step but `Serve` marks the host as leaving.
     pub fn set_stop_step(&self, step: StopStep) {
         if step != StopStep::Serve {
--- a/crates/relay/src/names.rs
+++ b/crates/relay/src/names.rs
@@ -25,6 +25,10 @@
     pub retry_after: HeaderName,
     /// Marks the answers of a target that is leaving.
     pub leaving: HeaderName,
+    /// The id of the target, in its health answers.
+    pub instance: HeaderName,
+    /// How long the target stays cold, in milliseconds, in its health answers.
+    pub cold_remaining_ms: HeaderName,
     /// The scheduling urgency of a request on an engine.
     pub urgency: HeaderName,
     /// Headers that only hosts may set; those of callers are removed.
--- a/crates/relay/src/peer_heartbeats.rs
+++ b/crates/relay/src/peer_heartbeats.rs
@@ -123,6 +123,10 @@
     if !host.hosts.borrow_mut().record_heartbeat(now, &heartbeat) {
         return;
     }
+    let own = host.mirror.borrow().as_of();
+    let mut evidence = host.state_evidence.get();
+    evidence.record_heartbeat(now, own, &heartbeat.status);
+    host.state_evidence.set(evidence);
     host.merge_part_reports(now, &heartbeat.parts);
     if heartbeat.address.region != host.settings.region {
         return;
--- a/crates/relay/src/plan.rs
+++ b/crates/relay/src/plan.rs
@@ -27,6 +27,8 @@
     pub cold_ms: u64,
     /// The requests per second that a cold target accepts from all hosts together; zero when slow start is off.
     pub cold_per_s: f64,
+    /// The path of the health check of its targets; `None` if they have none.
+    pub health_path: Option<Arc<str>>,
     /// The capacity of its engines; `None` for a plain service.
     pub engine: Option<EngineCapacity>,
 }
--- a/crates/relay/tests/gateway/engine_fleet.rs
+++ b/crates/relay/tests/gateway/engine_fleet.rs
@@ -116,6 +116,7 @@
                 max_connections: 100,
                 cold_ms: 0,
                 cold_per_s: 0.0,
+                health_path: None,
                 engine: Some(EngineCapacity {
                     memory_tokens: 200_000,
                 }),
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -262,6 +262,8 @@
             not_run: name("x-not-run"),
             retry_after: name("retry-after"),
             leaving: name("x-leaving"),
+            instance: name("x-instance"),
+            cold_remaining_ms: name("x-cold"),
             urgency: name("x-urgency"),
             reserved: vec![name("x-target"), name("x-urgency"), name("x-hold")],
         },
@@ -325,6 +327,7 @@
             max_connections: 100,
             cold_ms: 0,
             cold_per_s: 0.0,
+            health_path: None,
             engine: None::<EngineCapacity>,
         },
     );
--- a/crates/relay/tests/placing.rs
+++ b/crates/relay/tests/placing.rs
@@ -26,6 +26,7 @@
             max_connections: 100,
             cold_ms: 3_000,
             cold_per_s: 4.0,
+            health_path: None,
             engine: engine.then_some(EngineCapacity {
                 memory_tokens: 300_000,
             }),
--- a/crates/relay/tests/streams.rs
+++ b/crates/relay/tests/streams.rs
@@ -29,6 +29,7 @@
             max_connections: 600,
             cold_ms: 0,
             cold_per_s: 0.0,
+            health_path: None,
             engine: Some(EngineCapacity {
                 memory_tokens: 400_000,
             }),
--- a/crates/relay/tests/targets.rs
+++ b/crates/relay/tests/targets.rs
@@ -43,6 +43,7 @@
             max_connections: 10,
             cold_ms: 3_000,
             cold_per_s: 4.0,
+            health_path: None,
             engine: None,
         },
     );
