relay: reproduce hosts with an aged state that flood a target that turned cold

Users saw a cold target get more requests in one second than allowed, summed over all hosts. The test lets four hosts hear nothing, or one another and no platform, while a target turns cold under its id; or lets the target restart under its id. A second test holds that such hosts go on using warm targets, also when their health checks are rejected, false or not answered.

--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -8,8 +8,8 @@
 use lw_base::prelude::*;
 use lw_base::stable_hash;
 use lw_mesh::{
-    ChangedKeys, Coverage, EarlierStateView, HostTable, ListedHost, Mirror, Stage, StateDoubt,
-    StateEvidence, StateVersion,
+    ChangedKeys, Coverage, EarlierStateView, HostStatus, HostTable, ListedHost, Mirror, Stage,
+    StateDoubt, StateEvidence, StateVersion,
 };
 use lw_quarantine::Quarantine;
 
@@ -265,6 +265,13 @@
         self.state_evidence.set(evidence);
     }
 
+    /// Records what the heartbeat of another host shows of the mirror of this host, which has the version `own`.
+    pub fn record_state_of(&self, now: MonoMs, own: StateVersion, status: &HostStatus) {
+        let mut evidence = self.state_evidence.get();
+        evidence.record_heartbeat(now, own, status);
+        self.state_evidence.set(evidence);
+    }
+
     /// Returns why the mirror may be out of date, or `None` if it is current.
     #[must_use]
     pub fn state_doubt(&self, now: MonoMs) -> Option<StateDoubt> {
--- a/crates/relay/src/peer_heartbeats.rs
+++ b/crates/relay/src/peer_heartbeats.rs
@@ -124,9 +124,7 @@
         return;
     }
     let own = host.mirror.borrow().as_of();
-    let mut evidence = host.state_evidence.get();
-    evidence.record_heartbeat(now, own, &heartbeat.status);
-    host.state_evidence.set(evidence);
+    host.record_state_of(now, own, &heartbeat.status);
     host.merge_part_reports(now, &heartbeat.parts);
     if heartbeat.address.region != host.settings.region {
         return;
--- a/crates/relay/tests/gateway/main.rs
+++ b/crates/relay/tests/gateway/main.rs
@@ -8,3 +8,5 @@
 mod notices;
 mod plan_changes;
 mod support;
+mod warming_target;
+mod warmth;
