relay: age what a host knows while its process or machine stands still

A host that stood still used its last state until the next regular heartbeat. Heartbeats that had waited in its socket were read first and taken for current. Also, the monotonic clock does not count the suspension of a machine, so nothing that the host knew had aged when it woke.

Change: when the process did not run for 1.2 s, waiting heartbeats are dropped and logged; the clock of the host counts suspended time.

Measured: the new test fails without the dropped heartbeats (state current right after waking) and passes with them. The suspension of a machine has no test.

--- a/crates/relay/src/clock.rs
+++ b/crates/relay/src/clock.rs
@@ -1,12 +1,14 @@
 //! The clock of the modules that do input and output; decision functions take the time as an argument.
 
 use lw_base::prelude::*;
+use rustix::time::{ClockId, clock_gettime};
 use tokio::time::{Duration, Instant};
 
-/// The monotonic clock of the process.
+/// The monotonic clock of the process. It also counts the time for which the machine is suspended, so that what the host
+/// knows has aged when it wakes.
 #[derive(Clone, Copy, Debug)]
 pub struct HostClock {
-    start: Instant,
+    start_ms: u64,
 }
 
 /// The clock's value at the start, so that subtracting a duration from it never reaches zero.
@@ -17,25 +19,31 @@
     #[must_use]
     pub fn start() -> Self {
         Self {
-            start: Instant::now(),
+            start_ms: boot_ms(),
         }
     }
 
     /// Returns the current time.
     #[must_use]
     pub fn now(&self) -> MonoMs {
-        MonoMs(OFFSET_MS + self.start.elapsed().as_millis() as u64)
+        MonoMs(OFFSET_MS + self.uptime_ms())
     }
 
     /// Returns the time since the start, in milliseconds.
     #[must_use]
     pub fn uptime_ms(&self) -> u64 {
-        self.start.elapsed().as_millis() as u64
+        boot_ms().saturating_sub(self.start_ms)
     }
 
-    /// Converts a time of this clock to an [`Instant`].
+    /// Converts a time of this clock to an [`Instant`]; a time in the past becomes the current one.
     #[must_use]
     pub fn instant(&self, at: MonoMs) -> Instant {
-        self.start + Duration::from_millis(at.0.saturating_sub(OFFSET_MS))
+        Instant::now() + Duration::from_millis(at.since_ms(self.now()))
     }
 }
+
+/// Returns the time since the machine booted, in milliseconds.
+fn boot_ms() -> u64 {
+    let now = clock_gettime(ClockId::Boottime);
+    now.tv_sec as u64 * 1_000 + now.tv_nsec as u64 / 1_000_000
+}
--- a/crates/relay/src/peer_heartbeats.rs
+++ b/crates/relay/src/peer_heartbeats.rs
@@ -23,6 +23,8 @@
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 /// The answer length that the wait in heartbeats is computed for, in tokens: a short answer.
 const REPORTED_WAIT_OUTPUT_TOKENS: u64 = 60;
+/// A process that did not run for this long, in milliseconds, was suspended or starved: three intervals of heartbeats.
+const SUSPENSION_MS: u64 = 1_200;
 /// The minimum time between two heartbeats that are sent immediately because of a change, in milliseconds.
 const MIN_CHANGE_INTERVAL_MS: u64 = 150;
 /// How long a host that learns of a newer platform state waits for its own watch before it fetches the state from
@@ -48,9 +50,15 @@
     let mut bytes = [0; 2_048];
     let mut behind_since: Option<MonoMs> = None;
     let mut last_change_sent_at = host.clock.now();
+    let mut last_turn_at = host.clock.now();
     loop {
         tokio::select! {
             received = socket.recv_from(&mut bytes) => match received {
+                Ok(_) if host.clock.now().since_ms(last_turn_at) > SUSPENSION_MS => {
+                    let dropped = drop_queued(&socket) + 1;
+                    let suspended_ms = host.clock.now().since_ms(last_turn_at);
+                    log::warn!(suspended_ms = suspended_ms, dropped_heartbeats = dropped; "the process did not run");
+                }
                 Ok((length, from)) => {
                     receive(&host, &bytes[..length], from.ip());
                     if !host.hosts.borrow().is_watcher(host.clock.now()) {
@@ -60,6 +68,10 @@
                 Err(error) => log::debug!(reason = error.to_string().as_str(); "receiving a heartbeat failed"),
             },
             _ = interval.tick() => {
+                if host.clock.now().since_ms(last_turn_at) > SUSPENSION_MS {
+                    // The queued heartbeats are read next, and dropped.
+                    continue;
+                }
                 host.update_coverage();
                 host.log_state_doubt();
                 send_heartbeats(&host, &socket).await;
@@ -78,7 +90,19 @@
                 }
             }
         }
+        last_turn_at = host.clock.now();
+    }
+}
+
+/// Drops the datagrams that arrived while the process did not run, and returns their number. They would show the state of
+/// a time that is past as the current one.
+fn drop_queued(socket: &UdpSocket) -> usize {
+    let mut bytes = [0; 2_048];
+    let mut dropped = 0;
+    while socket.try_recv_from(&mut bytes).is_ok() {
+        dropped += 1;
     }
+    dropped
 }
 
 /// Fetches the platform state from a host that has a newer one, after this host's own watch had time to deliver it.
--- a/crates/relay/tests/gateway/main.rs
+++ b/crates/relay/tests/gateway/main.rs
@@ -8,5 +8,6 @@
 mod notices;
 mod plan_changes;
 mod support;
+mod suspension;
 mod warming_target;
 mod warmth;
