relay: fetch the state from neighbours on waking, before requests are sent

A host that woke served requests by its last state until the next regular heartbeat of a neighbour, up to 0.4 s later: to targets that had begun to drain, to evacuated zones, with quarantined parts.

Change: a host that wakes asks three neighbours at once, and requests wait for the first answer for at most 150 ms.

--- a/crates/mesh/src/host_table.rs
+++ b/crates/mesh/src/host_table.rs
@@ -389,6 +389,18 @@
         })
     }
 
+    /// Returns the addresses of at most `count` hosts of the region, those that were heard from last.
+    #[must_use]
+    pub fn neighbours(&self, count: usize) -> Vec<Ipv4Addr> {
+        let same_region = self.hosts.values();
+        let mut neighbours: Vec<&HostEntry> = same_region
+            .filter(|entry| self.is_same_region(entry))
+            .collect();
+        neighbours.sort_unstable_by_key(|entry| Reverse(entry.heard_at()));
+        let latest = neighbours.iter().take(count);
+        latest.map(|entry| entry.address.ip).collect()
+    }
+
     /// Returns the number of heartbeats after which each host of the region has received one.
     #[must_use]
     pub fn heartbeats_per_region_round(&self) -> usize {
--- a/crates/mesh/src/state_evidence.rs
+++ b/crates/mesh/src/state_evidence.rs
@@ -45,6 +45,11 @@
         self.platform_answered_at = now;
     }
 
+    /// Records that another host has no newer state.
+    pub fn record_agreement(&mut self, now: MonoMs) {
+        self.agreed_at = now;
+    }
+
     /// Records a heartbeat; `own` is the version of this host's copy.
     pub fn record_heartbeat(&mut self, now: MonoMs, own: StateVersion, status: &HostStatus) {
         if status.as_of > own || status.as_of == StateVersion::default() {
--- a/crates/relay/src/decide.rs
+++ b/crates/relay/src/decide.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use lw_base::prelude::*;
 use rand::Rng;
 
 use crate::choose::{ChoiceQuery, ChosenTarget, NoTarget, TargetEligibility, choose};
@@ -12,6 +13,7 @@
 use crate::local_reply::LocalReply;
 use crate::prefix_owners::prefix_owners_of;
 use crate::spill::{SpillQuery, choose_region};
+use crate::suspension::must_wait_for_state;
 
 /// A request waits for this fraction of its latency goal while no target can accept it, and is then refused while its
 /// caller can still go elsewhere. An answer within an eighth of the goal costs the caller nothing; the rest of that
@@ -23,6 +25,8 @@
 const MAX_REFUSALS: u32 = 2;
 /// Waiting requests retry at least this often, because this host is not notified of slots that other hosts free.
 const POLL_INTERVAL: Duration = Duration::from_millis(60);
+/// Requests that wait for the state of a neighbour check at least this often whether they still have to.
+const WAKE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Minimum and random spread of the retry delay for refused callers, as fractions of the latency goal: an answer is
 /// still in time if the load has fallen by then, and callers that were refused together do not retry together.
 const RETRY_DELAY_FRACTIONS: (f64, f64) = (0.25, 0.35);
@@ -71,6 +75,10 @@
         };
         loop {
             let capacity_changed = self.capacity_changed.notified();
+            if self.must_wait_for_state(started) {
+                let _ = tokio::time::timeout(WAKE_POLL_INTERVAL, capacity_changed).await;
+                continue;
+            }
             if let Some(refusal) = self.refuse_prompt(&incoming.prompt) {
                 return Err(refusal);
             }
@@ -105,6 +113,18 @@
         }
     }
 
+    /// Returns whether a request that is being decided on since `started` waits for the state of a neighbour.
+    fn must_wait_for_state(&self, started: MonoMs) -> bool {
+        let now = self.clock.now();
+        must_wait_for_state(
+            now,
+            started,
+            self.ran_at.get(),
+            self.woke_at.get(),
+            self.state_doubt(now),
+        )
+    }
+
     fn decide_now(
         &self,
         incoming: &Incoming,
--- a/crates/relay/src/health_check.rs
+++ b/crates/relay/src/health_check.rs
@@ -20,14 +20,15 @@
 use crate::pool::PoolKey;
 use crate::target_load::TargetLoad;
 
-/// The time limit for a health check, including its connection. Requests wait for it.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+/// The time limit for a health check, including its connection. Requests wait for it. Targets answer within milliseconds,
+/// but a host that wakes to a backlog may take hundreds to read the answer.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long the result of a check holds, in milliseconds. Each host learns on its own that a target has turned cold, and
 /// sends at its full rate until then.
 const CHECK_VALIDITY_MS: u64 = 50;
 /// A target whose check was not answered is used without further checks for this long, in milliseconds: a target that
 /// answers requests but no checks must not be given up.
-const UNANSWERED_VALIDITY_MS: u64 = 500;
+const UNANSWERED_VALIDITY_MS: u64 = 2_000;
 
 /// What is known of the warmth of a target from its own answers.
 #[derive(Clone, Debug, Default)]
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -24,6 +24,7 @@
 use crate::settings::{Bounds, HostSettings};
 use crate::spill::RecentSpills;
 use crate::stop::StopStep;
+use crate::suspension::stood_still;
 use crate::target::Target;
 
 /// The inputs of [`Host::new`].
@@ -85,6 +86,10 @@
     pub(crate) is_restart: Cell<bool>,
     /// What shows that the mirror is current.
     pub state_evidence: Cell<StateEvidence>,
+    /// When the task that exchanges heartbeats last ran.
+    pub(crate) ran_at: Cell<Option<MonoMs>>,
+    /// When the process last ran again after it had stood still.
+    pub(crate) woke_at: Cell<MonoMs>,
     logged_doubt: Cell<Option<StateDoubt>>,
     /// When the platform last answered the watch of this host.
     pub platform_answered_at: Cell<Option<MonoMs>>,
@@ -148,6 +153,8 @@
             is_fetching_mirror: Cell::default(),
             is_restart: Cell::default(),
             state_evidence: Cell::default(),
+            ran_at: Cell::default(),
+            woke_at: Cell::default(),
             logged_doubt: Cell::default(),
             platform_answered_at: Cell::default(),
             capacity_changed: Rc::default(),
@@ -260,6 +267,15 @@
         self.platform_answered_at.set(Some(now));
     }
 
+    /// Records that another host, which was asked now, has no newer state.
+    pub(crate) fn record_agreement(&self) {
+        let mut evidence = self.state_evidence.get();
+        evidence.record_agreement(self.clock.now());
+        self.state_evidence.set(evidence);
+        // Requests may wait for it.
+        self.capacity_changed.notify_waiters();
+    }
+
     /// Records that the platform has answered another call of this host.
     pub fn record_platform_answer(&self) {
         let mut evidence = self.state_evidence.get();
@@ -281,6 +297,11 @@
         self.state_evidence.get().doubt(now, knows_hosts)
     }
 
+    /// Returns whether the process has just begun to run again after it had stood still, and has not noticed it yet.
+    pub(crate) fn wakes(&self, now: MonoMs) -> bool {
+        stood_still(now, self.ran_at.get())
+    }
+
     /// Logs when the mirror begins or ends to be in doubt.
     pub(crate) fn log_state_doubt(&self) {
         let now = self.clock.now();
--- a/crates/relay/src/peer_heartbeats.rs
+++ b/crates/relay/src/peer_heartbeats.rs
@@ -23,8 +23,8 @@
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 /// The answer length that the wait in heartbeats is computed for, in tokens: a short answer.
 const REPORTED_WAIT_OUTPUT_TOKENS: u64 = 60;
-/// A process that did not run for this long, in milliseconds, was suspended or starved: three intervals of heartbeats.
-const SUSPENSION_MS: u64 = 1_200;
+/// The number of neighbours that a host asks for the platform state when it wakes: one of them may be gone.
+const WAKE_FETCHES: usize = 3;
 /// The minimum time between two heartbeats that are sent immediately because of a change, in milliseconds.
 const MIN_CHANGE_INTERVAL_MS: u64 = 150;
 /// How long a host that learns of a newer platform state waits for its own watch before it fetches the state from
@@ -50,14 +50,16 @@
     let mut bytes = [0; 2_048];
     let mut behind_since: Option<MonoMs> = None;
     let mut last_change_sent_at = host.clock.now();
-    let mut last_turn_at = host.clock.now();
+    let mut is_waking = false;
+    host.ran_at.set(Some(host.clock.now()));
     loop {
         tokio::select! {
             received = socket.recv_from(&mut bytes) => match received {
-                Ok(_) if host.clock.now().since_ms(last_turn_at) > SUSPENSION_MS => {
+                Ok(_) if is_waking || host.wakes(host.clock.now()) => {
+                    is_waking = false;
                     let dropped = drop_queued(&socket) + 1;
-                    let suspended_ms = host.clock.now().since_ms(last_turn_at);
-                    log::warn!(suspended_ms = suspended_ms, dropped_heartbeats = dropped; "the process did not run");
+                    log::info!(dropped = dropped; "dropped the heartbeats that waited while the process did not run");
+                    wake(&host);
                 }
                 Ok((length, from)) => {
                     receive(&host, &bytes[..length], from.ip());
@@ -68,9 +70,10 @@
                 Err(error) => log::debug!(reason = error.to_string().as_str(); "receiving a heartbeat failed"),
             },
             _ = interval.tick() => {
-                if host.clock.now().since_ms(last_turn_at) > SUSPENSION_MS {
-                    // The queued heartbeats are read next, and dropped.
-                    continue;
+                if host.wakes(host.clock.now()) {
+                    // Heartbeats that waited are read next.
+                    is_waking = true;
+                    wake(&host);
                 }
                 host.update_coverage();
                 host.log_state_doubt();
@@ -90,7 +93,23 @@
                 }
             }
         }
-        last_turn_at = host.clock.now();
+        host.ran_at.set(Some(host.clock.now()));
+    }
+}
+
+/// Fetches the platform state from a neighbour, because the last one may be out of date and the next regular heartbeat is
+/// some time away.
+fn wake(host: &Rc<Host>) {
+    let now = host.clock.now();
+    let suspended_ms = host.ran_at.get().map_or(0, |at| now.since_ms(at));
+    log::warn!(suspended_ms = suspended_ms; "the process did not run");
+    host.woke_at.set(now);
+    host.ran_at.set(Some(now));
+    let known = host.mirror.borrow().as_of();
+    let neighbours = host.hosts.borrow().neighbours(WAKE_FETCHES);
+    for ip in neighbours {
+        let address = SocketAddr::from((ip, host.settings.peer_port));
+        tokio::task::spawn_local(crate::peer_mirror::fetch(host.clone(), address, known));
     }
 }
 
--- a/crates/relay/src/peer_mirror.rs
+++ b/crates/relay/src/peer_mirror.rs
@@ -43,8 +43,12 @@
     let fetched = tokio::time::timeout(FETCH_TIMEOUT, fetch_update(&host, address, known)).await;
     host.is_fetching_mirror.set(false);
     match fetched {
-        Ok(Ok(Some(update))) => apply_update(&host, update),
-        Ok(Ok(None)) => {}
+        Ok(Ok(update)) => {
+            if let Some(update) = update {
+                apply_update(&host, update);
+            }
+            host.record_agreement();
+        }
         Ok(Err(reason)) => {
             log::info!(peer = address.to_string().as_str(), reason = reason.as_str(); "fetching the platform state from another host failed");
         }
