quarantine: remember unexplained crashes for six hours

A part that crashes a target less often than every ten minutes never entered the quarantine, because crashes were forgotten after ten minutes.

Change: they are kept for six hours. Only an answer clears a part of earlier crashes, so parts of sound requests do not add up. The case "crashes that are long ago" keeps its meaning with the new time.

--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -31,8 +31,9 @@
 const EXPLANATION_DELAY_MS: u64 = 1_500;
 /// A quarantined part counts as still crashing targets for this long after its last crash, in milliseconds.
 const ACTIVE_MS: u64 = 5_000;
-/// Crashes older than this are forgotten, in milliseconds.
-const CRASH_MEMORY_MS: u64 = 600_000;
+/// Crashes older than this are forgotten, in milliseconds. A part that comes once an hour still adds up, because only an
+/// answer to a request with the part clears it of earlier crashes.
+const CRASH_MEMORY_MS: u64 = 21_600_000;
 /// News of a part that is not in quarantine is told for this long after its last change, in milliseconds.
 const NEWS_MS: u64 = 30_000;
 /// The maximum number of parts with records. Beyond it, the record that changed least recently is dropped.
--- a/crates/quarantine/tests/rules.rs
+++ b/crates/quarantine/tests/rules.rs
@@ -4,7 +4,8 @@
 use lw_quarantine::{PartKey, QUARANTINE_MS, Quarantine};
 use test_case::test_case;
 
-const START: MonoMs = MonoMs(10_000_000);
+const START: MonoMs = MonoMs(100_000_000);
+const HOUR_MS: u64 = 3_600_000;
 /// Longer than hosts spread the ends of a quarantine.
 const AFTER_RELEASE_MS: u64 = QUARANTINE_MS + 400_000;
 
@@ -43,7 +44,10 @@
 #[test_case(&Case { seen: &[(0, Crash(1, &["x"])), (500, Crash(2, &["x"])), (900, Crash(3, &["x"])), (950, Answer(&["x"]))], quarantined: &[] }; "an answer to a request that was under way")]
 #[test_case(&Case { seen: &[(0, Answer(&["x"])), (500, Crash(1, &["x"])), (1_000, Crash(2, &["x"])), (1_500, Crash(3, &["x"]))], quarantined: &[] }; "few crashes of a part that was answered")]
 #[test_case(&Case { seen: &[(0, Answer(&["x"])), (500, Crash(1, &["x"])), (1_000, Crash(2, &["x"])), (1_500, Crash(3, &["x"])), (2_000, Crash(4, &["x"])), (2_500, Crash(5, &["x"])), (3_000, Crash(6, &["x"]))], quarantined: &["x"] }; "a part that crashes targets only from some time on")]
-#[test_case(&Case { seen: &[(0, Crash(1, &["x"])), (QUARANTINE_MS + 1, Crash(2, &["x"])), (QUARANTINE_MS + 900, Crash(3, &["x"]))], quarantined: &[] }; "crashes that are long ago")]
+#[test_case(&Case { seen: &[(0, Crash(1, &["x"])), (6 * HOUR_MS + 1, Crash(2, &["x"])), (6 * HOUR_MS + 900, Crash(3, &["x"]))], quarantined: &[] }; "crashes that are long ago")]
+#[test_case(&Case { seen: &[(0, Crash(1, &["a", "x"])), (HOUR_MS, Crash(2, &["b", "x"])), (2 * HOUR_MS, Crash(3, &["c", "x"]))], quarantined: &["x"] }; "a part that comes once an hour")]
+#[test_case(&Case { seen: &[(0, Crash(1, &["a", "x"])), (HOUR_MS, Crash(2, &["a", "x"])), (HOUR_MS + 5, Answer(&["a"])), (2 * HOUR_MS, Crash(3, &["a", "x"]))], quarantined: &["x"] }; "a part that comes once an hour, beside a sound one")]
+#[test_case(&Case { seen: &[(0, Crash(1, &["x"])), (HOUR_MS, Crash(2, &["x"])), (HOUR_MS + 5, Answer(&["x"])), (2 * HOUR_MS, Crash(3, &["x"]))], quarantined: &[] }; "a sound part in crashes that are an hour apart")]
 fn a_host_quarantines_the_cause_of_crashes(case: &Case) {
     let mut quarantine = Quarantine::new(0);
     let mut now = START;
