relay: count targets that hang on a prompt part like targets that crash

A part that makes targets hang kept all of them busy: a hang does not end connections, so requests only ran into their deadlines, and nothing was charged to the part.

One that accepts connections and answers two health checks in a row with nothing hangs, and the unanswered prompts count as after a crash. Prompts of callers that leave earlier are not counted; open.

--- a/crates/relay/src/crash_watch.rs
+++ b/crates/relay/src/crash_watch.rs
@@ -1,6 +1,7 @@
 //! Notices targets that crash, and keeps requests that crash targets away from them.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use lw_base::prelude::*;
@@ -8,6 +9,7 @@
 use tokio::net::TcpStream;
 
 use crate::choose::ChosenTarget;
+use crate::health_check::CheckResult;
 use crate::host::Host;
 use crate::local_reply::LocalReply;
 use crate::prompt::Prompt;
@@ -17,9 +19,13 @@
 /// it within a round trip; without an answer, the path may be broken and nothing is known.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(350);
 
+/// A target that answers none of this many health checks in a row hangs. A host that is starved of processor time may
+/// miss a single answer.
+const HANG_CHECKS: usize = 2;
+
 impl Host {
-    /// Records that an attempt ended with its connection before the target had answered it, and checks whether the target
-    /// has crashed.
+    /// Records that an attempt ended with its connection, or with the silence of its target, before the target had answered
+    /// it, and checks whether the target has crashed or hangs.
     pub(crate) fn record_broken_attempt(self: &Rc<Self>, chosen: &ChosenTarget, prompt: &Prompt) {
         let target = &chosen.target;
         let plan = self.plan();
@@ -33,7 +39,8 @@
         let now = self.clock.now();
         let mut broken = self.broken_attempts.borrow_mut();
         if broken.record(now, target.hash, &prompt.shared_parts) {
-            tokio::task::spawn_local(check_target(self.clone(), target.clone()));
+            let health_path = chosen.service.health_path.clone();
+            tokio::task::spawn_local(check_target(self.clone(), target.clone(), health_path));
         }
     }
 
@@ -122,17 +129,37 @@
     }
 }
 
-/// Opens a connection to a target, to tell a crash from a lost answer.
-async fn check_target(host: Rc<Host>, target: Target) {
+/// Opens a connection to a target and asks for its health, to tell a crash or a target that hangs from a lost answer.
+async fn check_target(host: Rc<Host>, target: Target, health_path: Option<Arc<str>>) {
     let connected = tokio::time::timeout(CHECK_TIMEOUT, TcpStream::connect(target.address)).await;
-    match connected {
+    let is_connected = match connected {
         Ok(Err(error)) => {
             log::debug!(target_id = &*target.id, reason = error.to_string().as_str(); "a target refuses connections");
             host.record_target_crash(&target);
+            return;
         }
-        Ok(Ok(_)) | Err(_) => {
-            host.broken_attempts.borrow_mut().record_alive(target.hash);
-            log::debug!(target_id = &*target.id, connected = connected.is_ok(); "an answer was lost, but the target may still run");
+        Ok(Ok(_)) => true,
+        Err(_) => false,
+    };
+    let hangs = match health_path {
+        Some(path) if is_connected => answers_no_check(&host, &target, &path).await,
+        _ => false,
+    };
+    if hangs {
+        log::info!(target_id = &*target.id; "a target hangs");
+        host.record_target_crash(&target);
+        return;
+    }
+    host.broken_attempts.borrow_mut().record_alive(target.hash);
+    log::debug!(target_id = &*target.id, connected = is_connected; "an answer was lost, but the target may still run");
+}
+
+/// Returns whether a target whose machine accepts connections answers none of several health checks.
+async fn answers_no_check(host: &Host, target: &Target, path: &str) -> bool {
+    for _ in 0..HANG_CHECKS {
+        if host.ask_health(target, path).await != CheckResult::Unanswered {
+            return false;
         }
     }
+    true
 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -300,13 +300,25 @@
         AttemptStep::NoAnswer(failure)
     }
 
-    /// Records that the last attempt ended before its target had answered it, if its connection broke.
+    /// Records that the last attempt ended before its target had answered it, if its connection broke or its target has
+    /// fallen silent.
     pub(crate) fn record_broken(&self, failure: AttemptFailure) {
-        let is_broken = matches!(
-            failure,
-            AttemptFailure::AnswerLost | AttemptFailure::AnswerIncomplete
-        );
-        if is_broken && let Some(chosen) = &self.chosen {
+        let Some(chosen) = &self.chosen else {
+            return;
+        };
+        let is_quiet = || {
+            let load = chosen.target.load.borrow();
+            load.health.is_quiet(self.host.clock.now())
+        };
+        let is_broken = match failure {
+            AttemptFailure::AnswerLost | AttemptFailure::AnswerIncomplete => true,
+            AttemptFailure::DeadlineAfterSend => is_quiet(),
+            AttemptFailure::ConnectFailed
+            | AttemptFailure::TargetRefused
+            | AttemptFailure::CrossedAnswer
+            | AttemptFailure::Reported { .. } => false,
+        };
+        if is_broken {
             self.host
                 .record_broken_attempt(chosen, &self.incoming.prompt);
         }
--- a/crates/relay/src/health_check.rs
+++ b/crates/relay/src/health_check.rs
@@ -18,6 +18,7 @@
 use crate::headers::{header_text, header_value};
 use crate::host::Host;
 use crate::pool::PoolKey;
+use crate::target::Target;
 use crate::target_load::TargetLoad;
 
 /// The time limit for a health check, including its connection. Requests wait for it. Targets answer within milliseconds,
@@ -140,8 +141,7 @@
         load.borrow_mut().warmth.is_pending = true;
         let pending = PendingCheck(load.clone());
         let began_at = self.clock.now();
-        let answer = tokio::time::timeout(CHECK_TIMEOUT, self.ask_health(chosen, path)).await;
-        let result = answer.unwrap_or(CheckResult::Unanswered);
+        let result = self.ask_health(&chosen.target, path).await;
         let now = self.clock.now();
         let mut state = load.borrow_mut();
         let is_answered = result != CheckResult::Unanswered;
@@ -160,10 +160,15 @@
         Some(result)
     }
 
+    /// Asks a target whether it is cold.
+    pub(crate) async fn ask_health(&self, target: &Target, path: &str) -> CheckResult {
+        let answer = tokio::time::timeout(CHECK_TIMEOUT, self.send_check(target, path)).await;
+        answer.unwrap_or(CheckResult::Unanswered)
+    }
+
     /// Sends one health check over a connection that is used for nothing else, so that no late copy of another answer is
     /// taken for its answer.
-    async fn ask_health(&self, chosen: &ChosenTarget, path: &str) -> CheckResult {
-        let target = &chosen.target;
+    async fn send_check(&self, target: &Target, path: &str) -> CheckResult {
         let key: PoolKey = (target.address, !target.hash);
         let now = self.clock.now();
         let mut connection = match self.pool.take(now, key, u64::MAX) {
@@ -178,7 +183,7 @@
         };
         let mut request = Request::new(Full::new(Bytes::new()));
         let Ok(uri) = path.parse() else {
-            log::warn!(service = &*chosen.service.name, path = path; "the path of the health check is not a valid URI");
+            log::warn!(target_id = &*target.id, path = path; "the path of the health check is not a valid URI");
             return CheckResult::Unanswered;
         };
         *request.uri_mut() = uri;
--- a/crates/relay/src/target_health.rs
+++ b/crates/relay/src/target_health.rs
@@ -144,6 +144,12 @@
         self.is_unreachable || self.is_silent(now, answer_ms)
     }
 
+    /// Returns whether the target has sent nothing for a while, whether or not a request waits for it.
+    #[must_use]
+    pub fn is_quiet(&self, now: MonoMs) -> bool {
+        now.since_ms(self.silent_since) as f64 > MIN_SILENCE_MS
+    }
+
     fn is_silent(&self, now: MonoMs, answer_ms: f64) -> bool {
         let max_silence_ms = MIN_SILENCE_MS.max(answer_ms * SILENCE_ANSWER_MULTIPLE) as u64;
         self.unanswered > 0 && now.since_ms(self.silent_since) > max_silence_ms
--- a/crates/relay/tests/gateway/engine_fleet.rs
+++ b/crates/relay/tests/gateway/engine_fleet.rs
@@ -15,6 +15,7 @@
 use tokio::task::JoinSet;
 
 use crate::support::*;
+use crate::warming_target::HEALTH_PATH;
 
 const REGIONS: [&str; 2] = ["north", "south"];
 /// An engine reads a prompt for this long before it sends the first event.
@@ -23,6 +24,8 @@
 const EVENTS_PER_ANSWER: u64 = 5;
 /// An engine is back this long after a crash, as a new incarnation at the same address.
 const RESTART_DELAY: Duration = Duration::from_millis(900);
+/// An engine that hangs goes on after this time, and answers the requests of that time no more.
+const HANG: Duration = Duration::from_secs(4);
 /// Hosts learn of the new incarnation after this time.
 const LISTING_DELAY: Duration = Duration::from_millis(200);
 
@@ -41,6 +44,21 @@
     /// Counts the starts of the process.
     incarnation: Cell<u64>,
     crash: tokio::sync::Notify,
+    hangs_until: Cell<Option<Instant>>,
+}
+
+impl Engine {
+    fn hangs(&self) -> bool {
+        let until = self.hangs_until.get();
+        until.is_some_and(|until| Instant::now() < until)
+    }
+}
+
+/// What a crashing part does to an engine that begins to answer it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Effect {
+    Crash,
+    Hang,
 }
 
 /// Hosts and engines of two regions.
@@ -48,6 +66,7 @@
     pub(crate) hosts: RefCell<Vec<Rc<Host>>>,
     engines: Vec<Engine>,
     options: RouteOptions,
+    effect: Effect,
     addresses: Vec<Ipv4Addr>,
     /// Engines crash when they begin to answer a request with one of these parts.
     pub(crate) crashing_parts: RefCell<Vec<String>>,
@@ -61,6 +80,7 @@
     /// Starts the fleet and waits until the hosts have heard from one another.
     pub(crate) async fn start(
         options: RouteOptions,
+        effect: Effect,
         hosts_per_region: usize,
         engines_per_region: usize,
     ) -> Rc<Self> {
@@ -74,6 +94,7 @@
                     address: listener.local_addr().expect("a bound socket"),
                     incarnation: Cell::new(1),
                     crash: tokio::sync::Notify::new(),
+                    hangs_until: Cell::default(),
                 });
                 listeners.push(listener);
             }
@@ -83,6 +104,7 @@
             hosts: RefCell::default(),
             engines,
             options,
+            effect,
             addresses: addresses.collect(),
             crashing_parts: RefCell::default(),
             arrivals: RefCell::default(),
@@ -116,7 +138,7 @@
                 max_connections: 100,
                 cold_ms: 0,
                 cold_per_s: 0.0,
-                health_path: None,
+                health_path: Some(HEALTH_PATH.into()),
                 engine: Some(EngineCapacity {
                     memory_tokens: 200_000,
                 }),
@@ -181,6 +203,16 @@
     async fn serve(self: Rc<Self>, index: usize, mut stream: TcpStream) {
         let engine = &self.engines[index];
         while let Some(head) = read_request(&mut stream).await {
+            if engine.hangs() {
+                std::future::pending::<()>().await;
+            }
+            if head.starts_with(&format!("GET {HEALTH_PATH} ")) {
+                let answer = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+                if stream.write_all(answer.as_bytes()).await.is_err() {
+                    return;
+                }
+                continue;
+            }
             let id = header(&head, "x-attempt").unwrap_or_default();
             let parts = header(&head, "x-parts").unwrap_or_default();
             let target = header(&head, "x-target").unwrap_or_default();
@@ -209,11 +241,20 @@
             if stream.write_all(head.as_bytes()).await.is_err() {
                 return;
             }
-            if is_crashing {
-                engine.crash.notify_one();
+            if is_crashing && !engine.hangs() {
+                match self.effect {
+                    Effect::Crash => engine.crash.notify_one(),
+                    Effect::Hang => {
+                        engine.hangs_until.set(Some(Instant::now() + HANG));
+                        self.crashes.borrow_mut().push(Instant::now());
+                    }
+                }
                 std::future::pending::<()>().await;
             }
             for number in 1..=EVENTS_PER_ANSWER {
+                if engine.hangs() {
+                    std::future::pending::<()>().await;
+                }
                 let part = chunk(&event(number));
                 if stream.write_all(part.as_bytes()).await.is_err() {
                     return;
