platform, cli, relay: let operators see and lift the quarantine of prompt parts

A sound part that was in quarantine by mistake was refused for ten minutes, and operators could neither list such parts nor release one.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -3,7 +3,7 @@
 use gumdrop::Options;
 
 use crate::commands::{
-    audit, diff, drain, explain, publish, rollback, show, status, trace, validate,
+    audit, diff, drain, explain, publish, quarantine, rollback, show, status, trace, validate,
 };
 
 /// Publishes and inspects the configuration of Lacewingstile.
@@ -52,6 +52,10 @@
     Explain(explain::ExplainOptions),
     #[options(help = "show what happened to a request, from the log files of the hosts")]
     Trace(trace::TraceOptions),
+    #[options(
+        help = "list the prompt parts that crash targets on the platform, or lift a quarantine"
+    )]
+    Quarantine(quarantine::QuarantineOptions),
     #[options(
         help = "drain a daemon: it stops once its requests in flight have ended, or at its drain limit"
     )]
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod drain;
 pub(crate) mod explain;
 pub(crate) mod publish;
+pub(crate) mod quarantine;
 pub(crate) mod rollback;
 pub(crate) mod show;
 pub(crate) mod status;
--- a/crates/cli/src/context.rs
+++ b/crates/cli/src/context.rs
@@ -1,5 +1,6 @@
 //! Settings and clients that the subcommands share.
 
+use std::net::SocketAddr;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use lw_base::WallMs;
@@ -54,6 +55,17 @@
         Ok(http_kv(address, KV_TIMEOUTS))
     }
 
+    /// Returns the address of the platform's store, which is its key-value service.
+    pub(crate) fn kv_address(&self) -> Result<SocketAddr, CliError> {
+        let address = self.settings.kv_address.as_deref();
+        let address = address.ok_or_else(|| missing("--kv", "kv_address"))?;
+        address.parse().map_err(|error| {
+            CliError::Usage(format!(
+                "--kv: `{address}` is not an address: {error}; give it as IP:PORT"
+            ))
+        })
+    }
+
     /// Returns a client for the admin listener, or `None` if no address is given.
     pub(crate) fn admin(&self) -> Result<Option<Admin>, CliError> {
         let Some(address) = &self.settings.admin_address else {
@@ -84,7 +96,7 @@
 }
 
 fn check_address(flag: &str, address: &str) -> Result<(), CliError> {
-    let parsed: Result<std::net::SocketAddr, _> = address.parse();
+    let parsed: Result<SocketAddr, _> = address.parse();
     parsed.map(drop).map_err(|_| {
         CliError::Usage(format!(
             "{flag}: `{address}` is not an IP address with a port; give one such as 127.0.0.1:9000"
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -5,7 +5,7 @@
 use crate::arguments::{Arguments, Command};
 use crate::cli_error::CliError;
 use crate::commands::{
-    audit, diff, drain, explain, publish, rollback, show, status, trace, validate,
+    audit, diff, drain, explain, publish, quarantine, rollback, show, status, trace, validate,
 };
 use crate::context::Context;
 use crate::report::{Report, error_json, error_text};
@@ -62,7 +62,9 @@
                 "cannot start the async runtime: {error}; check the process limits"
             ))
         })?;
-    runtime.block_on(run_subcommand(&context, command))
+    // Clients run their connections as local tasks.
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime, run_subcommand(&context, command))
 }
 
 async fn run_subcommand(context: &Context, command: Command) -> Result<Report, CliError> {
@@ -76,6 +78,7 @@
         Command::Rollback(options) => rollback::run(context, &options).await,
         Command::Explain(options) => explain::run(context, &options).await,
         Command::Trace(options) => trace::run(&options),
+        Command::Quarantine(options) => quarantine::run(context, &options).await,
         Command::Drain(_) => drain::run(context).await,
     }
 }
--- a/crates/relay/src/crash_watch.rs
+++ b/crates/relay/src/crash_watch.rs
@@ -71,11 +71,24 @@
         drop(quarantine);
         for part in released {
             log::warn!(part = part.to_string().as_str(); "a prompt part leaves the quarantine: a target has answered a request with it");
-            self.quarantine_changed.notify_one();
-            self.heartbeat_due.notify_one();
+            self.announce_released();
         }
     }
 
+    /// Ends the quarantine of a part because an operator has lifted it. It counts as answered now, so crashes of before no
+    /// longer count, and hosts need more crashes than usual to put it back.
+    pub fn lift_quarantine(&self, part: PartKey) {
+        let now = self.clock.now();
+        let released = self.quarantine.borrow_mut().record_survival(now, &[part]);
+        log::warn!(part = part.to_string().as_str(), was_in_quarantine = !released.is_empty(); "an operator has lifted the quarantine of a prompt part");
+        self.announce_released();
+    }
+
+    fn announce_released(&self) {
+        self.quarantine_changed.notify_one();
+        self.heartbeat_due.notify_one();
+    }
+
     /// Adds what another host has told of prompt parts.
     pub(crate) fn merge_part_reports(&self, now: MonoMs, reports: &[PartReport]) {
         if reports.is_empty() {
