--- a/crates/cli/src/commands/quarantine.rs
+++ b/crates/cli/src/commands/quarantine.rs
@@ -32,14 +32,16 @@
         return list_quarantine(&store)
             .await
             .map(|parts| report(&parts))
-            .map_err(to_cli_error);
+            .map_err(|error| to_cli_error(&error));
     };
     let part: PartKey = lift.parse().map_err(|error| {
         CliError::Usage(format!(
             "--lift: `{lift}` is not a part: {error}; `lacewingstile quarantine` lists the parts"
         ))
     })?;
-    lift_quarantine(&store, part).await.map_err(to_cli_error)?;
+    lift_quarantine(&store, part)
+        .await
+        .map_err(|error| to_cli_error(&error))?;
     Ok(Report {
         text: format!(
             "The quarantine of {part} is lifted. Hosts put the part back if it crashes further targets.\n"
@@ -73,7 +75,7 @@
     }
 }
 
-fn to_cli_error(error: StoreError) -> CliError {
+fn to_cli_error(error: &StoreError) -> CliError {
     match error {
         StoreError::NoAnswer(_) | StoreError::Refused(_) => CliError::Unavailable(format!(
             "the platform's store: {error}; check its address and try again"
