admit, relay: send nothing to a target in the second in which it turns cold

Hosts learn one after the other, within half a second, that a target has turned cold under its id. The first ones sent their parts of its limit in the same second in which the others went on at their usual rates.

Change: a host holds its part back for one window of the limit when it learns that a target which it has used turns cold, from the store or from the target.

The use of the limit stays above the bound of the other cases with faults (0.2).

--- a/crates/admit/src/cold_start_limiter.rs
+++ b/crates/admit/src/cold_start_limiter.rs
@@ -24,6 +24,8 @@
     sent_at: Vec<MonoMs>,
     /// Requests that were allowed and wait for a connection.
     reserved: usize,
+    /// No request is allowed before this time.
+    held_until: MonoMs,
 }
 
 impl ColdStartLimiter {
@@ -87,6 +89,13 @@
         self.sent_at.push(now);
     }
 
+    /// Allows no request for a window, because the target has just turned cold under its id.
+    ///
+    /// Load: hosts learn of it one after the other, and those that have not yet go on at their usual rates.
+    pub fn hold(&mut self, now: MonoMs) {
+        self.held_until = now.plus_ms(WINDOW_MS);
+    }
+
     /// Gives back the reservation of a request that is not sent.
     pub fn cancel(&mut self) {
         self.reserved = self.reserved.saturating_sub(1);
@@ -95,6 +104,9 @@
     /// Returns true when [`Self::try_reserve`] would succeed.
     #[must_use]
     pub fn may_send(&self, now: MonoMs, quota: ColdStartQuota) -> bool {
+        if now < self.held_until {
+            return false;
+        }
         let (limit, window_ms) = Self::own_limit(quota);
         let recent = self.sent_at.iter();
         let recent = recent.filter(|at| now.since_ms(**at) < window_ms).count();
--- a/crates/relay/src/health_check.rs
+++ b/crates/relay/src/health_check.rs
@@ -148,7 +148,8 @@
         state.warmth.record_check(began_at, now, is_answered);
         if let CheckResult::Cold { left_ms } = result {
             let is_news = state.cold_until <= now;
-            state.cold_until = state.cold_until.max(now.plus_ms(left_ms));
+            let until = now.plus_ms(left_ms).max(state.cold_until);
+            state.turn_cold(now, until);
             if is_news {
                 log::info!(target_id = &*chosen.target.id, cold_left_ms = left_ms, state_age_ms = self.state_age_ms(); "a target has answered that it is cold");
             }
--- a/crates/relay/src/target_load.rs
+++ b/crates/relay/src/target_load.rs
@@ -51,6 +51,14 @@
 const PREFILL_DECAY_MS: f64 = 1_500.0;
 
 impl TargetLoad {
+    /// Records that a target that hosts have used turns cold, until `until`.
+    pub fn turn_cold(&mut self, now: MonoMs, until: MonoMs) {
+        if self.cold_until <= now {
+            self.cold_start_limiter.hold(now);
+        }
+        self.cold_until = until;
+    }
+
     /// Records the usage that another host reported.
     pub fn record_remote_usage(&mut self, now: MonoMs, host: u64, usage: HostTargetUsage) {
         self.remote.insert(host, (now, usage));
--- a/crates/relay/src/target_registry.rs
+++ b/crates/relay/src/target_registry.rs
@@ -130,13 +130,18 @@
             // A target that has reported that it drains never accepts requests again; an entry that says otherwise comes
             // from a copy of the store from before that report.
             let is_leaving = known.listed.is_leaving || listed.is_leaving;
+            let is_new = known.listed.version == StateVersion::default();
             known.listed = ListedTarget {
                 is_leaving,
                 ..listed.clone()
             };
             if listed.cold_left_ms > 0 {
                 let mut load = known.load.borrow_mut();
-                load.cold_until = now.plus_ms(listed.cold_left_ms + COLD_TIME_MARGIN_MS);
+                let until = now.plus_ms(listed.cold_left_ms + COLD_TIME_MARGIN_MS);
+                match is_new {
+                    true => load.cold_until = until,
+                    false => load.turn_cold(now, until),
+                }
                 log::info!(target_id = &*listed.id, started_at_ms = listed.started_at_ms, cold_left_ms = listed.cold_left_ms, version = listed.version.to_string().as_str(); "a target is listed as cold");
             }
         }
--- a/crates/relay/tests/cold_targets/main.rs
+++ b/crates/relay/tests/cold_targets/main.rs
@@ -57,6 +57,11 @@
     restart_ms: |host| is_even(host).then_some((1_000, u64::MAX)),
     ..NO_FAULTS
 };
+/// Targets turn cold under their ids, and the hosts learn of it within 0.4 s.
+const NEWS_SPREADS: Faults = Faults {
+    news_ms: |host| 20 + host as u64 * 7 % 39 * 10,
+    ..NO_FAULTS
+};
 const LOSSY: Faults = Faults {
     loss_one_in: 2,
     ..NO_FAULTS
@@ -80,6 +85,9 @@
 #[test_case(&Case { hosts: 22, faults: HALF_KILLED, min_use: 0.2 }; "half killed")]
 #[test_case(&Case { hosts: 22, faults: LOSSY, min_use: 0.2 }; "half of the datagrams lost")]
 #[test_case(&Case { hosts: 110, faults: LOSSY, min_use: 0.2 }; "a large region, half of the datagrams lost")]
+#[test_case(&Case { hosts: 3, faults: NEWS_SPREADS, min_use: 0.2 }; "a small region, late news")]
+#[test_case(&Case { hosts: 22, faults: NEWS_SPREADS, min_use: 0.2 }; "late news")]
+#[test_case(&Case { hosts: 110, faults: NEWS_SPREADS, min_use: 0.2 }; "a large region, late news")]
 fn hosts_that_disagree_on_one_another_keep_the_limit_of_a_cold_target(case: &Case) {
     let targets = (264 / case.hosts).clamp(4, 24);
     let mut region = Region::start(case.hosts, targets, LIMIT_PER_S, &case.faults);
