docs, relay: how old state is used, and what the quarantine lists now

A host logs that its state is in doubt only once it has read one; every start wrote such a warning before. The design page describes the evidence and the checks, the operations page their lines, and the postmortem of the crashing part what remains.

--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -304,6 +304,10 @@
 
     /// Logs when the mirror begins or ends to be in doubt.
     pub(crate) fn log_state_doubt(&self) {
+        if !self.mirror.borrow().is_listed() {
+            // The host starts and has no state yet.
+            return;
+        }
         let now = self.clock.now();
         let doubt = self.state_doubt(now);
         if self.logged_doubt.replace(doubt) == doubt {
