relay: ask a target that was down, or closed idle connections, whether it is cold

A target that restarts under its id got 47 and 48 requests in a second from four hosts whose state was current: a check that found it down counted as unanswered and was not repeated for 2 s, and a restart that only closed idle connections left no trace.

Change: a check without a connection, or whose connection breaks, is repeated with the next request. An idle connection that the target closes before its keep-alive time counts as a broken one.

--- a/crates/relay/src/health_check.rs
+++ b/crates/relay/src/health_check.rs
@@ -21,7 +21,7 @@
 use crate::target::Target;
 use crate::target_load::TargetLoad;
 
-/// The time limit for a health check, including its connection. Requests wait for it. Targets answer within milliseconds,
+/// The time limit for a health check, and for its connection. Requests wait for it. Targets answer within milliseconds,
 /// but a host that wakes to a backlog may take hundreds to read the answer.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long the result of a check holds, in milliseconds. Each host learns on its own that a target has turned cold, and
@@ -51,11 +51,14 @@
         self.broken_at = now;
     }
 
-    /// Records the end of a check that began at `began_at`.
-    pub fn record_check(&mut self, began_at: MonoMs, now: MonoMs, is_answered: bool) {
-        match is_answered {
-            true => self.checked_at = began_at,
-            false => self.unanswered_at = now,
+    /// Records the end of a check that began at `began_at`. A target that could not be reached has to be asked again.
+    pub fn record_check(&mut self, began_at: MonoMs, now: MonoMs, result: CheckResult) {
+        match result {
+            CheckResult::Warm | CheckResult::Cold { .. } | CheckResult::Replaced => {
+                self.checked_at = began_at;
+            }
+            CheckResult::Unanswered => self.unanswered_at = now,
+            CheckResult::Unreachable => {}
         }
     }
 
@@ -85,8 +88,10 @@
     },
     /// Another process answers at the address.
     Replaced,
-    /// No usable answer within the time limit.
+    /// The target accepted the connection and gave no usable answer within the time limit.
     Unanswered,
+    /// No connection could be opened, or it broke.
+    Unreachable,
 }
 
 impl CheckResult {
@@ -96,6 +101,7 @@
             Self::Cold { .. } => "cold",
             Self::Replaced => "replaced",
             Self::Unanswered => "unanswered",
+            Self::Unreachable => "unreachable",
         }
     }
 }
@@ -123,20 +129,22 @@
             return None;
         }
         let load = &chosen.target.load;
-        loop {
+        let now = self.clock.now();
+        let key = (chosen.target.address, chosen.target.hash);
+        if self.pool.drop_closed(now, key) {
+            load.borrow_mut().warmth.record_broken(now);
+        }
+        let needs_check = || {
             let now = self.clock.now();
-            let doubt = self.state_doubt(now);
-            let warmth = load.borrow().warmth.clone();
-            if !warmth.needs_check(now, doubt) {
-                return None;
-            }
-            if !warmth.is_pending {
-                break;
-            }
+            load.borrow().warmth.needs_check(now, self.state_doubt(now))
+        };
+        if !needs_check() {
+            return None;
+        }
+        let warmth = load.borrow().warmth.clone();
+        if warmth.is_pending {
             let ended = tokio::time::timeout(CHECK_TIMEOUT, warmth.ended.notified()).await;
-            if ended.is_err() {
-                return Some(CheckResult::Unanswered);
-            }
+            return (ended.is_err() || needs_check()).then_some(CheckResult::Unanswered);
         }
         load.borrow_mut().warmth.is_pending = true;
         let pending = PendingCheck(load.clone());
@@ -144,8 +152,7 @@
         let result = self.ask_health(&chosen.target, path).await;
         let now = self.clock.now();
         let mut state = load.borrow_mut();
-        let is_answered = result != CheckResult::Unanswered;
-        state.warmth.record_check(began_at, now, is_answered);
+        state.warmth.record_check(began_at, now, result);
         if let CheckResult::Cold { left_ms } = result {
             let is_news = state.cold_until <= now;
             let until = now.plus_ms(left_ms).max(state.cold_until);
@@ -161,31 +168,46 @@
         Some(result)
     }
 
-    /// Asks a target whether it is cold.
+    /// Asks a target whether it is cold, over a connection that is used for nothing else, so that no late copy of another
+    /// answer is taken for its answer.
     pub(crate) async fn ask_health(&self, target: &Target, path: &str) -> CheckResult {
-        let answer = tokio::time::timeout(CHECK_TIMEOUT, self.send_check(target, path)).await;
-        answer.unwrap_or(CheckResult::Unanswered)
+        let key: PoolKey = (target.address, !target.hash);
+        loop {
+            let now = self.clock.now();
+            let connection = match self.pool.take(now, key, u64::MAX) {
+                Some(connection) => connection,
+                None => match connect(target.address, CHECK_TIMEOUT, now).await {
+                    Ok(connection) => connection,
+                    Err(error) => {
+                        log::debug!(target_id = &*target.id, reason = error.to_string().as_str(); "could not connect for a health check");
+                        return CheckResult::Unreachable;
+                    }
+                },
+            };
+            let reused = connection.reused;
+            let answer = self.send_check(target, path, key, connection);
+            match tokio::time::timeout(CHECK_TIMEOUT, answer).await {
+                Ok(Some(result)) => return result,
+                // The target may have closed the idle connection.
+                Ok(None) if reused => {}
+                Ok(None) => return CheckResult::Unreachable,
+                Err(_) => return CheckResult::Unanswered,
+            }
+        }
     }
 
-    /// Sends one health check over a connection that is used for nothing else, so that no late copy of another answer is
-    /// taken for its answer.
-    async fn send_check(&self, target: &Target, path: &str) -> CheckResult {
-        let key: PoolKey = (target.address, !target.hash);
-        let now = self.clock.now();
-        let mut connection = match self.pool.take(now, key, u64::MAX) {
-            Some(connection) => connection,
-            None => match connect(target.address, CHECK_TIMEOUT, now).await {
-                Ok(connection) => connection,
-                Err(error) => {
-                    log::debug!(target_id = &*target.id, reason = error.to_string().as_str(); "could not connect for a health check");
-                    return CheckResult::Unanswered;
-                }
-            },
-        };
+    /// Sends one health check. Returns `None` if the connection ends without an answer.
+    async fn send_check(
+        &self,
+        target: &Target,
+        path: &str,
+        key: PoolKey,
+        mut connection: Connection,
+    ) -> Option<CheckResult> {
         let mut request = Request::new(Full::new(Bytes::new()));
         let Ok(uri) = path.parse() else {
             log::warn!(target_id = &*target.id, path = path; "the path of the health check is not a valid URI");
-            return CheckResult::Unanswered;
+            return Some(CheckResult::Unanswered);
         };
         *request.uri_mut() = uri;
         let headers = request.headers_mut();
@@ -194,14 +216,16 @@
         let response = match connection.sender.send_request(request).await {
             Ok(response) => response,
             Err(error) => {
-                log::debug!(target_id = &*target.id, reason = error.to_string().as_str(); "a health check was not answered");
-                return CheckResult::Unanswered;
+                log::debug!(target_id = &*target.id, reason = error.to_string().as_str(); "the connection of a health check broke");
+                return None;
             }
         };
         self.record_target_notices(target, response.status(), response.headers());
         let result = self.read_health(&target.id, response.status(), response.headers());
-        self.pool_after_check(key, connection, response.body().is_end_stream());
-        result
+        if response.body().is_end_stream() {
+            self.pool.put(self.clock.now(), key, connection);
+        }
+        Some(result)
     }
 
     fn read_health(&self, id: &str, status: StatusCode, headers: &HeaderMap) -> CheckResult {
@@ -227,10 +251,4 @@
             }
         }
     }
-
-    fn pool_after_check(&self, key: PoolKey, connection: Connection, is_complete: bool) {
-        if is_complete {
-            self.pool.put(self.clock.now(), key, connection);
-        }
-    }
 }
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -39,6 +39,23 @@
         None
     }
 
+    /// Drops the idle connections of a key that the peer has closed. Returns whether it closed one before its keep-alive time
+    /// had passed, for example because it restarted.
+    pub(crate) fn drop_closed(&self, now: MonoMs, key: PoolKey) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let Some(connections) = idle.get_mut(&key) else {
+            return false;
+        };
+        let mut is_early = false;
+        connections.retain(|connection| {
+            let is_closed = connection.sender.is_closed();
+            let usable_ms = (connection.keep_alive_ms as f64 * KEEP_ALIVE_FRACTION) as u64;
+            is_early |= is_closed && now.since_ms(connection.idle_since) < usable_ms;
+            !is_closed
+        });
+        is_early
+    }
+
     /// Returns a connection to the pool after its answer has ended.
     pub(crate) fn put(&self, now: MonoMs, key: PoolKey, mut connection: Connection) {
         connection.idle_since = now;
