mesh, relay: do not let isolated hosts confirm one another's state

Hosts that woke together took one another's heartbeats for evidence that their states were current, although all of them were old.

Change: an isolated host states no contact with the platform in its heartbeats, and marks its replies to fetches; neither confirms a state. The first host that the platform answers, or a host that did not stand still, ends it. A host that wakes asks its neighbours once, not twice.

Measured: the new test fails on the code before (state current right after two hosts woke together) and passes.

--- a/crates/mesh/src/host_status.rs
+++ b/crates/mesh/src/host_status.rs
@@ -18,7 +18,7 @@
     /// The time since the platform last answered this host, in milliseconds; [`u16::MAX`] when unknown or longer.
     pub platform_age_ms: u16,
     /// The time since the platform last answered any call of this host or of one that it has heard from, in milliseconds;
-    /// [`u16::MAX`] when unknown or longer.
+    /// [`u16::MAX`] when it is unknown, or when this host is isolated.
     #[serde(skip, default = "unknown_age_ms")]
     pub platform_contact_age_ms: u16,
     /// The share of a processor core that the host may use, in thousandths.
--- a/crates/mesh/src/state_evidence.rs
+++ b/crates/mesh/src/state_evidence.rs
@@ -27,7 +27,7 @@
 /// The evidence that a host's copy of the platform's state is current.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StateEvidence {
-    /// When a host was last heard from that has no newer state, or the platform last answered this host's watch.
+    /// When a host was last heard from that has no newer state and is not isolated, or the platform last answered this host's watch.
     agreed_at: MonoMs,
     /// When the platform last answered this host or one that it hears from, directly or through others.
     platform_answered_at: MonoMs,
@@ -50,17 +50,18 @@
         self.agreed_at = now;
     }
 
-    /// Records a heartbeat; `own` is the version of this host's copy.
+    /// Records a heartbeat; `own` is the version of this host's copy. Isolated hosts state no contact with the platform, and
+    /// confirm nothing: hosts that wake together would confirm one another's old states.
     pub fn record_heartbeat(&mut self, now: MonoMs, own: StateVersion, status: &HostStatus) {
-        if status.as_of > own || status.as_of == StateVersion::default() {
+        let has_no_state = status.as_of == StateVersion::default();
+        let is_isolated = status.platform_contact_age_ms == u16::MAX;
+        if has_no_state || is_isolated || status.as_of > own {
             return;
         }
         self.agreed_at = now;
-        if status.platform_contact_age_ms < u16::MAX {
-            let age_ms = u64::from(status.platform_contact_age_ms);
-            let answered_at = MonoMs(now.0.saturating_sub(age_ms));
-            self.platform_answered_at = self.platform_answered_at.max(answered_at);
-        }
+        let age_ms = u64::from(status.platform_contact_age_ms);
+        let answered_at = MonoMs(now.0.saturating_sub(age_ms));
+        self.platform_answered_at = self.platform_answered_at.max(answered_at);
     }
 
     /// Returns why the state may be out of date, or `None` if it is current; `knows_hosts` is whether the host knows any
--- a/crates/relay/src/headers.rs
+++ b/crates/relay/src/headers.rs
@@ -24,6 +24,9 @@
 /// Requests a host's copy of the platform state, with the version that the sender already has.
 pub(crate) const MIRROR_AS_OF: HeaderName = HeaderName::from_static("x-relay-mirror");
 
+/// Marks the reply to a request with [`MIRROR_AS_OF`] of a host that is isolated: its state may be out of date.
+pub(crate) const MIRROR_ISOLATED: HeaderName = HeaderName::from_static("x-relay-isolated");
+
 /// Names a target that has said in this answer that it is leaving, by its hash.
 pub(crate) const LEAVING_TARGET: HeaderName = HeaderName::from_static("x-relay-leaving");
 
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -302,6 +302,11 @@
         stood_still(now, self.ran_at.get())
     }
 
+    /// Returns whether no other host would tell this one of a newer state.
+    pub(crate) fn is_isolated(&self, now: MonoMs) -> bool {
+        self.state_doubt(now) == Some(StateDoubt::Isolated)
+    }
+
     /// Logs when the mirror begins or ends to be in doubt.
     pub(crate) fn log_state_doubt(&self) {
         if !self.mirror.borrow().is_listed() {
--- a/crates/relay/src/peer_heartbeats.rs
+++ b/crates/relay/src/peer_heartbeats.rs
@@ -23,6 +23,8 @@
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 /// The answer length that the wait in heartbeats is computed for, in tokens: a short answer.
 const REPORTED_WAIT_OUTPUT_TOKENS: u64 = 60;
+/// The greatest age of the last contact with the platform that a heartbeat states, in milliseconds.
+const MAX_CONTACT_AGE_MS: u16 = u16::MAX - 1;
 /// The number of neighbours that a host asks for the platform state when it wakes: one of them may be gone.
 const WAKE_FETCHES: usize = 3;
 /// The minimum time between two heartbeats that are sent immediately because of a change, in milliseconds.
@@ -56,10 +58,11 @@
         tokio::select! {
             received = socket.recv_from(&mut bytes) => match received {
                 Ok(_) if is_waking || host.wakes(host.clock.now()) => {
-                    is_waking = false;
+                    if !std::mem::take(&mut is_waking) {
+                        wake(&host);
+                    }
                     let dropped = drop_queued(&socket) + 1;
                     log::info!(dropped = dropped; "dropped the heartbeats that waited while the process did not run");
-                    wake(&host);
                 }
                 Ok((length, from)) => {
                     receive(&host, &bytes[..length], from.ip());
@@ -278,10 +281,7 @@
             platform_age_ms: host.platform_answered_at.get().map_or(u16::MAX, |at| {
                 u16::try_from(now.since_ms(at)).unwrap_or(u16::MAX)
             }),
-            platform_contact_age_ms: {
-                let evidence = host.state_evidence.get();
-                u16::try_from(evidence.platform_contact_age_ms(now)).unwrap_or(u16::MAX)
-            },
+            platform_contact_age_ms: platform_contact_age_ms(host, now),
             capacity_permille: host.settings.capacity_permille,
             services: service_usages(host, now),
             earlier_states: u16::try_from(host.mirror.borrow().earlier_states())
@@ -295,6 +295,15 @@
     }
 }
 
+/// Returns the age of the last contact with the platform, for a heartbeat. An isolated host states none.
+fn platform_contact_age_ms(host: &Host, now: MonoMs) -> u16 {
+    if host.is_isolated(now) {
+        return u16::MAX;
+    }
+    let age_ms = host.state_evidence.get().platform_contact_age_ms(now);
+    u16::try_from(age_ms).map_or(MAX_CONTACT_AGE_MS, |age_ms| age_ms.min(MAX_CONTACT_AGE_MS))
+}
+
 /// Returns this host's load on the targets of its region.
 fn target_usages(host: &Host, now: MonoMs) -> Vec<TargetUsage> {
     let plan = host.plan();
--- a/crates/relay/src/peer_mirror.rs
+++ b/crates/relay/src/peer_mirror.rs
@@ -9,7 +9,7 @@
 use lw_mesh::{MirrorUpdate, StateVersion};
 
 use crate::connection::connect;
-use crate::headers::{MIRROR_AS_OF, header_text, header_value};
+use crate::headers::{MIRROR_AS_OF, MIRROR_ISOLATED, header_text, header_value};
 use crate::host::Host;
 use crate::reply::{Reply, ReplyBody, json_reply};
 
@@ -22,6 +22,14 @@
 
 /// Returns the changes after the version that the requesting host has.
 pub(crate) fn update_reply(host: &Host, headers: &HeaderMap) -> Reply {
+    let mut reply = changes_reply(host, headers);
+    if host.is_isolated(host.clock.now()) {
+        reply.headers_mut().insert(MIRROR_ISOLATED, header_value(1));
+    }
+    reply
+}
+
+fn changes_reply(host: &Host, headers: &HeaderMap) -> Reply {
     let mirror = host.mirror.borrow();
     let known: StateVersion = header_text(headers, &MIRROR_AS_OF)
         .and_then(|text| text.parse().ok())
@@ -43,11 +51,13 @@
     let fetched = tokio::time::timeout(FETCH_TIMEOUT, fetch_update(&host, address, known)).await;
     host.is_fetching_mirror.set(false);
     match fetched {
-        Ok(Ok(update)) => {
-            if let Some(update) = update {
+        Ok(Ok(fetched)) => {
+            if let Some(update) = fetched.update {
                 apply_update(&host, update);
             }
-            host.record_agreement();
+            if !fetched.is_from_isolated_host {
+                host.record_agreement();
+            }
         }
         Ok(Err(reason)) => {
             log::info!(peer = address.to_string().as_str(), reason = reason.as_str(); "fetching the platform state from another host failed");
@@ -68,11 +78,19 @@
     log::info!(before = before.to_string().as_str(), after = after.to_string().as_str(), written = changed.written.len(), removed = changed.removed.len(); "applied the platform state of another host");
 }
 
+/// The reply of another host.
+struct Fetched {
+    /// `None` if the other host has nothing newer.
+    update: Option<MirrorUpdate>,
+    /// The other host is isolated, so what it has may be out of date too.
+    is_from_isolated_host: bool,
+}
+
 async fn fetch_update(
     host: &Host,
     address: SocketAddr,
     known: StateVersion,
-) -> Result<Option<MirrorUpdate>, String> {
+) -> Result<Fetched, String> {
     let now = host.clock.now();
     let mut connection = connect(address, CONNECT_TIMEOUT, now)
         .await
@@ -85,11 +103,22 @@
     request.headers_mut().insert(http::header::HOST, host_name);
     let sent = connection.sender.send_request(request).await;
     let response = sent.map_err(|error| error.to_string())?;
-    if response.status() != StatusCode::OK {
-        return Ok(None);
+    let is_from_isolated_host = response.headers().contains_key(MIRROR_ISOLATED);
+    match response.status() {
+        StatusCode::OK => {}
+        StatusCode::NOT_FOUND => {
+            return Ok(Fetched {
+                update: None,
+                is_from_isolated_host,
+            });
+        }
+        status => return Err(format!("the other host answered with status {status}")),
     }
     let body = http_body_util::Limited::new(response.into_body(), MAX_UPDATE_BYTES);
     let body = body.collect().await.map_err(|error| error.to_string())?;
-    let update = MirrorUpdate::decode(&body.to_bytes());
-    update.map(Some).map_err(|error| error.to_string())
+    let update = MirrorUpdate::decode(&body.to_bytes()).map_err(|error| error.to_string())?;
+    Ok(Fetched {
+        update: Some(update),
+        is_from_isolated_host,
+    })
 }
--- a/crates/relay/tests/gateway/suspension.rs
+++ b/crates/relay/tests/gateway/suspension.rs
@@ -106,6 +106,42 @@
     });
 }
 
+/// Guards against hosts that wake together and confirm one another's old states.
+#[test]
+fn hosts_that_wake_together_stay_in_doubt() {
+    on_one_thread(async {
+        let ips = [unique_loopback_address(), unique_loopback_address()];
+        let mut hosts = Vec::new();
+        for ip in ips {
+            let plan = plan_with_route(ONCE, &[]);
+            let host = start_host_in("north", ip, ips.to_vec(), plan).await;
+            let listing = Listing {
+                items: std::collections::BTreeMap::default(),
+                as_of: STATE,
+            };
+            host.update_mirror(|mirror, now| mirror.replace(now, listing));
+            host.record_watch_answer();
+            run_heartbeats(host.clone()).await.expect("a free port");
+            hosts.push(host);
+        }
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        for host in &hosts {
+            assert_eq!(host.state_doubt(host.clock.now()), None);
+        }
+        std::thread::sleep(Duration::from_millis(1_600));
+        for _ in 0..100 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            for host in &hosts {
+                let doubt = host.state_doubt(host.clock.now());
+                assert_eq!(doubt, Some(StateDoubt::Isolated));
+            }
+        }
+        hosts[0].record_watch_answer();
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        assert_eq!(hosts[1].state_doubt(hosts[1].clock.now()), None);
+    });
+}
+
 /// Guards against a host that stays silent after it has woken alone.
 #[test]
 fn a_host_that_wakes_alone_serves_and_sends_heartbeats() {
