relay, platform: log the limits that targets name

Change: hosts read the header in which a target names its limit, log when it begins, moves and ends, and add limit_per_s, as known to the host, to the ends of requests. No request is held back yet. An answer without a limit ends the limit only if its request was sent after the last answer that named it had arrived, and only if the target ran the request; answers of another process at the address count for nothing.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt to send a request to a target or to another host.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -27,6 +28,7 @@
 use crate::local_reply::{NOT_RUN, NOT_SENT};
 use crate::pool::PoolKey;
 use crate::target_health::AttemptEnd;
+use crate::target_notices::NoticingHead;
 
 /// The connect timeout within the region: some round trips below a millisecond, and a margin for a busy target.
 const REGION_CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
@@ -120,7 +122,9 @@
         );
         let key = (target.address, target.hash);
         let watched_target = plan.may_abandon.then_some(chosen);
+        let sent_at = Cell::new(now);
         let on_connected = |at: MonoMs| {
+            sent_at.set(at);
             let Some(reservation) = &reservation else {
                 if has_slow_start {
                     let mut load = target.load.borrow_mut();
@@ -157,9 +161,17 @@
                 return AttemptResult::NoAnswer(failure);
             }
         };
-        self.record_target_notices(target, response.status(), response.headers());
         let verdict = classify_head(self.head_facts(&response, incoming, connection.reused));
         let is_other_incarnation = response.status() == StatusCode::MISDIRECTED_REQUEST;
+        let is_crossed = verdict == HeadVerdict::AttemptFailed(AttemptFailure::CrossedAnswer);
+        let head = NoticingHead {
+            status: response.status(),
+            headers: response.headers(),
+            sent_at: sent_at.get(),
+            is_own: !is_other_incarnation && !is_crossed,
+            names_limits: !matches!(verdict, HeadVerdict::AttemptFailed(_)),
+        };
+        self.record_target_notices(target, &head);
         if is_other_incarnation {
             self.record_target_crash(target);
         }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -384,7 +384,8 @@
         let took_ms = self.host.clock.now().since_ms(self.incoming.received_at);
         self.host.metrics.record_end(status, took_ms);
         let chosen = self.chosen.as_ref();
-        log::info!(id = &*self.incoming.id, route = &*self.incoming.route.name, version = self.incoming.version, hop = format!("{:?}", self.incoming.hop).as_str(), to = self.last_peer.as_str(), at_home = chosen.is_some_and(|chosen| chosen.is_prefix_owner), new_tokens = chosen.map_or(0, |chosen| chosen.new_tokens), cold = chosen.is_some_and(|chosen| chosen.cold), sends = self.sends, runs = self.runs, status = status.as_u16(), took_ms = took_ms, state_age_ms = self.host.state_age_ms(); "{reason}");
+        let limit_per_s = chosen.and_then(|chosen| chosen.target.load.borrow().named_limit.per_s());
+        log::info!(id = &*self.incoming.id, route = &*self.incoming.route.name, version = self.incoming.version, hop = format!("{:?}", self.incoming.hop).as_str(), to = self.last_peer.as_str(), at_home = chosen.is_some_and(|chosen| chosen.is_prefix_owner), new_tokens = chosen.map_or(0, |chosen| chosen.new_tokens), cold = chosen.is_some_and(|chosen| chosen.cold), limit_per_s = limit_per_s, sends = self.sends, runs = self.runs, status = status.as_u16(), took_ms = took_ms, state_age_ms = self.host.state_age_ms(); "{reason}");
     }
 }
 
--- a/crates/relay/src/health_check.rs
+++ b/crates/relay/src/health_check.rs
@@ -20,6 +20,7 @@
 use crate::pool::PoolKey;
 use crate::target::Target;
 use crate::target_load::TargetLoad;
+use crate::target_notices::NoticingHead;
 
 /// The time limit for a health check, and for its connection. Requests wait for it. Targets answer within milliseconds,
 /// but a host that wakes to a backlog may take hundreds to read the answer.
@@ -213,6 +214,7 @@
         let headers = request.headers_mut();
         headers.insert(HOST, header_value(target.address));
         headers.insert(self.names.pinned_target.clone(), header_value(&target.id));
+        let sent_at = self.clock.now();
         let response = match connection.sender.send_request(request).await {
             Ok(response) => response,
             Err(error) => {
@@ -220,8 +222,15 @@
                 return None;
             }
         };
-        self.record_target_notices(target, response.status(), response.headers());
         let result = self.read_health(&target.id, response.status(), response.headers());
+        let head = NoticingHead {
+            status: response.status(),
+            headers: response.headers(),
+            sent_at,
+            is_own: result != CheckResult::Replaced,
+            names_limits: false,
+        };
+        self.record_target_notices(target, &head);
         if response.body().is_end_stream() {
             self.pool.put(self.clock.now(), key, connection);
         }
--- a/crates/relay/src/names.rs
+++ b/crates/relay/src/names.rs
@@ -25,6 +25,8 @@
     pub retry_after: HeaderName,
     /// Marks the answers of a target that is leaving.
     pub leaving: HeaderName,
+    /// The requests per second that the target takes from all hosts together, in its answers while it needs a limit.
+    pub limit_per_s: HeaderName,
     /// The id of the target, in its health answers.
     pub instance: HeaderName,
     /// How long the target stays cold, in milliseconds, in its health answers.
--- a/crates/relay/src/target_load.rs
+++ b/crates/relay/src/target_load.rs
@@ -4,6 +4,7 @@
 use lw_base::prelude::*;
 
 use crate::health_check::Warmth;
+use crate::named_limit::NamedLimit;
 use crate::prefix_cache_estimate::PrefixCacheEstimate;
 use crate::target_health::TargetHealth;
 
@@ -42,6 +43,8 @@
     pub cold_until: MonoMs,
     /// What the target itself has said of its warmth.
     pub warmth: Warmth,
+    /// The request rate that the target names in its answers.
+    pub named_limit: NamedLimit,
     prefill_share: f64,
     prefill_share_at: MonoMs,
     remote: FastMap<u64, (MonoMs, HostTargetUsage)>,
--- a/crates/relay/src/target_notices.rs
+++ b/crates/relay/src/target_notices.rs
@@ -1,9 +1,12 @@
-//! What targets say in their answers about further requests: that they are leaving, or that they want a pause.
+//! What targets say in their answers about further requests: that they are leaving, that they want a pause, or how many
+//! requests they take.
 
 use http::{HeaderMap, StatusCode};
+use lw_base::prelude::*;
 use rand::Rng;
 use rand::seq::IteratorRandom;
 
+use crate::decimal::parse_decimal;
 use crate::headers::header_text;
 use crate::host::Host;
 use crate::retry_after::parse_retry_after_ms;
@@ -15,22 +18,76 @@
 /// a random selection.
 const MAX_LEAVING_PER_HEARTBEAT: usize = 32;
 
+/// The head of an answer, for what it says about further requests.
+pub(crate) struct NoticingHead<'a> {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: &'a HeaderMap,
+    /// When the request was sent.
+    pub(crate) sent_at: MonoMs,
+    /// The answer comes from the target itself, and not from another process or a proxy at its address.
+    pub(crate) is_own: bool,
+    /// The target names its limit in such an answer if it has one.
+    pub(crate) names_limits: bool,
+}
+
 impl Host {
     /// Records what the head of an answer says about further requests to its target.
-    pub(crate) fn record_target_notices(
-        &self,
-        target: &Target,
-        status: StatusCode,
-        headers: &HeaderMap,
-    ) {
-        let is_leaving =
-            header_text(headers, &self.names.leaving).is_some_and(|text| text.trim() == IS_LEAVING);
-        if is_leaving {
+    pub(crate) fn record_target_notices(&self, target: &Target, head: &NoticingHead<'_>) {
+        let leaving = header_text(head.headers, &self.names.leaving);
+        if leaving.is_some_and(|text| text.trim() == IS_LEAVING) {
             self.record_leaving(target.hash);
         }
-        if status != StatusCode::SERVICE_UNAVAILABLE {
+        if head.is_own {
+            self.record_limit_notice(target, head);
+        }
+        if head.status == StatusCode::SERVICE_UNAVAILABLE {
+            self.record_pause_notice(target, head.headers);
+        }
+    }
+
+    fn record_limit_notice(&self, target: &Target, head: &NoticingHead<'_>) {
+        let named_per_s = match head.headers.get(&self.names.limit_per_s) {
+            None if !head.names_limits => return,
+            None => None,
+            Some(value) => {
+                let text = String::from_utf8_lossy(value.as_bytes());
+                match parse_decimal(&text) {
+                    Ok(per_s) => Some(per_s),
+                    Err(error) => {
+                        self.metrics
+                            .target_notices
+                            .with_label_values(&["invalid limit"])
+                            .inc();
+                        log::warn!(target_id = &*target.id, value = &*text, reason = error.to_string().as_str(); "ignored the limit that a target names");
+                        return;
+                    }
+                }
+            }
+        };
+        let now = self.clock.now();
+        let mut load = target.load.borrow_mut();
+        if !load
+            .named_limit
+            .record_answer(head.sent_at, now, named_per_s)
+        {
             return;
         }
+        drop(load);
+        self.metrics
+            .target_notices
+            .with_label_values(&["limit"])
+            .inc();
+        match named_per_s {
+            Some(limit_per_s) => {
+                log::info!(target_id = &*target.id, limit_per_s = limit_per_s, from = "an answer"; "a target names a limit");
+            }
+            None => {
+                log::info!(target_id = &*target.id, from = "an answer"; "a target names no limit any more");
+            }
+        }
+    }
+
+    fn record_pause_notice(&self, target: &Target, headers: &HeaderMap) {
         let Some(delay) = headers.get(&self.names.retry_after) else {
             return;
         };
--- a/crates/relay/tests/gateway/notices.rs
+++ b/crates/relay/tests/gateway/notices.rs
@@ -1,4 +1,4 @@
-//! Targets that say in their answers that they are leaving, or that they want a pause.
+//! Targets that say in their answers that they are leaving, that they want a pause, or how many requests they take.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -136,6 +136,38 @@
     });
 }
 
+struct LimitCase {
+    options: RouteOptions,
+    answers: Vec<Action>,
+    per_s: Option<f64>,
+}
+
+// Guards against a limit that hosts take from an answer that is not the target's, or that they miss in one that is.
+#[test_case(&LimitCase { options: ONCE, answers: vec![answer("200 OK", "x-limit: 3.5\r\n")], per_s: Some(3.5) }; "in a success")]
+#[test_case(&LimitCase { options: ONCE, answers: vec![answer("404 Not Found", "x-limit: 3.5\r\n")], per_s: Some(3.5) }; "in a client error")]
+#[test_case(&LimitCase { options: ONCE, answers: vec![answer("500 Internal Server Error", "x-limit: 3.5\r\n")], per_s: Some(3.5) }; "in a server error")]
+#[test_case(&LimitCase { options: ONCE, answers: vec![answer("503 Service Unavailable", "x-not-run: 1\r\nx-limit: 3.5\r\n")], per_s: Some(3.5) }; "in a rejection")]
+#[test_case(&LimitCase { options: STREAM, answers: vec![stream_with("x-limit: 3.5")], per_s: Some(3.5) }; "in the head of a stream")]
+#[test_case(&LimitCase { options: ONCE, answers: vec![answer("421 Misdirected Request", "x-limit: 3.5\r\n")], per_s: None }; "of another process")]
+#[test_case(&LimitCase { options: ONCE, answers: vec![answer("200 OK", "x-limit: many\r\n")], per_s: None }; "not a number")]
+#[test_case(&LimitCase { options: ONCE, answers: vec![answer("200 OK", "x-limit: 3.5\r\n"), answer("200 OK", "")], per_s: None }; "a success ends it")]
+#[test_case(&LimitCase { options: ONCE, answers: vec![answer("200 OK", "x-limit: 3.5\r\n"), answer("503 Service Unavailable", "x-not-run: 1\r\n")], per_s: Some(3.5) }; "a rejection does not end it")]
+fn hosts_know_the_limit_that_a_target_names(case: &LimitCase) {
+    on_one_thread(async {
+        let script = case.answers.iter().map(|answer| vec![answer.clone()]);
+        let target = ScriptedTarget::start(script.collect()).await;
+        let host = start_host(case.options, std::slice::from_ref(&target)).await;
+        for index in 0..case.answers.len() {
+            call(host.settings.caller_address, &request(&format!("a{index}"))).await;
+            // Later than the arrival of the answer, in whole milliseconds.
+            tokio::time::sleep(Duration::from_millis(3)).await;
+        }
+        assert_eq!(arrivals(&target), case.answers.len());
+        let load = host.plan().targets[0][0].load.clone();
+        assert_eq!(load.borrow().named_limit.per_s(), case.per_s);
+    });
+}
+
 /// Returns the retry delay of a refusal, in milliseconds.
 fn retry_after_ms(answer: &CallerAnswer) -> u64 {
     let seconds: f64 = header(&answer.head, "retry-after")
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -262,6 +262,7 @@
             not_run: name("x-not-run"),
             retry_after: name("retry-after"),
             leaving: name("x-leaving"),
+            limit_per_s: name("x-limit"),
             instance: name("x-instance"),
             cold_remaining_ms: name("x-cold"),
             urgency: name("x-urgency"),
