relay: reproduce targets that get more requests than the limit that they named

Callers are served; targets in need get the traffic of all hosts all the same.

A second test asks that hosts learn of the end of a limit.

--- a/crates/relay/tests/gateway/main.rs
+++ b/crates/relay/tests/gateway/main.rs
@@ -5,6 +5,8 @@
 mod endless_answers;
 mod engine_fleet;
 mod header_timeout;
+mod limited_targets;
+mod limiting_fleet;
 mod notices;
 mod plan_changes;
 mod support;
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use http::HeaderName;
@@ -203,9 +203,10 @@
 /// With an address of its own, a host can use fixed ports. A port that was probed as free may be taken by a parallel
 /// test before it is bound, which fails about one run in a hundred.
 pub(crate) fn unique_loopback_address() -> Ipv4Addr {
-    static NEXT: AtomicU8 = AtomicU8::new(1);
+    static NEXT: AtomicU16 = AtomicU16::new(1);
     let process = (std::process::id() % 200) as u8 + 10;
-    Ipv4Addr::new(127, process, 80, NEXT.fetch_add(1, Ordering::Relaxed))
+    let [high, low] = NEXT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    Ipv4Addr::new(127, process, 80 + high, low)
 }
 
 const CALLER_PORT: u16 = 18_144;
