relay, mesh, daemon: tell limits to hosts that start, and soak targets that name limits

Callers saw nothing. A host that has just started knew no limit until the next regular heartbeat of a neighbour, up to 0.4 s, and sent as if there were none.

Cause: limits travel with regular heartbeats only, and in large regions these reach a host every few rounds.

Change: a host that hears from a process for the first time, and knows limits, answers with a heartbeat at once, also where its round would not reach it. The soak has a third kind: sound targets that name limits which begin, move and end at random, beside signals to hosts, a failing store and targets that return under another id; it checks the limit over all hosts, told or not, without excuses.

--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -5,6 +5,7 @@
 
 mod callers;
 mod hosts;
+mod limits;
 #[path = "../../../../platform/tests/support/mod.rs"]
 mod support;
 mod targets;
@@ -41,6 +42,9 @@
     PlannedStops,
     /// All kinds, in overlapping series.
     All,
+    /// Sound targets name limits that begin, move and end, beside signals to hosts, a failing store and targets that return
+    /// under another id.
+    Limits,
 }
 
 struct Case {
@@ -90,7 +94,7 @@
         let runs = Rc::<Runs>::default();
         let mut targets = Vec::new();
         for number in 0..TARGETS {
-            let is_sound = case.faults == Faults::PlannedStops;
+            let is_sound = case.faults != Faults::All;
             let target = Target::start(number, seed, is_sound, runs.clone()).await;
             let (key, value) = target.entry();
             store.write(&key, &value);
@@ -154,6 +158,8 @@
         let kind = match faults {
             Faults::PlannedStops => 0,
             Faults::All => self.random.random_range(0..10),
+            Faults::Limits if self.random.random_bool(0.5) => return self.change_limit(),
+            Faults::Limits => self.random.random_range(0..7),
         };
         match kind {
             0 | 1 => {
@@ -197,9 +203,33 @@
         }
     }
 
+    /// Ends all limits.
+    fn end_limits(&self) {
+        for target in &self.targets {
+            target.limits.set(None);
+        }
+    }
+
+    /// Lets a target name another limit, or none any more.
+    fn change_limit(&mut self) {
+        let per_s = match self.random.random_range(0..10) {
+            0..3 => None,
+            3 => Some(0.0),
+            4..6 => Some(self.random.random_range(0.1..1.0)),
+            _ => Some(self.random.random_range(1.0..12.0)),
+        };
+        let target = self.random.random_range(0..self.targets.len());
+        self.targets[target].limits.set(per_s);
+    }
+
     /// Returns what is wrong with the answers and runs of all requests.
     fn violations(&self, faults: Faults) -> Vec<String> {
         let mut violations = self.log.violations.borrow().clone();
+        let excesses = self
+            .targets
+            .iter()
+            .filter_map(|target| target.limits.violation());
+        violations.extend(excesses);
         for call in self.log.calls.borrow().iter() {
             let runs = self.runs.of(&call.id);
             let is_wrong = match call.end {
@@ -242,6 +272,7 @@
         soak.take_due_steps(false);
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
+    soak.end_limits();
     let calm_at = Instant::now();
     while calm_at.elapsed() < CALM {
         soak.take_due_steps(true);
@@ -292,6 +323,7 @@
 // Guards against answers of other requests, requests that run twice, false refusals, and planned stops that cut off requests.
 #[test_case(&Case { network: 140, hosts: 3, faults: Faults::PlannedStops, faulty: Duration::from_secs(12) }; "planned stops in series")]
 #[test_case(&Case { network: 141, hosts: 5, faults: Faults::All, faulty: Duration::from_secs(12) }; "all faults")]
+#[test_case(&Case { network: 142, hosts: 4, faults: Faults::Limits, faulty: Duration::from_secs(18) }; "limits")]
 fn promises_hold_through_random_faults(case: &Case) {
     let hosts = std::env::var("LACEWINGSTILE_SOAK_HOSTS");
     let hosts = hosts.map_or(case.hosts, |text| text.parse().expect("a number of hosts"));
--- a/crates/daemon/tests/soak/targets.rs
+++ b/crates/daemon/tests/soak/targets.rs
@@ -13,6 +13,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 
+use crate::limits::LimitRecord;
+
 /// The number of times that an answer repeats the id of its request.
 pub(crate) const ANSWER_REPEATS: usize = 40;
 /// How long a target works on a request, in milliseconds.
@@ -62,6 +64,8 @@
     /// Requests are answered faultlessly.
     is_sound: bool,
     random: RefCell<ChaCha8Rng>,
+    /// The limits that the target names in its answers.
+    pub(crate) limits: LimitRecord,
 }
 
 impl Target {
@@ -82,6 +86,7 @@
             runs,
             is_sound,
             random: RefCell::new(ChaCha8Rng::seed_from_u64(seed ^ (number as u64) << 32)),
+            limits: LimitRecord::default(),
         });
         tokio::task::spawn_local(target.clone().run(listener));
         target
@@ -106,6 +111,7 @@
     /// Starts the process again under another id.
     pub(crate) fn restart(&self) {
         self.incarnation.set(self.incarnation.get() + 1);
+        self.limits.restart();
         self.restart.notify_one();
     }
 
@@ -154,17 +160,21 @@
             let id = header(&head, "lacewingstile-attempt-id").unwrap_or_default();
             let expected = header(&head, "lacewingstile-target-instance").unwrap_or_default();
             if expected != self.id() {
-                let answer = rejection(&id, "421 Misdirected Request");
+                let answer = rejection(&id, "421 Misdirected Request", "");
                 if stream.write_all(answer.as_bytes()).await.is_err() {
                     return;
                 }
                 continue;
             }
+            self.limits.record_arrival();
             let (behaviour, work) = self.draw();
+            let limit = self.limits.current();
+            let limit =
+                limit.map_or_else(String::new, |per_s| format!("server-limit: {per_s}\r\n"));
             match behaviour {
                 Behaviour::ResetBefore => return,
                 Behaviour::Reject => {
-                    let answer = rejection(&id, "503 Service Unavailable");
+                    let answer = rejection(&id, "503 Service Unavailable", &limit);
                     if stream.write_all(answer.as_bytes()).await.is_err() {
                         return;
                     }
@@ -175,7 +185,7 @@
             tokio::time::sleep(work).await;
             let body = id.repeat(ANSWER_REPEATS);
             let answer = format!(
-                "HTTP/1.1 200 OK\r\nlacewingstile-attempt-id: {id}\r\nlacewingstile-response-seal: s\r\ncontent-length: {}\r\n\r\n{body}",
+                "HTTP/1.1 200 OK\r\nlacewingstile-attempt-id: {id}\r\nlacewingstile-response-seal: s\r\n{limit}content-length: {}\r\n\r\n{body}",
                 body.len()
             );
             let sent = match behaviour {
@@ -207,9 +217,9 @@
     }
 }
 
-fn rejection(id: &str, status: &str) -> String {
+fn rejection(id: &str, status: &str, headers: &str) -> String {
     format!(
-        "HTTP/1.1 {status}\r\nlacewingstile-attempt-id: {id}\r\nlacewingstile-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
+        "HTTP/1.1 {status}\r\nlacewingstile-attempt-id: {id}\r\nlacewingstile-not-executed: 1\r\n{headers}content-length: 0\r\n\r\n"
     )
 }
 
--- a/crates/mesh/src/host_table.rs
+++ b/crates/mesh/src/host_table.rs
@@ -10,7 +10,7 @@
 use crate::coverage::{Coverage, CoveringHost};
 use crate::forgotten_hosts::ForgottenHosts;
 use crate::heartbeat::{Heartbeat, ServiceUsage};
-use crate::host_entry::{HostEntry, ListedHost, capacity_weight};
+use crate::host_entry::{HostAddress, HostEntry, ListedHost, capacity_weight};
 use crate::host_status::HostStatus;
 use crate::sighting::Sighting;
 use crate::stage::Stage;
@@ -203,6 +203,15 @@
         true
     }
 
+    /// Returns whether a heartbeat of this process of a host was received before.
+    #[must_use]
+    pub fn has_heard(&self, address: &HostAddress) -> bool {
+        let known = self.hosts.get(&address.host);
+        known.is_some_and(|known| {
+            known.last_heartbeat_at.is_some() && known.address.started_ms == address.started_ms
+        })
+    }
+
     /// Returns whether the loans of a recorded heartbeat count: not if it is a copy of an earlier one, or was overtaken.
     pub fn accepts_loans(&mut self, heartbeat: &Heartbeat) -> bool {
         let Some(entry) = self.hosts.get_mut(&heartbeat.address.host) else {
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -1,6 +1,7 @@
 //! The shared state of a gateway host.
 
 use std::cell::{Cell, RefCell};
+use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -91,6 +92,8 @@
     pub(crate) recent_spills: RefCell<RecentSpills>,
     pub(crate) closed_peers: RefCell<ClosedPeers>,
     pub(crate) coverage: RefCell<Coverage>,
+    /// The addresses of hosts that have just started, and that the next heartbeat tells of limits.
+    pub(crate) newcomers: RefCell<Vec<Ipv4Addr>>,
     /// The number of heartbeats with loans that this host has sent.
     pub(crate) loan_sequence: Cell<u32>,
     /// Notified when other hosts should learn of a change without waiting for the next regular heartbeat.
@@ -166,6 +169,7 @@
             recent_spills: RefCell::default(),
             closed_peers: RefCell::default(),
             coverage: RefCell::default(),
+            newcomers: RefCell::default(),
             loan_sequence: Cell::default(),
             heartbeat_due: Rc::default(),
             is_fetching_mirror: Cell::default(),
--- a/crates/relay/src/peer_heartbeats.rs
+++ b/crates/relay/src/peer_heartbeats.rs
@@ -168,6 +168,7 @@
         return;
     }
     let now = host.clock.now();
+    let is_newcomer = !host.hosts.borrow().has_heard(&heartbeat.address);
     if !host.hosts.borrow_mut().record_heartbeat(now, &heartbeat) {
         return;
     }
@@ -181,6 +182,9 @@
         host.record_leaving(*hash);
     }
     host.record_limits(now, &heartbeat);
+    if is_newcomer {
+        host.tell_newcomer(heartbeat.address.ip);
+    }
     let sender = stable_hash(heartbeat.address.host.as_bytes());
     let plan = host.plan();
     for (service, targets) in plan.targets.iter().enumerate() {
--- a/crates/relay/src/shared_limits.rs
+++ b/crates/relay/src/shared_limits.rs
@@ -256,11 +256,23 @@
         per_s * span_ms as f64 / 1_000.0
     }
 
+    /// Lets the next heartbeat, which is sent at once, reach a host that has just started, if targets name limits: it knows
+    /// none of them.
+    pub(crate) fn tell_newcomer(&self, ip: Ipv4Addr) {
+        let plan = self.plan();
+        let mut targets = plan.targets.iter().flatten();
+        if targets.any(|target| target.load.borrow().limit_share.limit().is_some()) {
+            self.newcomers.borrow_mut().push(ip);
+            self.heartbeat_due.notify_one();
+        }
+    }
+
     /// Adds the limits that targets name and the loans of this host to a heartbeat. Returns the addresses of the hosts that
-    /// need it besides its usual recipients: those that hold parts of what this host asks, and its borrowers.
+    /// need it besides its usual recipients: those that have just started, those that hold parts of what this host asks, and
+    /// its borrowers.
     pub(crate) fn add_limits(&self, now: MonoMs, heartbeat: &mut Heartbeat) -> Vec<Ipv4Addr> {
         let plan = self.plan();
-        let mut recipients: Vec<Ipv4Addr> = Vec::new();
+        let mut recipients = self.newcomers.take();
         let mut reports: Vec<LimitReport> = Vec::new();
         for (key, service) in plan.services.iter().map(|(key, _, service)| (key, service)) {
             for target in plan.targets_of(key) {
--- a/crates/relay/tests/gateway/limited_targets.rs
+++ b/crates/relay/tests/gateway/limited_targets.rs
@@ -350,3 +350,27 @@
         );
     });
 }
+
+/// Guards against hosts that have just started and send as if there were no limit.
+#[test]
+fn a_host_that_starts_learns_the_limits_from_others() {
+    const STARTS: usize = 4;
+    /// A host knows the limits this long after its start: before it has read a configuration.
+    const KNOWN: Duration = Duration::from_millis(200);
+    on_one_thread(async {
+        let fleet = Fleet::start(FleetOptions {
+            hosts_per_region: 1,
+            targets_per_region: 1,
+            ..ALL_TARGETS
+        })
+        .await;
+        let address = fleet.hosts[0].settings.caller_address;
+        assert_eq!(call(address, &request("a1")).await.status, 200);
+        for _ in 0..STARTS {
+            let host = fleet.start_host().await;
+            tokio::time::sleep(KNOWN).await;
+            let load = host.plan().targets[0][0].load.clone();
+            assert_eq!(load.borrow().limit_share.named.per_s(), Some(7.8));
+        }
+    });
+}
--- a/crates/relay/tests/gateway/limiting_fleet.rs
+++ b/crates/relay/tests/gateway/limiting_fleet.rs
@@ -52,6 +52,8 @@
 pub(crate) struct Fleet {
     options: FleetOptions,
     pub(crate) hosts: Vec<Rc<Host>>,
+    /// The addresses of the targets.
+    addresses: Vec<SocketAddr>,
     /// The start of the traffic.
     pub(crate) began_at: Instant,
     /// When requests, health checks included, arrived at each target.
@@ -99,6 +101,7 @@
         let fleet = Rc::new(Self {
             options,
             hosts: started,
+            addresses,
             began_at: Instant::now(),
             arrivals: vec![RefCell::default(); targets],
         });
@@ -113,6 +116,16 @@
         fleet
     }
 
+    /// Starts a further host of the first region, which knows the others as seeds.
+    pub(crate) async fn start_host(&self) -> Rc<Host> {
+        let seeds = self.hosts.iter().map(|host| host.settings.ip).collect();
+        let plan = plan_of(&self.options, &self.addresses);
+        let ip = unique_loopback_address();
+        let host = start_host_in(self.options.regions[0], ip, seeds, plan).await;
+        run_heartbeats(host.clone()).await.expect("a free port");
+        host
+    }
+
     async fn serve(self: Rc<Self>, target: usize, mut stream: TcpStream) {
         while let Some(head) = read_request(&mut stream).await {
             let number = {
