relay: keep the requests that a limited target takes for its prompts

Callers with long prompts waited for prompts to be read again: short queries used up the limit of the target that has their prefix in memory.

Cause: the limit of a target was shared in order of arrival, while other targets had room for the short queries.

Change: at a target that names a limit, requests without a prefix there cost 400 ms more, unless the target has not stated its limit for a second: only an answer shows that it has ended. A request that waits for a closed target looks at it again when it opens.

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -52,6 +52,12 @@
 const UNDELAYED_USE_RATIO: f64 = 0.8;
 /// Cost of a target that fails every request, in milliseconds.
 const FAILURE_COST_MS: f64 = 3_000.0;
+/// Cost of a request at a target that names a limit and is not the owner of its prefix, in milliseconds: the requests that the
+/// target takes are kept for those that gain most there, and other targets serve the rest while they have room.
+const LIMITED_COST_MS: f64 = 400.0;
+/// A target that has not stated its limit for this long, in milliseconds, is used at its usual cost, because only an answer
+/// shows that the limit has ended.
+const MAX_STATEMENT_AGE_MS: u64 = 1_000;
 /// A failure rate up to this adds no cost: services answer some requests with an error on every target, and a host
 /// cannot tell such requests from a faulty target.
 const TOLERATED_FAILURE_RATE: f64 = 0.25;
@@ -241,7 +247,11 @@
             }
             None => FULL_USE_COST_MS * use_ratio,
         } + FAILURE_COST_MS
-            * (load.health.failure_rate() - TOLERATED_FAILURE_RATE).max(0.0);
+            * (load.health.failure_rate() - TOLERATED_FAILURE_RATE).max(0.0)
+            + match load.limit_share.named.statement_age_ms(now) {
+                Some(..MAX_STATEMENT_AGE_MS) if !is_owner => LIMITED_COST_MS,
+                _ => 0.0,
+            };
         let best = match is_suspect {
             true => &mut best_suspect,
             false => &mut best_healthy,
--- a/crates/relay/src/decide.rs
+++ b/crates/relay/src/decide.rs
@@ -25,6 +25,8 @@
 const MAX_REFUSALS: u32 = 2;
 /// Waiting requests retry at least this often, because this host is not notified of slots that other hosts free.
 const POLL_INTERVAL: Duration = Duration::from_millis(60);
+/// A request that waits for a closed target looks at it at most this often.
+const MIN_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Requests that wait for the state of a neighbour check at least this often whether they still have to.
 const WAKE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Minimum and random spread of the retry delay for refused callers, as fractions of the latency goal: an answer is
@@ -115,7 +117,12 @@
                 }
                 NoTarget::Full | NoTarget::Closed { .. } => {}
             }
-            let _ = tokio::time::timeout(POLL_INTERVAL, capacity_changed).await;
+            let opens_in = match refused {
+                NoTarget::Closed { until, .. } => Duration::from_millis(until.since_ms(now)),
+                NoTarget::Absent | NoTarget::Full => POLL_INTERVAL,
+            };
+            let wait = opens_in.clamp(MIN_POLL_INTERVAL, POLL_INTERVAL);
+            let _ = tokio::time::timeout(wait, capacity_changed).await;
         }
     }
 
--- a/crates/relay/src/named_limit.rs
+++ b/crates/relay/src/named_limit.rs
@@ -24,6 +24,12 @@
         self.per_s
     }
 
+    /// Returns the time since the target last stated its limit, in milliseconds; `None` while it names none.
+    #[must_use]
+    pub fn statement_age_ms(&self, now: MonoMs) -> Option<u64> {
+        self.per_s.map(|_| now.since_ms(self.stated_at))
+    }
+
     /// Records the limit that an answer names, or that it names none. The request of the answer was sent at `sent_at`.
     /// Returns whether the limit has changed.
     ///
--- a/crates/relay/tests/gateway/limited_targets.rs
+++ b/crates/relay/tests/gateway/limited_targets.rs
@@ -316,34 +316,39 @@
     assert!(faults.is_empty(), "{}", faults.join("\n"));
 }
 
+/// The time at which a limit ends, and how long after it hosts know that.
+const LIMIT_END: Duration = Duration::from_millis(2_500);
+const END_KNOWN: Duration = Duration::from_millis(1_500);
+const ENDING: FleetOptions = FleetOptions {
+    limit_per_s: |target, at| (target == 0 && at < LIMIT_END).then_some(4.0),
+    ..TWO_TARGETS
+};
+
 /// Guards against a target that keeps its limit for hosts that have sent it nothing since.
 #[test]
 fn hosts_learn_of_the_end_of_a_limit() {
-    const END: Duration = Duration::from_millis(2_500);
-    /// Hosts know the end of a limit this long after it.
-    const KNOWN: Duration = Duration::from_millis(1_500);
     on_one_thread(async {
-        let options = FleetOptions {
-            targets_per_region: 1,
-            limit_per_s: |_, at| (at < END).then_some(4.0),
-            ..TWO_TARGETS
-        };
-        // The traffic is at one host as long as the limit holds, and for a while after it.
         let case = Case {
-            fleet: options,
-            host: |_, at, hosts| match at < END + KNOWN {
+            fleet: FleetOptions {
+                targets_per_region: 1,
+                ..ENDING
+            },
+            // The traffic is at one host as long as the limit holds, and for a while after it.
+            host: |_, at, hosts| match at < LIMIT_END + END_KNOWN {
                 true => 0,
                 false => hosts - 1,
             },
             ..BASE
         };
-        let fleet = Fleet::start(options).await;
+        let fleet = Fleet::start(case.fleet).await;
         let results = send_requests(&case, &fleet).await;
-        let late = results.iter().filter(|result| result.sent_at > END + KNOWN);
+        let late = results
+            .iter()
+            .filter(|result| result.sent_at > LIMIT_END + END_KNOWN);
         let unserved = late.filter(|result| result.status != 200).count();
         assert_eq!(unserved, 0, "refused after the end of the limit");
-        let under_limit = fleet.arrivals_within(0, SETTLED..END);
-        let allowed = 4.0 * (END - SETTLED).as_secs_f64() + 4.0;
+        let under_limit = fleet.arrivals_within(0, SETTLED..LIMIT_END);
+        let allowed = 4.0 * (LIMIT_END - SETTLED).as_secs_f64() + 4.0;
         assert!(
             under_limit as f64 <= allowed,
             "{under_limit} requests, {allowed} allowed"
@@ -351,6 +356,27 @@
     });
 }
 
+/// Guards against a target that is spared for good, because others have room and nobody learns that its limit has ended.
+#[test]
+fn a_target_is_used_again_after_its_limit() {
+    /// One host sends so many requests to the first of several idle targets.
+    const USUAL: usize = 50;
+    on_one_thread(async {
+        let case = Case {
+            fleet: ENDING,
+            host: |_, _, _| 0,
+            ..BASE
+        };
+        let fleet = Fleet::start(case.fleet).await;
+        send_requests(&case, &fleet).await;
+        let after = fleet.arrivals_within(0, LIMIT_END + END_KNOWN..TRAFFIC);
+        assert!(
+            after >= USUAL,
+            "{after} requests after the end of the limit"
+        );
+    });
+}
+
 /// Guards against hosts that have just started and send as if there were no limit.
 #[test]
 fn a_host_that_starts_learns_the_limits_from_others() {
--- a/crates/relay/tests/placing.rs
+++ b/crates/relay/tests/placing.rs
@@ -7,9 +7,9 @@
 use lw_admit::LimitPart;
 use lw_base::prelude::*;
 use lw_relay::{
-    ChoiceQuery, ChosenTarget, Closure, EngineCapacity, NoTarget, Plan, Prompt, RegionCandidate,
-    Service, ServiceTimings, SpillQuery, Target, TargetEligibility, TargetLoad, choose,
-    choose_region, limit_sharing_hosts, prefix_owners_of,
+    ChoiceQuery, ChosenTarget, Closure, EngineCapacity, NamedLimit, NoTarget, Plan, Prompt,
+    RegionCandidate, Service, ServiceTimings, SpillQuery, Target, TargetEligibility, TargetLoad,
+    choose, choose_region, limit_sharing_hosts, prefix_owners_of,
 };
 use test_case::test_case;
 
@@ -296,6 +296,36 @@
     assert_eq!(result.err(), case.result);
 }
 
+/// Guards against short queries that use up the limit of the owner of a prefix, whose prompts are then read again elsewhere.
+#[test]
+fn the_limit_of_a_prefix_owner_is_kept_for_its_prompts() {
+    let plan = plan(2, true);
+    let prompt = long_prompt("b");
+    let owner = pick(&plan, &prompt, None).expect("a target").target;
+    let mut load = owner.load.borrow_mut();
+    load.limit_share.named.record_answer(NOW, NOW, Some(9.0));
+    load.limit_share.borrow(NOW, 5);
+    drop(load);
+    let other = plan.targets[0]
+        .iter()
+        .find(|target| target.hash != owner.hash);
+    other.expect("two targets").load.borrow_mut().running = 6;
+    let query = Prompt::parse(Some("300,60"), Some("own:300"));
+    let chosen = pick(&plan, &query, None).expect("a target");
+    assert_ne!(chosen.target.hash, owner.hash, "a short query");
+    let chosen = pick(&plan, &prompt, None).expect("a target");
+    assert_eq!(chosen.target.hash, owner.hash, "a long prompt");
+    let mut load = owner.load.borrow_mut();
+    let earlier = MonoMs(NOW.0 - 1_000);
+    load.limit_share.named = NamedLimit::default();
+    load.limit_share
+        .named
+        .record_answer(earlier, earlier, Some(9.0));
+    drop(load);
+    let chosen = pick(&plan, &query, None).expect("a target");
+    assert_eq!(chosen.target.hash, owner.hash, "the limit may have ended");
+}
+
 /// Guards against a host that exceeds its share of a cold target's limit.
 #[test]
 fn a_cold_target_receives_requests_up_to_the_limit() {
