mesh, relay: doubt the state of the platform until targets have caught up with it

A target that had turned cold got the full rate of all hosts when the platform answered again after a silence: 48 requests in one second in the test, 8.25 allowed.

Cause: hosts took their state for current with the first answer of the platform. Targets could not write to it during the silence, and do so within two seconds.

Change: after a silence of 2 s the state stays in doubt for 2 s more (PlatformReturned), so targets are asked for their warmth. A neighbour ends it that has contact with the platform and has waited already, or for which the platform was not silent; hosts in this state tell no contact. A process that starts during a silence counts from its start, or from what neighbours tell.

--- a/crates/mesh/src/state_evidence.rs
+++ b/crates/mesh/src/state_evidence.rs
@@ -12,6 +12,9 @@
 /// hosts together call the platform at least every [`MAX_CALL_GAP_MS`] on average; the rest is for gaps longer than the
 /// mean and for the way through two heartbeats.
 const PLATFORM_TIMEOUT_MS: u64 = 2_000;
+/// After a silence of the platform, targets have written to it what they could not tell meanwhile within this time, in
+/// milliseconds.
+const CATCH_UP_MS: u64 = 2_000;
 /// The mean time between calls to the platform of all hosts together, in milliseconds.
 pub const MAX_CALL_GAP_MS: u64 = 400;
 
@@ -22,6 +25,8 @@
     Isolated,
     /// Neither this host nor one that it hears from has had an answer from the platform.
     PlatformSilent,
+    /// The platform answers again after a silence, and targets have yet to write what they could not tell meanwhile.
+    PlatformReturned,
 }
 
 /// The evidence that a host's copy of the platform's state is current.
@@ -31,17 +36,38 @@
     agreed_at: MonoMs,
     /// When the platform last answered this host or one that it hears from, directly or through others.
     platform_answered_at: MonoMs,
+    /// When the process started.
+    started_at: MonoMs,
+    /// When the platform answered again after a silence, as long as its state may lack what happened meanwhile.
+    returned_at: Option<MonoMs>,
 }
 
 impl StateEvidence {
+    /// Creates the evidence of a process that starts.
+    #[must_use]
+    pub fn new(started_at: MonoMs) -> Self {
+        Self {
+            started_at,
+            ..Self::default()
+        }
+    }
+
     /// Records that the platform has answered this host's watch or listing.
     pub fn record_watch_answer(&mut self, now: MonoMs) {
         self.agreed_at = now;
-        self.platform_answered_at = now;
+        self.record_platform_answer(now);
     }
 
     /// Records that the platform has answered another call of this host.
     pub fn record_platform_answer(&mut self, now: MonoMs) {
+        // A host that starts during a silence may hear of it from others.
+        let last = match self.platform_answered_at > MonoMs::default() {
+            true => self.platform_answered_at,
+            false => self.started_at,
+        };
+        if now.since_ms(last) > PLATFORM_TIMEOUT_MS {
+            self.returned_at = Some(now);
+        }
         self.platform_answered_at = now;
     }
 
@@ -51,7 +77,8 @@
     }
 
     /// Records a heartbeat; `own` is the version of this host's copy. Isolated hosts state no contact with the platform, and
-    /// confirm nothing: hosts that wake together would confirm one another's old states.
+    /// confirm nothing: hosts that wake together would confirm one another's old states. Hosts for which the platform has just
+    /// returned state no contact either.
     pub fn record_heartbeat(&mut self, now: MonoMs, own: StateVersion, status: &HostStatus) {
         let has_no_state = status.as_of == StateVersion::default();
         let is_isolated = status.platform_contact_age_ms == u16::MAX;
@@ -62,6 +89,10 @@
         let age_ms = u64::from(status.platform_contact_age_ms);
         let answered_at = MonoMs(now.0.saturating_sub(age_ms));
         self.platform_answered_at = self.platform_answered_at.max(answered_at);
+        if self.returned_at.is_some_and(|at| answered_at >= at) {
+            // The other host has waited already, or the platform was not silent for it.
+            self.returned_at = None;
+        }
     }
 
     /// Returns why the state may be out of date, or `None` if it is current; `knows_hosts` is whether the host knows any
@@ -71,8 +102,12 @@
         if knows_hosts && now.since_ms(self.agreed_at) > CONTACT_TIMEOUT_MS {
             return Some(StateDoubt::Isolated);
         }
-        (now.since_ms(self.platform_answered_at) > PLATFORM_TIMEOUT_MS)
-            .then_some(StateDoubt::PlatformSilent)
+        if now.since_ms(self.platform_answered_at) > PLATFORM_TIMEOUT_MS {
+            return Some(StateDoubt::PlatformSilent);
+        }
+        self.returned_at
+            .is_some_and(|at| now.since_ms(at) < CATCH_UP_MS)
+            .then_some(StateDoubt::PlatformReturned)
     }
 
     /// Returns the time since the platform last answered this host or one that it hears from, in milliseconds.
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -147,11 +147,12 @@
             settings.capacity_permille,
         );
         let quarantine = Quarantine::new(stable_hash(settings.host.as_bytes()));
+        let clock = HostClock::start();
         Self {
             bounds: Cell::new(settings.bounds),
             settings,
             started_ms,
-            clock: HostClock::start(),
+            clock,
             mirror: RefCell::default(),
             hosts: RefCell::new(hosts),
             metrics: HostMetrics::new(),
@@ -176,7 +177,7 @@
             heartbeat_due: Rc::default(),
             is_fetching_mirror: Cell::default(),
             is_restart: Cell::default(),
-            state_evidence: Cell::default(),
+            state_evidence: Cell::new(StateEvidence::new(clock.now())),
             ran_at: Cell::default(),
             woke_at: Cell::default(),
             logged_doubt: Cell::default(),
--- a/crates/relay/tests/gateway/warmth.rs
+++ b/crates/relay/tests/gateway/warmth.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use lw_mesh::{Heartbeat, HostAddress, HostStatus, StateVersion};
+use lw_mesh::{Heartbeat, HostAddress, HostStatus, StateDoubt, StateVersion};
 use lw_relay::{Host, Plan};
 
 use crate::support::*;
@@ -16,6 +16,7 @@
 /// The interval between the requests of a host.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(80);
 const COLD_AT: Duration = Duration::from_millis(1_200);
+const RETURN_AT: Duration = Duration::from_millis(1_100);
 const END: Duration = Duration::from_millis(3_400);
 
 /// What the hosts hear of one another and of the platform.
@@ -27,6 +28,9 @@
     Hosts,
     /// They hear one another, and the platform answers.
     HostsAndPlatform,
+    /// They hear one another, and the platform answers again from [`RETURN_AT`] on. It does not know yet that the target
+    /// has turned cold.
+    PlatformReturns,
 }
 
 struct Case {
@@ -87,12 +91,22 @@
     )
 }
 
-/// Lets each host hear from all others.
-fn exchange_heartbeats(hosts: &[Rc<Host>], platform_age_ms: u16) {
+/// Lets the platform answer each host, if it answers, and lets each host hear from all others.
+fn exchange_heartbeats(hosts: &[Rc<Host>], platform_answers: bool) {
+    /// What hosts state while the platform is silent.
+    const SILENT_MS: u16 = 6_000;
+    for host in hosts.iter().filter(|_| platform_answers) {
+        host.record_platform_answer();
+    }
     for host in hosts {
         for other in hosts {
-            let heartbeat = heartbeat_of(other, platform_age_ms);
             let now = host.clock.now();
+            let age_ms = match other.state_doubt(now) {
+                Some(StateDoubt::PlatformReturned) => u16::MAX - 1,
+                _ if platform_answers => 0,
+                _ => SILENT_MS,
+            };
+            let heartbeat = heartbeat_of(other, age_ms);
             if host.hosts.borrow_mut().record_heartbeat(now, &heartbeat) {
                 host.record_state_of(now, STATE, &heartbeat.status);
             }
@@ -144,17 +158,19 @@
             let ip = unique_loopback_address();
             hosts.push(start_host_in("north", ip, Vec::new(), plan_with(&target)).await);
         }
-        let platform_age_ms = match case.news {
-            News::None | News::Hosts => 6_000,
-            News::HostsAndPlatform => 0,
+        let returns_at = match case.news {
+            News::None | News::Hosts => END,
+            News::HostsAndPlatform => Duration::ZERO,
+            News::PlatformReturns => RETURN_AT,
         };
-        exchange_heartbeats(&hosts, platform_age_ms);
+        let platform_answers = move || start.elapsed() >= returns_at;
+        exchange_heartbeats(&hosts, platform_answers());
         let heartbeats = hosts.clone();
         if case.news != News::None {
             tokio::task::spawn_local(async move {
                 loop {
                     tokio::time::sleep(Duration::from_millis(300)).await;
-                    exchange_heartbeats(&heartbeats, platform_age_ms);
+                    exchange_heartbeats(&heartbeats, platform_answers());
                 }
             });
         }
@@ -209,6 +225,11 @@
             news: News::Hosts,
             target: TURNS_COLD,
         },
+        Case {
+            name: "the platform returns",
+            news: News::PlatformReturns,
+            target: TURNS_COLD,
+        },
         Case {
             name: "the target restarts under its id",
             news: News::HostsAndPlatform,
