relay: remember a target while its entry is missing

A cold target, or one that names a limit, could get the requests of a second twice, and be taken for one without a limit: when its entry expired during a silence of the store and reappeared, hosts began to count anew.

Cause: what a host knows of a process was dropped with its entry. Hosts that call the platform keep missing targets for 2 s after a failed call; the other hosts get changes from neighbours, see entries disappear one by one, and dropped each at once.

Change: the load of a dropped process is kept for a minute, and used again if an entry of the same process appears. A process that was draining stays so.

Evidence: a_process_whose_entry_reappears_is_the_same, of which two of three cases failed before.

--- a/crates/relay/src/target_registry.rs
+++ b/crates/relay/src/target_registry.rs
@@ -27,14 +27,22 @@
 struct KnownTarget {
     listed: ListedTarget,
     load: Rc<RefCell<TargetLoad>>,
+    /// Its entry was not read before.
+    is_new: bool,
     /// The time until which the target is used although its entry has disappeared.
     retained_until: Option<MonoMs>,
 }
 
+/// What is known of an incarnation is kept for this long after its target was dropped: an entry that expired while the
+/// platform was silent reappears when the platform returns.
+const MEMORY_MS: u64 = 60_000;
+
 /// Keeps the load of each incarnation, and decides how long targets whose entries disappeared stay in use.
 #[derive(Debug, Default)]
 pub struct TargetRegistry {
     known: FastMap<Arc<str>, KnownTarget>,
+    /// The loads of dropped incarnations, with the time at which each was dropped.
+    dropped: FastMap<Arc<str>, (MonoMs, Rc<RefCell<TargetLoad>>)>,
     evacuated: FastSet<Arc<str>>,
     platform_failed_at: Option<MonoMs>,
 }
@@ -108,21 +116,26 @@
     }
 
     fn update_targets(&mut self, now: MonoMs, snapshot: &PlatformSnapshot) {
+        self.dropped
+            .retain(|_, (at, _)| now.since_ms(*at) < MEMORY_MS);
         let mut present: FastSet<Arc<str>> = FastSet::default();
         for listed in &snapshot.targets {
             let incarnation: Arc<str> = format!("{}#{}", listed.id, listed.started_at_ms).into();
             present.insert(incarnation.clone());
-            let known = self
-                .known
-                .entry(incarnation)
-                .or_insert_with(|| KnownTarget {
+            let dropped = &mut self.dropped;
+            let known = self.known.entry(incarnation);
+            let known = known.or_insert_with_key(|incarnation| {
+                let load = dropped.remove(incarnation).map(|(_, load)| load);
+                KnownTarget {
                     listed: ListedTarget {
                         version: StateVersion::default(),
                         ..listed.clone()
                     },
-                    load: Rc::default(),
+                    is_new: load.is_none(),
+                    load: load.unwrap_or_default(),
                     retained_until: None,
-                });
+                }
+            });
             known.retained_until = None;
             if known.listed.version == listed.version {
                 continue;
@@ -130,7 +143,7 @@
             // A target that has reported that it drains never accepts requests again; an entry that says otherwise comes
             // from a copy of the store from before that report.
             let is_leaving = known.listed.is_leaving || listed.is_leaving;
-            let is_new = known.listed.version == StateVersion::default();
+            let is_new = std::mem::take(&mut known.is_new);
             known.listed = ListedTarget {
                 is_leaving,
                 ..listed.clone()
@@ -170,7 +183,15 @@
                 .retained_until
                 .get_or_insert(now.plus_ms(retention_ms));
             let is_replaced = ids.contains(&known.listed.id);
-            !is_replaced && !known.listed.is_leaving && now < until
+            let is_kept = !is_replaced && !known.listed.is_leaving && now < until;
+            if !is_kept {
+                let load = known.load.clone();
+                if known.listed.is_leaving {
+                    load.borrow_mut().health.record_leaving();
+                }
+                self.dropped.insert(incarnation.clone(), (now, load));
+            }
+            is_kept
         });
     }
 }
--- a/crates/relay/tests/targets.rs
+++ b/crates/relay/tests/targets.rs
@@ -114,6 +114,43 @@
     assert_eq!(running, 3);
 }
 
+struct ReappearingCase {
+    /// The time without the entry, in milliseconds.
+    absent_ms: u64,
+    /// What the host knew of the process still holds.
+    is_remembered: bool,
+}
+
+// Guards against a cold target, or one that names a limit, that gets the requests of a second twice: its entry expired while
+// the platform was silent, and a host that did not call the platform itself took it for removed.
+#[test_case(&ReappearingCase { absent_ms: 300, is_remembered: true }; "soon")]
+#[test_case(&ReappearingCase { absent_ms: 20_000, is_remembered: true }; "after a long outage")]
+#[test_case(&ReappearingCase { absent_ms: 90_000, is_remembered: false }; "much later")]
+fn a_process_whose_entry_reappears_is_the_same(case: &ReappearingCase) {
+    let mut registry = TargetRegistry::default();
+    let both = snapshot(vec![listed("a"), listed("b")]);
+    let plan = registry.plan(NOW, &both, region_of);
+    for target in available(&plan) {
+        let mut load = target.load.borrow_mut();
+        load.cold_until = NOW.plus_ms(500);
+        load.cold_start_limiter.record_unlimited(NOW);
+        load.limit_share.named.record_answer(NOW, NOW, Some(3.0));
+    }
+    let one = snapshot(vec![listed("b")]);
+    let plan = registry.plan(NOW.plus_ms(10), &one, region_of);
+    assert_eq!(available(&plan).len(), 1);
+    let now = NOW.plus_ms(10 + case.absent_ms);
+    registry.plan(now, &one, region_of);
+    let plan = registry.plan(now, &both, region_of);
+    let targets = available(&plan);
+    assert_eq!(targets.len(), 2);
+    let a = targets.iter().find(|target| &*target.id == "a");
+    let load = a.expect("the target that reappears").load.borrow();
+    let remembered_limit = case.is_remembered.then_some(3.0);
+    assert_eq!(load.limit_share.named.per_s(), remembered_limit);
+    assert_eq!(load.cold_until > MonoMs::default(), case.is_remembered);
+}
+
 /// Guards against the load of a former process that is counted for its successor.
 #[test]
 fn a_restarted_target_starts_without_load() {
