mesh, relay: identify the statements of a target that hosts pass on

Callers saw nothing yet. In a test with lag, a limit seemed to be stated after every request, so that no answer could end it.

Cause: hosts tell one another the age of a statement, and each takes it for younger by the time that the heartbeat was on its way. Four hosts that repeated a statement to each other kept it young for ever.

Change: a statement carries the process that got it and a number; a host that knows it does not take it again.

Evidence: a_statement_does_not_become_younger_as_it_is_passed_on, which fails without the comparison.

--- a/crates/bench/src/limits/model.rs
+++ b/crates/bench/src/limits/model.rs
@@ -7,7 +7,7 @@
 
 use lw_admit::{ASKED_DECAY_MS, DecayingRate, SharedLimiter};
 use lw_base::prelude::*;
-use lw_mesh::{Coverage, Heartbeat, LimitLoan, LimitReport};
+use lw_mesh::{Coverage, Heartbeat, LimitLoan, LimitReport, StatementId};
 use lw_relay::short_hash;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -182,7 +182,7 @@
         state.coverage = table.coverage(now, &[service]);
         for (target, of_target) in state.targets.iter_mut().enumerate() {
             let named = &mut of_target.share.named;
-            named.record_report(now, Some(world.run.limit_per_s), 0);
+            named.record_answer(host as u32, now, now, Some(world.run.limit_per_s));
             let incarnation = &world.incarnations[target];
             update_share(now, up_ms, table, incarnation, &mut of_target.share);
         }
@@ -257,6 +257,7 @@
                 target: hash,
                 per_s: Some(world.run.limit_per_s),
                 age_ms: 0,
+                statement: StatementId::default(),
                 asked_per_s: asked_per_s as f32,
             });
             let holders = of_target.share.holders().iter();
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -29,7 +29,7 @@
 pub use host_table::{
     HEARTBEAT_TIMEOUT_MS, HostTable, Recipients, SharingHost, WATCHERS_PER_REGION,
 };
-pub use limit_report::{LimitLoan, LimitReport};
+pub use limit_report::{LimitLoan, LimitReport, StatementId};
 pub use mirror::{Item, KeyChange, Listing, Mirror, MirrorItem};
 pub use mirror_update::{MirrorUpdate, MirrorUpdateError};
 pub use sighting::Sighting;
--- a/crates/mesh/tests/wire_bytes.rs
+++ b/crates/mesh/tests/wire_bytes.rs
@@ -9,7 +9,7 @@
 use lw_mesh::{
     EarlierState, Heartbeat, HostAddress, HostStatus, Item, KeyChange, LimitLoan, LimitReport,
     Listing, MirrorItem, MirrorUpdate, PlacedPart, ServiceUsage, Sighting, Stage, StateVersion,
-    TargetUsage,
+    StatementId, TargetUsage,
 };
 use lw_quarantine::{CrashReport, PartReport};
 use test_case::test_case;
@@ -121,6 +121,10 @@
         target: 1_025,
         per_s: Some(8.5),
         age_ms: 1_026,
+        statement: StatementId {
+            origin: 1_028,
+            number: 4,
+        },
         asked_per_s: 2.5,
     }];
     heartbeat.loan_sequence = 3;
@@ -252,7 +256,8 @@
 const HEARTBEAT_TRAILER: &[u8] = &[9, 8, 1, 249, 7, 1, 250, 7, 133];
 const HEARTBEAT_REPORTS: &[u8] = &[1, 251, 7, 2, 1, 252, 7, 253, 7, 1, 254, 7, 255, 7];
 const HEARTBEAT_LIMITS: &[u8] = &[
-    1, 129, 8, 1, 0, 0, 0, 0, 0, 0, 33, 64, 130, 8, 0, 0, 32, 64, 3, 1, 129, 8, 131, 8, 2,
+    1, 129, 8, 1, 0, 0, 0, 0, 0, 0, 33, 64, 130, 8, 132, 8, 4, 0, 0, 32, 64, 3, 1, 129, 8, 131, 8,
+    2,
 ];
 const CHANGES_TRAILER: &[u8] = &[9, 0];
 const LISTING_TRAILER: &[u8] = &[
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -94,6 +94,8 @@
     pub(crate) coverage: RefCell<Coverage>,
     /// The addresses of hosts that have just started, and that the next heartbeat tells of limits.
     pub(crate) newcomers: RefCell<Vec<Ipv4Addr>>,
+    /// Identifies this process in statements of targets.
+    pub(crate) process_hash: u32,
     /// The number of heartbeats with loans that this host has sent.
     pub(crate) loan_sequence: Cell<u32>,
     /// Notified when other hosts should learn of a change without waiting for the next regular heartbeat.
@@ -148,6 +150,7 @@
         );
         let quarantine = Quarantine::new(stable_hash(settings.host.as_bytes()));
         let clock = HostClock::start();
+        let process_hash = short_hash(&format!("{}#{started_ms}", settings.host));
         Self {
             bounds: Cell::new(settings.bounds),
             settings,
@@ -173,6 +176,7 @@
             closed_peers: RefCell::default(),
             coverage: RefCell::default(),
             newcomers: RefCell::default(),
+            process_hash,
             loan_sequence: Cell::default(),
             heartbeat_due: Rc::default(),
             is_fetching_mirror: Cell::default(),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -79,7 +79,7 @@
 pub use limit_share::{LimitShare, Loan};
 pub use linear_fit::LinearFit;
 pub use metrics::HostMetrics;
-pub use named_limit::NamedLimit;
+pub use named_limit::{LimitNews, NamedLimit};
 pub use names::{HeaderNames, PathSet};
 pub use peer_heartbeats::run_heartbeats;
 pub use placed_part_queue::PlacedPartQueue;
--- a/crates/relay/src/named_limit.rs
+++ b/crates/relay/src/named_limit.rs
@@ -1,6 +1,7 @@
 //! The request rate that a target has named in its answers.
 
 use lw_base::prelude::*;
+use lw_mesh::StatementId;
 
 /// A report of another host that a limit has ended counts if the target said so at least this long after its last statement
 /// that this host knows, in milliseconds: the time of the way of the report is not known.
@@ -15,6 +16,21 @@
     /// When the answer with the latest limit arrived at the host that received it. For the end of a limit, this is when the
     /// request of that answer was sent.
     stated_at: MonoMs,
+    /// The latest statement.
+    statement: StatementId,
+    /// The number of statements that this host has got itself.
+    own_statements: u32,
+}
+
+/// What hosts tell one another of a limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitNews {
+    /// The limit in requests per second; `None` if it has ended.
+    pub per_s: Option<f64>,
+    /// The time since the statement, in milliseconds.
+    pub age_ms: u64,
+    /// Which statement it is.
+    pub statement: StatementId,
 }
 
 impl NamedLimit {
@@ -30,46 +46,59 @@
         self.per_s.map(|_| now.since_ms(self.stated_at))
     }
 
-    /// Records the limit that an answer names, or that it names none. The request of the answer was sent at `sent_at`.
-    /// Returns whether the limit has changed.
+    /// Records the limit that an answer to this host, the process `origin`, names, or that it names none. The request of the
+    /// answer was sent at `sent_at`. Returns whether the limit has changed.
     ///
     /// An answer without a limit ends the limit only if its request was sent after the last answer that named it had
     /// arrived: answers on several connections may overtake one another.
     pub fn record_answer(
         &mut self,
+        origin: u32,
         sent_at: MonoMs,
         now: MonoMs,
         named_per_s: Option<f64>,
     ) -> bool {
-        match named_per_s {
-            Some(_) => self.state(now, named_per_s),
-            None if sent_at > self.stated_at => self.state(sent_at, None),
-            None => false,
-        }
+        let at = match named_per_s {
+            Some(_) => now,
+            None if sent_at > self.stated_at => sent_at,
+            None => return false,
+        };
+        self.own_statements = self.own_statements.wrapping_add(1);
+        let statement = StatementId {
+            origin,
+            number: self.own_statements,
+        };
+        self.state(at, statement, named_per_s)
     }
 
-    /// Records what another host knows of the limit, from a statement that is `age_ms` milliseconds old. Returns whether the
-    /// limit has changed.
-    pub fn record_report(&mut self, now: MonoMs, per_s: Option<f64>, age_ms: u64) -> bool {
-        let stated_at = MonoMs(now.0.saturating_sub(age_ms));
-        let is_later = match (per_s, self.per_s) {
+    /// Records what another host knows of the limit. Returns whether the limit has changed.
+    pub fn record_report(&mut self, now: MonoMs, news: LimitNews) -> bool {
+        if news.statement == self.statement {
+            return false;
+        }
+        let stated_at = MonoMs(now.0.saturating_sub(news.age_ms));
+        let is_later = match (news.per_s, self.per_s) {
             (None, Some(_)) => stated_at > self.stated_at.plus_ms(MAX_REPORT_DELAY_MS),
             _ => stated_at > self.stated_at,
         };
-        is_later && self.state(stated_at, per_s)
+        is_later && self.state(stated_at, news.statement, news.per_s)
     }
 
-    /// Returns what to tell other hosts: the limit, or its end for `end_report_ms` milliseconds, and the age of the
-    /// statement in milliseconds.
+    /// Returns what to tell other hosts: the limit, or its end for `end_report_ms` milliseconds.
     #[must_use]
-    pub fn report(&self, now: MonoMs, end_report_ms: u64) -> Option<(Option<f64>, u32)> {
+    pub fn report(&self, now: MonoMs, end_report_ms: u64) -> Option<LimitNews> {
         let age_ms = now.since_ms(self.stated_at);
         let is_due = self.per_s.is_some() || (self.was_named && age_ms < end_report_ms);
-        is_due.then(|| (self.per_s, u32::try_from(age_ms).unwrap_or(u32::MAX)))
+        is_due.then_some(LimitNews {
+            per_s: self.per_s,
+            age_ms,
+            statement: self.statement,
+        })
     }
 
-    fn state(&mut self, at: MonoMs, per_s: Option<f64>) -> bool {
+    fn state(&mut self, at: MonoMs, statement: StatementId, per_s: Option<f64>) -> bool {
         self.stated_at = at;
+        self.statement = statement;
         self.was_named |= per_s.is_some();
         std::mem::replace(&mut self.per_s, per_s) != per_s
     }
--- a/crates/relay/src/shared_limits.rs
+++ b/crates/relay/src/shared_limits.rs
@@ -14,6 +14,7 @@
 use crate::choose::ChosenTarget;
 use crate::host::{Host, short_hash};
 use crate::incoming::Incoming;
+use crate::named_limit::LimitNews;
 use crate::plan::Service;
 use crate::target::Target;
 use crate::target_load::TargetLoad;
@@ -283,11 +284,12 @@
                 let mut load = target.load.borrow_mut();
                 let share = &mut load.limit_share;
                 let covers = self.coverage.borrow().covered_by_self(target.hash);
-                if covers && let Some((per_s, age_ms)) = share.named.report(now, END_REPORT_MS) {
+                if covers && let Some(news) = share.named.report(now, END_REPORT_MS) {
                     reports.push(LimitReport {
                         target: target.hash,
-                        per_s,
-                        age_ms,
+                        per_s: news.per_s,
+                        age_ms: u32::try_from(news.age_ms).unwrap_or(u32::MAX),
+                        statement: news.statement,
                         asked_per_s: asked_per_s as f32,
                     });
                 }
@@ -336,8 +338,12 @@
             let mut load = target.load.borrow_mut();
             let share = &mut load.limit_share;
             share.record_asked(now, sender, f64::from(report.asked_per_s));
-            let age_ms = u64::from(report.age_ms);
-            let is_changed = share.named.record_report(now, report.per_s, age_ms);
+            let news = LimitNews {
+                per_s: report.per_s,
+                age_ms: u64::from(report.age_ms),
+                statement: report.statement,
+            };
+            let is_changed = share.named.record_report(now, news);
             drop(load);
             if is_changed {
                 self.record_limit_change(target, "another host");
--- a/crates/relay/src/target_notices.rs
+++ b/crates/relay/src/target_notices.rs
@@ -67,7 +67,7 @@
         let now = self.clock.now();
         let mut load = target.load.borrow_mut();
         let named = &mut load.limit_share.named;
-        if !named.record_answer(head.sent_at, now, named_per_s) {
+        if !named.record_answer(self.process_hash, head.sent_at, now, named_per_s) {
             return;
         }
         drop(load);
--- a/crates/relay/tests/gateway/limited_targets.rs
+++ b/crates/relay/tests/gateway/limited_targets.rs
@@ -359,12 +359,11 @@
 /// Guards against a target that is spared for good, because others have room and nobody learns that its limit has ended.
 #[test]
 fn a_target_is_used_again_after_its_limit() {
-    /// One host sends so many requests to the first of several idle targets.
+    /// Hosts send so many requests to the first of several idle targets.
     const USUAL: usize = 50;
     on_one_thread(async {
         let case = Case {
             fleet: ENDING,
-            host: |_, _, _| 0,
             ..BASE
         };
         let fleet = Fleet::start(case.fleet).await;
--- a/crates/relay/tests/named_limit.rs
+++ b/crates/relay/tests/named_limit.rs
@@ -1,10 +1,13 @@
 //! The limit that a target names in its answers: its text, and the order of answers.
 
 use lw_base::prelude::*;
-use lw_relay::{NamedLimit, parse_decimal};
+use lw_mesh::StatementId;
+use lw_relay::{LimitNews, NamedLimit, parse_decimal};
 use test_case::test_case;
 
 const NOW: MonoMs = MonoMs(1_000_000);
+/// The process of the host.
+const ORIGIN: u32 = 1;
 
 // Guards against a limit that is read as another number, and against nonsense that closes a target.
 #[test_case("8.9", Some(8.9); "a decimal number")]
@@ -44,6 +47,7 @@
     let mut limit = NamedLimit::default();
     for (sent_ms, arrived_ms, named_per_s) in case.answers {
         limit.record_answer(
+            ORIGIN,
             NOW.plus_ms(*sent_ms),
             NOW.plus_ms(*arrived_ms),
             *named_per_s,
@@ -83,12 +87,13 @@
 #[test_case(&ReportCase { news: &[News::Report { at_ms: 100, age_ms: 500_000, per_s: Some(3.0) }], per_s: Some(3.0), is_reported: true }; "a limit of long ago")]
 fn hosts_learn_a_limit_from_one_another(case: &ReportCase) {
     let mut limit = NamedLimit::default();
+    let mut reports = 0;
     let mut last = NOW;
     for news in case.news {
         match *news {
             News::Answer((sent_ms, arrived_ms, per_s)) => {
                 last = NOW.plus_ms(arrived_ms);
-                limit.record_answer(NOW.plus_ms(sent_ms), last, per_s);
+                limit.record_answer(ORIGIN, NOW.plus_ms(sent_ms), last, per_s);
             }
             News::Report {
                 at_ms,
@@ -96,12 +101,49 @@
                 per_s,
             } => {
                 last = NOW.plus_ms(at_ms);
-                limit.record_report(last, per_s, age_ms);
+                reports += 1;
+                let statement = StatementId {
+                    origin: ORIGIN + 1,
+                    number: reports,
+                };
+                let news = LimitNews {
+                    per_s,
+                    age_ms,
+                    statement,
+                };
+                limit.record_report(last, news);
             }
         }
     }
     assert_eq!(limit.per_s(), case.per_s);
     let report = limit.report(last.plus_ms(100), 60_000);
     assert_eq!(report.is_some(), case.is_reported);
-    assert_eq!(report.and_then(|(per_s, _)| per_s), case.per_s);
+    assert_eq!(report.and_then(|news| news.per_s), case.per_s);
+}
+
+/// Guards against hosts that repeat one statement to each other and make it younger each time: the limit then seemed to be
+/// stated after every request, and no answer could end it.
+#[test]
+fn a_statement_does_not_become_younger_as_it_is_passed_on() {
+    const HOSTS: usize = 4;
+    /// Heartbeats are read so long after they were built, in milliseconds.
+    const DELAY_MS: u64 = 60;
+    let mut limits = [NamedLimit::default(); HOSTS];
+    limits[0].record_answer(ORIGIN, NOW, NOW, Some(3.0));
+    for step in 1..=20 {
+        let sent_at = NOW.plus_ms(step * 100);
+        let sender = step as usize % HOSTS;
+        let Some(news) = limits[sender].report(sent_at, 60_000) else {
+            continue;
+        };
+        for limit in &mut limits {
+            limit.record_report(sent_at.plus_ms(DELAY_MS), news);
+        }
+    }
+    let end = NOW.plus_ms(2_100);
+    let youngest_ms = limits
+        .iter()
+        .filter_map(|limit| limit.statement_age_ms(end));
+    let youngest_ms = youngest_ms.min().expect("the hosts know the limit");
+    assert!(youngest_ms >= 2_100 - DELAY_MS, "{youngest_ms}");
 }
--- a/crates/relay/tests/placing.rs
+++ b/crates/relay/tests/placing.rs
@@ -284,7 +284,9 @@
     let plan = plan(case.targets, false);
     for (target, per_s) in plan.targets[0].iter().zip(case.limits_per_s) {
         let mut load = target.load.borrow_mut();
-        load.limit_share.named.record_answer(NOW, NOW, Some(*per_s));
+        load.limit_share
+            .named
+            .record_answer(1, NOW, NOW, Some(*per_s));
     }
     let mut load = plan.targets[0][0].load.borrow_mut();
     load.limit_share.borrow(NOW, case.borrowed);
@@ -303,7 +305,7 @@
     let prompt = long_prompt("b");
     let owner = pick(&plan, &prompt, None).expect("a target").target;
     let mut load = owner.load.borrow_mut();
-    load.limit_share.named.record_answer(NOW, NOW, Some(9.0));
+    load.limit_share.named.record_answer(1, NOW, NOW, Some(9.0));
     load.limit_share.borrow(NOW, 5);
     drop(load);
     let other = plan.targets[0]
@@ -320,7 +322,7 @@
     load.limit_share.named = NamedLimit::default();
     load.limit_share
         .named
-        .record_answer(earlier, earlier, Some(9.0));
+        .record_answer(1, earlier, earlier, Some(9.0));
     drop(load);
     let chosen = pick(&plan, &query, None).expect("a target");
     assert_eq!(chosen.target.hash, owner.hash, "the limit may have ended");
--- a/crates/relay/tests/targets.rs
+++ b/crates/relay/tests/targets.rs
@@ -134,7 +134,7 @@
         let mut load = target.load.borrow_mut();
         load.cold_until = NOW.plus_ms(500);
         load.cold_start_limiter.record_unlimited(NOW);
-        load.limit_share.named.record_answer(NOW, NOW, Some(3.0));
+        load.limit_share.named.record_answer(1, NOW, NOW, Some(3.0));
     }
     let one = snapshot(vec![listed("b")]);
     let plan = registry.plan(NOW.plus_ms(10), &one, region_of);
