--- a/crates/mesh/src/heartbeat.rs
+++ b/crates/mesh/src/heartbeat.rs
@@ -102,12 +102,13 @@
     platform_contact_age_ms: u16,
 }
 
-/// The fifth part of an encoded heartbeat, absent without limits and loans. Hosts of versions without it ignore it.
+/// The fifth part of an encoded heartbeat, absent if it is empty. Hosts of versions without it ignore it.
 #[derive(Serialize, Deserialize)]
 struct WireLimits {
     limits: Vec<LimitReport>,
     loan_sequence: u32,
     loans: Vec<LimitLoan>,
+    has_platform_returned: bool,
 }
 
 /// The error of a heartbeat that cannot be encoded or decoded.
@@ -148,7 +149,8 @@
         let mut bytes = postcard::to_stdvec(self)?;
         bytes = postcard::to_extend(&trailer, bytes)?;
         let contact_age_ms = self.status.platform_contact_age_ms;
-        let has_limits = !self.limits.is_empty() || !self.loans.is_empty();
+        let has_limits =
+            !self.limits.is_empty() || !self.loans.is_empty() || self.status.has_platform_returned;
         let has_contact = contact_age_ms < u16::MAX || has_limits;
         if has_contact || !self.parts.is_empty() {
             let reports = WireReports {
@@ -167,6 +169,7 @@
                 limits: self.limits.clone(),
                 loan_sequence: self.loan_sequence,
                 loans: self.loans.clone(),
+                has_platform_returned: self.status.has_platform_returned,
             };
             bytes = postcard::to_extend(&limits, bytes)?;
         }
@@ -207,6 +210,7 @@
         self.limits = wire.limits;
         self.loan_sequence = wire.loan_sequence;
         self.loans = wire.loans;
+        self.status.has_platform_returned = wire.has_platform_returned;
         Ok(())
     }
 }
--- a/crates/mesh/src/host_status.rs
+++ b/crates/mesh/src/host_status.rs
@@ -21,6 +21,9 @@
     /// [`u16::MAX`] when it is unknown, or when this host is isolated.
     #[serde(skip, default = "unknown_age_ms")]
     pub platform_contact_age_ms: u16,
+    /// The platform has answered again after a silence, and its state may lack what happened meanwhile.
+    #[serde(skip)]
+    pub has_platform_returned: bool,
     /// The share of a processor core that the host may use, in thousandths.
     pub capacity_permille: u16,
     /// The usage of the services in its region.
@@ -63,6 +66,7 @@
             as_of: StateVersion::default(),
             platform_age_ms: u16::MAX,
             platform_contact_age_ms: unknown_age_ms(),
+            has_platform_returned: false,
             capacity_permille: 0,
             services: Vec::new(),
             earlier_states: 0,
--- a/crates/mesh/src/state_evidence.rs
+++ b/crates/mesh/src/state_evidence.rs
@@ -60,15 +60,20 @@
 
     /// Records that the platform has answered another call of this host.
     pub fn record_platform_answer(&mut self, now: MonoMs) {
+        self.record_contact(now);
+    }
+
+    /// Records that the platform has answered this host or another one at `at`.
+    fn record_contact(&mut self, at: MonoMs) {
         // A host that starts during a silence may hear of it from others.
         let last = match self.platform_answered_at > MonoMs::default() {
             true => self.platform_answered_at,
             false => self.started_at,
         };
-        if now.since_ms(last) > PLATFORM_TIMEOUT_MS {
-            self.returned_at = Some(now);
+        if at.since_ms(last) > PLATFORM_TIMEOUT_MS {
+            self.returned_at = Some(at);
         }
-        self.platform_answered_at = now;
+        self.platform_answered_at = self.platform_answered_at.max(at);
     }
 
     /// Records that another host has no newer state.
@@ -77,8 +82,7 @@
     }
 
     /// Records a heartbeat; `own` is the version of this host's copy. Isolated hosts state no contact with the platform, and
-    /// confirm nothing: hosts that wake together would confirm one another's old states. Hosts for which the platform has just
-    /// returned state no contact either.
+    /// confirm nothing: hosts that wake together would confirm one another's old states.
     pub fn record_heartbeat(&mut self, now: MonoMs, own: StateVersion, status: &HostStatus) {
         let has_no_state = status.as_of == StateVersion::default();
         let is_isolated = status.platform_contact_age_ms == u16::MAX;
@@ -88,8 +92,9 @@
         self.agreed_at = now;
         let age_ms = u64::from(status.platform_contact_age_ms);
         let answered_at = MonoMs(now.0.saturating_sub(age_ms));
-        self.platform_answered_at = self.platform_answered_at.max(answered_at);
-        if self.returned_at.is_some_and(|at| answered_at >= at) {
+        self.record_contact(answered_at);
+        let has_waited = !status.has_platform_returned;
+        if has_waited && self.returned_at.is_some_and(|at| answered_at >= at) {
             // The other host has waited already, or the platform was not silent for it.
             self.returned_at = None;
         }
@@ -105,9 +110,15 @@
         if now.since_ms(self.platform_answered_at) > PLATFORM_TIMEOUT_MS {
             return Some(StateDoubt::PlatformSilent);
         }
+        self.has_platform_returned(now)
+            .then_some(StateDoubt::PlatformReturned)
+    }
+
+    /// Returns whether the platform has answered again after a silence, and targets have yet to write to it.
+    #[must_use]
+    pub fn has_platform_returned(&self, now: MonoMs) -> bool {
         self.returned_at
             .is_some_and(|at| now.since_ms(at) < CATCH_UP_MS)
-            .then_some(StateDoubt::PlatformReturned)
     }
 
     /// Returns the time since the platform last answered this host or one that it hears from, in milliseconds.
--- a/crates/mesh/tests/hosts.rs
+++ b/crates/mesh/tests/hosts.rs
@@ -29,6 +29,7 @@
             },
             platform_age_ms: 100,
             platform_contact_age_ms: u16::MAX,
+            has_platform_returned: false,
             capacity_permille: 250,
             services: Vec::new(),
             earlier_states: 0,
--- a/crates/mesh/tests/wire_bytes.rs
+++ b/crates/mesh/tests/wire_bytes.rs
@@ -33,6 +33,7 @@
             as_of: at(1_002),
             platform_age_ms: 1_003,
             platform_contact_age_ms: u16::MAX,
+            has_platform_returned: false,
             capacity_permille: 1_004,
             services: vec![ServiceUsage {
                 service: 1_005,
@@ -128,6 +129,7 @@
         asked_per_s: 2.5,
     }];
     heartbeat.loan_sequence = 3;
+    heartbeat.status.has_platform_returned = true;
     heartbeat.loans = vec![LimitLoan {
         target: 1_025,
         host: 1_027,
@@ -257,7 +259,7 @@
 const HEARTBEAT_REPORTS: &[u8] = &[1, 251, 7, 2, 1, 252, 7, 253, 7, 1, 254, 7, 255, 7];
 const HEARTBEAT_LIMITS: &[u8] = &[
     1, 129, 8, 1, 0, 0, 0, 0, 0, 0, 33, 64, 130, 8, 132, 8, 4, 0, 0, 32, 64, 3, 1, 129, 8, 131, 8,
-    2,
+    2, 1,
 ];
 const CHANGES_TRAILER: &[u8] = &[9, 0];
 const LISTING_TRAILER: &[u8] = &[
--- a/crates/relay/src/peer_heartbeats.rs
+++ b/crates/relay/src/peer_heartbeats.rs
@@ -8,8 +8,7 @@
 use lw_base::prelude::*;
 use lw_base::stable_hash;
 use lw_mesh::{
-    Heartbeat, HeartbeatError, HostAddress, HostStatus, ServiceUsage, StateDoubt, StateVersion,
-    TargetUsage,
+    Heartbeat, HeartbeatError, HostAddress, HostStatus, ServiceUsage, StateVersion, TargetUsage,
 };
 use tokio::net::UdpSocket;
 
@@ -295,6 +294,7 @@
                 u16::try_from(now.since_ms(at)).unwrap_or(u16::MAX)
             }),
             platform_contact_age_ms: platform_contact_age_ms(host, now),
+            has_platform_returned: host.state_evidence.get().has_platform_returned(now),
             capacity_permille: host.settings.capacity_permille,
             services: service_usages(host, now),
             earlier_states: u16::try_from(host.mirror.borrow().earlier_states())
@@ -303,18 +303,13 @@
     )
 }
 
-/// Returns the age of the last contact with the platform, for a heartbeat. An isolated host states none, and one for which the
-/// platform has just returned states the greatest.
+/// Returns the age of the last contact with the platform, for a heartbeat. An isolated host states none.
 fn platform_contact_age_ms(host: &Host, now: MonoMs) -> u16 {
-    match host.state_doubt(now) {
-        Some(StateDoubt::Isolated) => u16::MAX,
-        Some(StateDoubt::PlatformReturned) => MAX_CONTACT_AGE_MS,
-        Some(StateDoubt::PlatformSilent) | None => {
-            let age_ms = host.state_evidence.get().platform_contact_age_ms(now);
-            u16::try_from(age_ms)
-                .map_or(MAX_CONTACT_AGE_MS, |age_ms| age_ms.min(MAX_CONTACT_AGE_MS))
-        }
+    if host.is_isolated(now) {
+        return u16::MAX;
     }
+    let age_ms = host.state_evidence.get().platform_contact_age_ms(now);
+    u16::try_from(age_ms).map_or(MAX_CONTACT_AGE_MS, |age_ms| age_ms.min(MAX_CONTACT_AGE_MS))
 }
 
 /// Returns this host's load on the targets of its region.
--- a/crates/relay/tests/gateway/answers.rs
+++ b/crates/relay/tests/gateway/answers.rs
@@ -586,6 +586,7 @@
             as_of: lw_mesh::StateVersion::default(),
             platform_age_ms: 0,
             platform_contact_age_ms: u16::MAX,
+            has_platform_returned: false,
             capacity_permille: 250,
             services: vec![lw_mesh::ServiceUsage {
                 service: 1,
