--- a/crates/mesh/src/host_table.rs
+++ b/crates/mesh/src/host_table.rs
@@ -14,6 +14,7 @@
 use crate::host_status::HostStatus;
 use crate::sighting::Sighting;
 use crate::stage::Stage;
+use crate::state_evidence::OtherHosts;
 use crate::state_version::StateVersion;
 
 /// A host counts as live for this long after its last heartbeat, which tolerates six lost heartbeats in a row.
@@ -307,6 +308,15 @@
         })
     }
 
+    /// Returns what the other hosts mean for the evidence that the state of this host is current.
+    #[must_use]
+    pub fn others(&self, now: MonoMs) -> OtherHosts {
+        OtherHosts {
+            are_known: self.peak_overall > 1,
+            live: self.live_hosts(now).count(),
+        }
+    }
+
     /// Returns a live host whose copy of the platform's state is newer than `as_of`, preferably of the same region.
     #[must_use]
     pub fn host_with_newer_state(&self, now: MonoMs, as_of: StateVersion) -> Option<&HostEntry> {
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -34,5 +34,7 @@
 pub use mirror_update::{MirrorUpdate, MirrorUpdateError};
 pub use sighting::Sighting;
 pub use stage::Stage;
-pub use state_evidence::{MAX_CALL_GAP_MS, StateDoubt, StateEvidence};
+pub use state_evidence::{
+    MAX_CALL_GAP_MS, OtherHosts, StateDoubt, StateEvidence, contact_timeout_ms,
+};
 pub use state_version::{StateVersion, StateVersionError};
--- a/crates/mesh/src/state_evidence.rs
+++ b/crates/mesh/src/state_evidence.rs
@@ -8,6 +8,9 @@
 /// Hosts hear from one another every 400 ms; a host that knows others and hears from none of them for three intervals is
 /// isolated, or has just been suspended.
 const CONTACT_TIMEOUT_MS: u64 = 1_200;
+/// The same for a host that hears from [`MANY_HOSTS`] others or more: it is hardly possible that all of them are late.
+const CONTACT_TIMEOUT_AMONG_MANY_MS: u64 = 600;
+const MANY_HOSTS: usize = 4;
 /// The maximum age of the platform's last answer to any host that this one hears from, directly or through others. The
 /// hosts together call the platform at least every [`MAX_CALL_GAP_MS`] on average; the rest is for gaps longer than the
 /// mean and for the way through two heartbeats.
@@ -18,6 +21,24 @@
 /// The mean time between calls to the platform of all hosts together, in milliseconds.
 pub const MAX_CALL_GAP_MS: u64 = 400;
 
+/// The other hosts, as far as they matter for the evidence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OtherHosts {
+    /// The host has known another one since its start.
+    pub are_known: bool,
+    /// The number of those that were heard from lately.
+    pub live: usize,
+}
+
+/// Returns for how long a host that hears no other one takes its state for current, in milliseconds.
+#[must_use]
+pub fn contact_timeout_ms(others: OtherHosts) -> u64 {
+    match others.live {
+        MANY_HOSTS.. => CONTACT_TIMEOUT_AMONG_MANY_MS,
+        _ => CONTACT_TIMEOUT_MS,
+    }
+}
+
 /// Why the copy of the platform's state may be out of date.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StateDoubt {
@@ -100,11 +121,10 @@
         }
     }
 
-    /// Returns why the state may be out of date, or `None` if it is current; `knows_hosts` is whether the host knows any
-    /// other host.
+    /// Returns why the state may be out of date, or `None` if it is current.
     #[must_use]
-    pub fn doubt(&self, now: MonoMs, knows_hosts: bool) -> Option<StateDoubt> {
-        if knows_hosts && now.since_ms(self.agreed_at) > CONTACT_TIMEOUT_MS {
+    pub fn doubt(&self, now: MonoMs, others: OtherHosts) -> Option<StateDoubt> {
+        if others.are_known && now.since_ms(self.agreed_at) > contact_timeout_ms(others) {
             return Some(StateDoubt::Isolated);
         }
         if now.since_ms(self.platform_answered_at) > PLATFORM_TIMEOUT_MS {
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -324,8 +324,8 @@
     /// Returns why the mirror may be out of date, or `None` if it is current.
     #[must_use]
     pub fn state_doubt(&self, now: MonoMs) -> Option<StateDoubt> {
-        let knows_hosts = self.hosts.borrow().peak_hosts_overall() > 1;
-        self.state_evidence.get().doubt(now, knows_hosts)
+        let others = self.hosts.borrow().others(now);
+        self.state_evidence.get().doubt(now, others)
     }
 
     /// Returns whether the process has just begun to run again after it had stood still, and has not noticed it yet.
