Review, case 2: a bad template is never kept from workers

Cause: a part further back in the prompt, the document, is put into quarantine in place of the bad template, and its crashes then no longer count against the template.

--- a/review/stand.rs
+++ b/review/stand.rs
@@ -18,6 +18,7 @@
 
 mod cases {
     pub mod pages;
+    pub mod poison;
 }
 
 fn main() {
@@ -25,6 +26,7 @@
     let code = match args.get(1).map(String::as_str) {
         Some("worker") => model_worker(&args[2..]),
         Some("pages") => cases::pages::play(),
+        Some("poison") => cases::poison::play(),
         _ => {
             eprintln!("usage: stand CASE");
             2
