--- a/review/stand.rs
+++ b/review/stand.rs
@@ -17,6 +17,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 mod cases {
+    pub mod memory;
     pub mod pages;
     pub mod poison;
 }
@@ -25,6 +26,7 @@
     let args: Vec<String> = std::env::args().collect();
     let code = match args.get(1).map(String::as_str) {
         Some("worker") => model_worker(&args[2..]),
+        Some("memory") => cases::memory::play(),
         Some("pages") => cases::pages::play(),
         Some("poison") => cases::poison::play(),
         _ => {
@@ -368,6 +370,8 @@
 
 const PAGE_ITEMS: usize = 500;
 const PAGE_BYTES: usize = 1_000_000;
+/// `retention_s` of the settings.
+const RETENTION: Duration = Duration::from_secs(20);
 
 #[derive(Clone)]
 struct Item {
@@ -427,11 +431,13 @@
 }
 
 /// The platform's store. It has two replicas: one is current, the other is `lag` behind. Reads that may be old go to
-/// each of them in turn; all other calls go to the current one.
+/// each of them in turn, or all to the older one; all other calls go to the current one.
 pub struct Store {
     data: Mutex<Data>,
     changed: Condvar,
     lag: Mutex<Duration>,
+    /// All reads that may be old go to the older replica.
+    pub only_old: AtomicBool,
     pub address: SocketAddr,
     pub record: Record,
 }
@@ -443,6 +449,7 @@
             data: Mutex::new(Data { revision: 100, next_lease: 7_000, ..Data::default() }),
             changed: Condvar::new(),
             lag: Mutex::new(Duration::ZERO),
+            only_old: AtomicBool::new(false),
             address: listener.local_addr().unwrap(),
             record: record.clone(),
         });
@@ -539,7 +546,10 @@
             ("GET", "/kv-range") => ("200 OK", self.range(&param("prefix"), &param("after"), param("serializable") == "1", old_reads)),
             ("GET", "/kv-watch") => {
                 let wait = Duration::from_millis(param("wait_ms").parse().unwrap_or(0));
-                ("200 OK", self.watch(&param("prefix"), param("after").parse().unwrap_or(0), wait))
+                match self.watch(&param("prefix"), param("after").parse().unwrap_or(0), wait) {
+                    Some(reply) => ("200 OK", reply),
+                    None => ("410 Gone", "{}".into()),
+                }
             }
             ("POST", "/kv-txn") => self.transaction(&request.body),
             ("POST", "/kv-lease") => {
@@ -577,7 +587,7 @@
         let mut lag = Duration::ZERO;
         if may_be_old {
             *old_reads += 1;
-            if *old_reads % 2 == 0 {
+            if *old_reads % 2 == 0 || self.only_old.load(Ordering::SeqCst) {
                 lag = *self.lag.lock().unwrap();
             }
         }
@@ -606,9 +616,14 @@
         format!("{{\"items\":[{}],\"has_more\":{has_more},\"current_rev\":{revision}}}", page.join(","))
     }
 
-    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> String {
+    /// Returns `None` if the history after the revision is no longer there.
+    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Option<String> {
         let until = Instant::now() + wait;
         let mut data = self.data.lock().unwrap();
+        if data.events.iter().any(|event| event.revision > after && event.at.elapsed() > RETENTION) {
+            self.record.line(&format!("store: a watch after revision {after} gets 410"));
+            return None;
+        }
         loop {
             let events: Vec<String> = data
                 .events
@@ -621,7 +636,11 @@
                 .collect();
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
-                return format!("{{\"events\":[{}],\"current_rev\":{}}}", events.join(","), data.revision);
+                let reply = format!("{{\"events\":[{}],\"current_rev\":{}}}", events.join(","), data.revision);
+                if reply.len() > 1_000_000 {
+                    self.record.line(&format!("store: a watch after revision {after} gets {} events, {} bytes", events.len(), reply.len()));
+                }
+                return Some(reply);
             }
             data = self.changed.wait_timeout(data, left).unwrap().0;
         }
@@ -815,6 +834,14 @@
 }
 
 impl Fleet {
+    /// Returns the resident memory of a machine's process, in kB; `None` if it does not run.
+    pub fn resident_kb(&self, index: usize) -> Option<u64> {
+        let id = self.machines[index].child.as_ref()?.id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        line.trim().trim_end_matches("kB").trim().parse().ok()
+    }
+
     /// Returns the lines of a machine's log that contain a text.
     pub fn log_lines(&self, index: usize, text: &str) -> Vec<String> {
         let log = std::fs::read_to_string(&self.machines[index].log).unwrap_or_default();
