--- a/review/stand.rs
+++ b/review/stand.rs
@@ -20,6 +20,7 @@
     pub mod memory;
     pub mod pages;
     pub mod poison;
+    pub mod storm;
 }
 
 fn main() {
@@ -28,6 +29,7 @@
         Some("worker") => model_worker(&args[2..]),
         Some("memory") => cases::memory::play(),
         Some("pages") => cases::pages::play(),
+        Some("storm") => cases::storm::play(),
         Some("poison") => cases::poison::play(),
         _ => {
             eprintln!("usage: stand CASE");
