Review, case 3: bytes without end from one worker stop whole machines

Cause: the bytes of a worker's connection are parsed in one poll without a bound while no answer comes of them, on the only thread of the process.

--- a/review/cases/memory.rs
+++ b/review/cases/memory.rs
@@ -1,6 +1,5 @@
 //! Many users come at once with long prompts. The platform ends a process that exceeds its memory.
 
-use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
 
 use crate::*;
--- a/review/stand.rs
+++ b/review/stand.rs
@@ -17,6 +17,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 mod cases {
+    pub mod endless;
     pub mod memory;
     pub mod pages;
     pub mod poison;
@@ -27,6 +28,7 @@
     let args: Vec<String> = std::env::args().collect();
     let code = match args.get(1).map(String::as_str) {
         Some("worker") => model_worker(&args[2..]),
+        Some("endless") => cases::endless::play(),
         Some("memory") => cases::memory::play(),
         Some("pages") => cases::pages::play(),
         Some("storm") => cases::storm::play(),
@@ -871,6 +873,8 @@
     born: u64,
     leaving: AtomicBool,
     ended: AtomicBool,
+    /// The worker is in trouble: in place of a body it sends bytes that are no answer, until the caller closes.
+    endless: AtomicBool,
     pub runs: AtomicU64,
     record: Record,
 }
@@ -884,6 +888,7 @@
             born: unix_ms(),
             leaving: AtomicBool::new(false),
             ended: AtomicBool::new(false),
+            endless: AtomicBool::new(false),
             runs: AtomicU64::new(0),
             record: record.clone(),
         });
@@ -911,6 +916,10 @@
         )
     }
 
+    pub fn set_endless(&self, endless: bool) {
+        self.endless.store(endless, Ordering::SeqCst);
+    }
+
     /// From now on the worker says in all its answers that it leaves.
     pub fn leave(&self) {
         self.leaving.store(true, Ordering::SeqCst);
@@ -955,6 +964,17 @@
                 self.record.line(&format!("worker {}: runs {attempt}", self.id));
                 thread::sleep(Duration::from_millis(15));
                 headers.push_str(&format!("Lacewingstile-Response-Seal: seal.{}.{attempt}\r\n", self.id));
+                if self.endless.load(Ordering::SeqCst) {
+                    // The size of a chunk that has no end.
+                    let head = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n{headers}\r\n");
+                    let zeros = [b'0'; 16 * 1024];
+                    let mut sent = writer.write_all(head.as_bytes());
+                    while sent.is_ok() {
+                        sent = writer.write_all(&zeros);
+                    }
+                    self.record.line(&format!("worker {}: the caller of {attempt} has closed", self.id));
+                    return;
+                }
                 respond(&mut writer, "200 OK", &headers, &[b'x'; 800])
             };
             if sent.is_err() || is_leaving {
