--- a/review/cases/poison.rs
+++ b/review/cases/poison.rs
@@ -110,7 +110,9 @@
     drop(probe);
     let program = std::env::current_exe().expect("this program");
     while !stop.load(Ordering::SeqCst) {
-        let started = Command::new(&program)
+        let mut command = Command::new(&program);
+        end_with_this_program(&mut command);
+        let started = command
             .args(["worker", &address.to_string(), &id, BAD])
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
--- a/review/stand.rs
+++ b/review/stand.rs
@@ -8,6 +8,7 @@
 use std::fs::File;
 use std::io::{BufRead, BufReader, Write};
 use std::os::fd::AsRawFd;
+use std::os::unix::process::CommandExt;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -17,6 +18,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 mod cases {
+    pub mod cut;
     pub mod endless;
     pub mod memory;
     pub mod pages;
@@ -28,6 +30,7 @@
     let args: Vec<String> = std::env::args().collect();
     let code = match args.get(1).map(String::as_str) {
         Some("worker") => model_worker(&args[2..]),
+        Some("cut") => cases::cut::play(),
         Some("endless") => cases::endless::play(),
         Some("memory") => cases::memory::play(),
         Some("pages") => cases::pages::play(),
@@ -740,6 +743,22 @@
     folder: PathBuf,
 }
 
+extern "C" {
+    fn prctl(option: i32, argument: u64) -> i32;
+}
+
+/// Ends a process that is about to start when this program is ended.
+pub fn end_with_this_program(command: &mut Command) {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: u64 = 9;
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
+            Ok(())
+        });
+    }
+}
+
 impl Fleet {
     /// Writes the settings of machines; `zones` gives the zone and region of each.
     pub fn new(store: &Store, zones: &[(&str, &str)]) -> Self {
@@ -798,7 +817,9 @@
         let program = std::env::var("GATEWAY").unwrap_or_else(|_| "target/release/lacewingstiled".into());
         let machine = &mut self.machines[index];
         let log = std::fs::OpenOptions::new().create(true).append(true).open(&machine.log).expect("a log file");
-        let child = Command::new(program)
+        let mut command = Command::new(program);
+        end_with_this_program(&mut command);
+        let child = command
             .arg("--platform")
             .env("LACEWINGSTILE_SETTINGS", &machine.settings)
             .stdin(Stdio::null())
@@ -838,6 +859,24 @@
 }
 
 impl Fleet {
+    /// Gives a machine another store address and an inner port of its own, so that relays can stand between it and the
+    /// others. Returns the port.
+    pub fn separate(&mut self, index: usize, store: SocketAddr, relay: SocketAddr) -> u16 {
+        let machine = &self.machines[index];
+        let port = loop {
+            let probe = TcpListener::bind((machine.ip, 0)).expect("a free port");
+            let port = probe.local_addr().unwrap().port();
+            if port != self.ports.inner {
+                break port;
+            }
+        };
+        let text = std::fs::read_to_string(&machine.settings).expect("a settings file");
+        let text = text.replace(&format!("platform.address={store}"), &format!("platform.address={relay}"));
+        let text = text.replace(&format!("port_range={},", self.ports.inner), &format!("port_range={port},"));
+        std::fs::write(&machine.settings, text).expect("a settings file");
+        port
+    }
+
     /// Returns the resident memory of a machine's process, in kB; `None` if it does not run.
     pub fn resident_kb(&self, index: usize) -> Option<u64> {
         let id = self.machines[index].child.as_ref()?.id();
