--- a/review/stand.rs
+++ b/review/stand.rs
@@ -17,25 +17,23 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-mod cases {
-    pub mod cut;
-    pub mod endless;
-    pub mod memory;
-    pub mod pages;
-    pub mod poison;
-    pub mod storm;
-}
+mod cut;
+mod endless;
+mod memory;
+mod pages;
+mod poison;
+mod storm;
 
 fn main() {
     let args: Vec<String> = std::env::args().collect();
     let code = match args.get(1).map(String::as_str) {
         Some("worker") => model_worker(&args[2..]),
-        Some("cut") => cases::cut::play(),
-        Some("endless") => cases::endless::play(),
-        Some("memory") => cases::memory::play(),
-        Some("pages") => cases::pages::play(),
-        Some("storm") => cases::storm::play(),
-        Some("poison") => cases::poison::play(),
+        Some("cut") => cut::play(),
+        Some("endless") => endless::play(),
+        Some("memory") => memory::play(),
+        Some("pages") => pages::play(),
+        Some("storm") => storm::play(),
+        Some("poison") => poison::play(),
         _ => {
             eprintln!("usage: stand CASE");
             2
