--- a/review/cases2.rs
+++ b/review/cases2.rs
@@ -91,6 +91,9 @@
         plain_route("old", "non_idempotent", "portal"),
         plain_route("new", "non_idempotent", "portal"),
     );
+    // Until it is added, requests on it belong to /keep/, which has no homes.
+    let private = plain_route("keep/private", "non_idempotent", "portal")
+        .replace(r#""home_regions":[]"#, r#""home_regions":["south"]"#);
     store.put("op/config", &config(11, &[keep.clone(), old], &services));
     let mut machines = vec![("hall-n", "north"); 11];
     machines.push(("hall-s", "south"));
@@ -129,12 +132,19 @@
         world.note("the store turns these machines away (503), and serves the others");
     }
     pause(200);
-    store.put("op/config", &config(14, &[keep, new], &services));
+    store.put("op/config", &config(14, &[keep, new, private], &services));
     let acknowledged_ms = world.now_ms();
-    world.note("the store has acknowledged version 14: /old/ is dropped, /new/ is added");
+    world.note("the store has acknowledged version 14: /old/ is dropped; /new/, and /keep/private/ with the home south, are added",
+    );
     for turn in 0..200_u64 {
         let host = in_touch[world.draw(in_touch.len() as u64) as usize];
-        let line = ["POST /keep/a", "POST /old/a", "POST /new/a"][(turn % 3) as usize];
+        let lines = [
+            "POST /keep/a",
+            "POST /old/a",
+            "POST /new/a",
+            "POST /keep/private/a",
+        ];
+        let line = lines[(turn % 4) as usize];
         send(world, &requests, host, line, "", 2_000);
         pause(40);
     }
@@ -143,22 +153,30 @@
     }
     world.note("the store serves all machines again");
     pause(2_500);
+    let zone_of = |id: &str| {
+        let known = workers.iter().chain([&late]).find(|worker| worker.id == id);
+        known.map_or("", |worker| worker.zone.as_str())
+    };
     let runs = runs.lock().unwrap().clone();
     let mut all = requests.lock().unwrap().clone();
     all.sort_by_key(|sent| sent.at_ms);
-    let (mut broken, mut last_ms) = (0, 0);
+    let (mut broken, mut last_ms, mut away) = (0, 0, 0);
     for sent in &all {
         let after_ms = sent.at_ms.saturating_sub(acknowledged_ms);
         let is_old_run = sent.path.starts_with("/old/") && run_of(&runs, &sent.id).is_some();
+        let is_private_away = sent.path.starts_with("/keep/private/")
+            && run_of(&runs, &sent.id).is_some_and(|run| zone_of(&run.worker) == "hall-n");
         let is_new_refused = sent.path.starts_with("/new/") && sent.status == 404;
-        if is_old_run || is_new_refused {
+        if is_old_run || is_new_refused || is_private_away {
             last_ms = last_ms.max(after_ms);
         }
-        if after_ms > APPLY_MS && (is_old_run || is_new_refused) {
+        if after_ms > APPLY_MS && (is_old_run || is_new_refused || is_private_away) {
             broken += 1;
-            let what = match is_old_run {
-                true => "a worker ran it, though its route was dropped",
-                false => "it was refused with 404, though its route is there",
+            away += usize::from(is_private_away);
+            let what = match (is_old_run, is_private_away) {
+                (true, _) => "a worker ran it, though its route was dropped",
+                (_, true) => "a worker in the north ran it, though its route has the home south",
+                _ => "it was refused with 404, though its route is there",
             };
             if broken <= 20 {
                 world.note(&format!(
@@ -173,6 +191,9 @@
         "the old version was last seen on a request sent {last_ms} ms after the acknowledgement"
     ));
     world.note(&format!("{broken} requests sent more than {APPLY_MS} ms after it to machines in touch were handled as only version 11 allows"));
+    world.note(&format!(
+        "{away} of them reached workers outside the home of their route, which breaks HOME too"
+    ));
     Ok(broken == 0)
 }
 
