Show that a host hangs when prompts have many shared parts

Cause: the queue of placed prompt parts has no bound, is searched on each push, and is emptied by 60 parts a second. The parts of a prompt that are composed in ever new order are all new to it.

--- a/review/cases2.rs
+++ b/review/cases2.rs
@@ -2,13 +2,13 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
 
 use crate::{
-    HostProcess, Requests, Run, Runs, SERVE, SILENT, Store, TURN_AWAY, Worker, World, send,
-    start_hosts, wait_ready,
+    HostProcess, Requests, Run, Runs, SERVE, SIGCONT, SIGSTOP, SILENT, Store, TURN_AWAY, Worker,
+    World, send, signal, start_hosts, wait_ready,
 };
 
 /// Plays a case. Returns whether the rule held.
@@ -17,6 +17,7 @@
         "watchers" => watchers(world),
         "regress" => regress(world),
         "cold" => cold(world),
+        "parts" => parts(world),
         _ => Err(format!("there is no case {case}")),
     }
 }
@@ -398,3 +399,132 @@
     ));
     Ok(most as f64 <= PER_S)
 }
+
+/// Holds a process to a share of a core as the platform does: "the core runs at full speed until the quota is used up, and
+/// then runs not at all for the rest of that tenth of a second".
+fn keep_to_share(world: &Arc<World>, host: &HostProcess, share: f64, ended: &Arc<AtomicBool>) {
+    const PERIOD_MS: u64 = 100;
+    let (world, pid, ended) = (world.clone(), host.pid, ended.clone());
+    thread::spawn(move || {
+        let used_ns = || -> u64 {
+            let text =
+                std::fs::read_to_string(format!("/proc/{pid}/schedstat")).unwrap_or_default();
+            text.split(' ')
+                .next()
+                .and_then(|first| first.parse().ok())
+                .unwrap_or(0)
+        };
+        let quota_ns = (share * PERIOD_MS as f64 * 1e6) as u64;
+        let (mut period, mut from_ns, mut is_stopped) = (0, used_ns(), false);
+        while !ended.load(Ordering::SeqCst) {
+            let now = world.now_ms() / PERIOD_MS;
+            if now != period {
+                // What was used beyond the quota is taken from the next one.
+                from_ns = (from_ns + quota_ns * (now - period)).min(used_ns());
+                period = now;
+                if is_stopped && used_ns() < from_ns + quota_ns {
+                    signal(pid, SIGCONT);
+                    is_stopped = false;
+                }
+            }
+            if !is_stopped && used_ns() >= from_ns + quota_ns {
+                signal(pid, SIGSTOP);
+                is_stopped = true;
+            }
+            pause(1);
+        }
+        signal(pid, SIGCONT);
+    });
+}
+
+/// Prompts with many shared parts, at a constant rate and without any disruption.
+fn parts(world: &Arc<World>) -> Result<bool, String> {
+    const RATE_PER_S: u64 = 250;
+    const TIMEOUT_MS: u64 = 4_000;
+    const LENGTH_MS: u64 = 75_000;
+    let store = Store::new(world);
+    let runs = Runs::default();
+    let requests = Requests::default();
+    let workers: Vec<_> = (0..6)
+        .map(|_| Worker::start(world, &runs, "advisor", "hall-n", 64, 30, 2))
+        .collect();
+    register(&store, &workers);
+    let route = format!(
+        r#"{{"name":"r-query","host":"shop.example","prefix":"/query/","kind":"streaming","timeout_ms":{TIMEOUT_MS},"target_latency_ms":1000,"priority":0,"service":"advisor","max_attempts":1,"sticky":true,"resumable":false,"target_gap_ms":1200,"home_regions":[]}}"#
+    );
+    store.put(
+        "op/config",
+        &config(41, &[route], &[engine_service("advisor")]),
+    );
+    let hosts = start_hosts(world, &store, &[("hall-n", "north"); 2])?;
+    wait_ready(world, &hosts)?;
+    let ended = Arc::new(AtomicBool::new(false));
+    for host in &hosts {
+        keep_to_share(world, host, 0.25, &ended);
+    }
+    pause(6_000);
+    let begin_ms = world.now_ms();
+    let mut next_note_ms = 10_000;
+    let mut turn = 0;
+    while world.now_ms() - begin_ms < LENGTH_MS {
+        // 15 of 400 shared parts of 300 tokens, or as many tokens in one shared part; the last part is the request's own.
+        let shared: Vec<String> = match world.has_trouble {
+            true => (0..15)
+                .map(|_| format!("{:x}:300", 0x5c1e_0000 + world.draw(400)))
+                .collect(),
+            false => vec![format!("{:x}:4500", 0x5c1e_0000 + world.draw(400))],
+        };
+        let extra = format!(
+            "Lacewingstile-Model: m\r\nLacewingstile-Token-Count: 4700,40\r\nLacewingstile-Prompt-Prefix: {},{:x}:200\r\n",
+            shared.join(","),
+            0x7000_0000 + turn
+        );
+        send(
+            world,
+            &requests,
+            &hosts[0],
+            "POST /query/a",
+            &extra,
+            2 * TIMEOUT_MS,
+        );
+        turn += 1;
+        let due_ms = begin_ms + turn * 1_000 / RATE_PER_S;
+        pause(due_ms.saturating_sub(world.now_ms()));
+        if world.now_ms() - begin_ms >= next_note_ms {
+            let all = requests.lock().unwrap();
+            let recent = all
+                .iter()
+                .filter(|sent| sent.answered_ms + 1_000 >= world.now_ms());
+            let (mut count, mut longest_ms) = (0, 0);
+            for sent in recent {
+                count += 1;
+                longest_ms = longest_ms.max(sent.answered_ms - sent.at_ms);
+            }
+            drop(all);
+            world.note(&format!(
+                "{turn} requests were sent; in the last second {count} ended, the longest after {longest_ms} ms"
+            ));
+            next_note_ms += 10_000;
+        }
+    }
+    pause(2 * TIMEOUT_MS + 1_500);
+    ended.store(true, Ordering::SeqCst);
+    pause(20);
+    let all = requests.lock().unwrap().clone();
+    let took_ms = |sent: &crate::Sent| sent.answered_ms - sent.at_ms;
+    let unanswered: Vec<_> = all
+        .iter()
+        .filter(|sent| sent.status == 0 || took_ms(sent) > TIMEOUT_MS)
+        .collect();
+    let without = unanswered
+        .iter()
+        .filter(|sent| sent.status == 0 || took_ms(sent) > TIMEOUT_MS + 500)
+        .count();
+    count_statuses(world, &requests);
+    world.note(&format!(
+        "{} of {} requests were unanswered at the route's timeout of {TIMEOUT_MS} ms; {without} of these had no answer half a second later",
+        unanswered.len(),
+        all.len()
+    ));
+    Ok(unanswered.len() < 8 || without * 2 <= unanswered.len())
+}
--- a/review/stand2.rs
+++ b/review/stand2.rs
@@ -120,13 +120,16 @@
             &*self.record.lock().unwrap(),
         );
     }
+}
 
-    /// Sends a signal to a process that the case has started.
-    #[allow(dead_code)]
-    pub fn signal(&self, host: &HostProcess, signal: i32) {
-        unsafe {
-            kill(host.pid as i32, signal);
-        }
+/// Stops and continues a process.
+pub const SIGSTOP: i32 = 19;
+pub const SIGCONT: i32 = 18;
+
+/// Sends a signal to a process that the case has started.
+pub fn signal(pid: u32, signal: i32) {
+    unsafe {
+        kill(pid as i32, signal);
     }
 }
 
