Show that hosts lose one another when a configuration has many services

Cause: a heartbeat states the usage of each service, and one that exceeds the size of a datagram is not sent at all.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/review-2/stand2 ] || { echo "run review/build-2.sh first"; exit 2; }
-exec target/review-2/stand2 regress "$folder"
+exec target/review-2/stand2 services "$folder"
--- a/review/cases2.rs
+++ b/review/cases2.rs
@@ -18,6 +18,7 @@
         "regress" => regress(world),
         "cold" => cold(world),
         "parts" => parts(world),
+        "services" => services(world),
         _ => Err(format!("there is no case {case}")),
     }
 }
@@ -528,3 +529,83 @@
     ));
     Ok(unanswered.len() < 8 || without * 2 <= unanswered.len())
 }
+
+/// A version adds many services whose workers are in one region.
+fn services(world: &Arc<World>) -> Result<bool, String> {
+    let added: usize = if world.has_trouble { 300 } else { 60 };
+    let store = Store::new(world);
+    let runs = Runs::default();
+    let requests = Requests::default();
+    let mut workers: Vec<_> = ["hall-n", "hall-s"]
+        .iter()
+        .map(|zone| Worker::start(world, &runs, "portal", zone, 6, 20, 0))
+        .collect();
+    // Its workers are in the south only, from the first version on.
+    workers.extend((0..2).map(|_| Worker::start(world, &runs, "archive", "hall-s", 6, 20, 0)));
+    register(&store, &workers);
+    let first_routes = [
+        plain_route("first", "idempotent", "portal"),
+        plain_route("archive", "idempotent", "archive"),
+    ];
+    let first_services = [plain_service("portal"), plain_service("archive")];
+    store.put("op/config", &config(51, &first_routes, &first_services));
+    let machines = [
+        ("hall-n", "north"),
+        ("hall-n", "north"),
+        ("hall-s", "south"),
+        ("hall-s", "south"),
+    ];
+    let hosts = start_hosts(world, &store, &machines)?;
+    wait_ready(world, &hosts)?;
+    pause(6_000);
+    let mut added_workers = Vec::new();
+    let (mut routes, mut all_services) = (first_routes.to_vec(), first_services.to_vec());
+    for index in 0..added {
+        let name = format!("shop-{index}");
+        added_workers.push(Worker::start(world, &runs, &name, "hall-s", 6, 20, 0));
+        routes.push(plain_route(&name, "idempotent", &name));
+        all_services.push(plain_service(&name));
+    }
+    register(&store, &added_workers);
+    let mut steady_ms = u64::MAX;
+    for turn in 0..800_u64 {
+        if turn == 150 {
+            store.put("op/config", &config(53, &routes, &all_services));
+            steady_ms = world.now_ms() + 8_000;
+            world.note(&format!("the store has acknowledged version 53, which adds {added} services with a route each"));
+        }
+        // To the machines of the north.
+        let host = &hosts[(turn % 2) as usize];
+        let line = match (turn / 2) % 3 {
+            0 => "GET /first/a".to_owned(),
+            1 => "GET /archive/a".to_owned(),
+            _ if turn >= 150 => format!("GET /shop-{}/a", world.draw(added as u64)),
+            _ => "GET /first/a".to_owned(),
+        };
+        send(world, &requests, host, &line, "", 4_000);
+        pause(40);
+    }
+    pause(5_000);
+    count_statuses(world, &requests);
+    let all = requests.lock().unwrap().clone();
+    let share = |prefix: &str, is_steady: bool| {
+        let sent: Vec<_> = all
+            .iter()
+            .filter(|sent| sent.path.starts_with(prefix) && (sent.at_ms >= steady_ms) == is_steady)
+            .collect();
+        let served = sent.iter().filter(|sent| sent.status == 200).count();
+        (served, sent.len())
+    };
+    for (prefix, what) in [
+        ("/first/", "the first route"),
+        ("/archive/", "the first route to the south"),
+        ("/shop-", "the added routes"),
+    ] {
+        let ((before, of), (after, of_steady)) = (share(prefix, false), share(prefix, true));
+        world.note(&format!("{what}: {before} of {of} served earlier, {after} of {of_steady} from 8 s after the version on"));
+    }
+    let ((first, of_first), (later, of_later)) = (share("/first/", true), share("/shop-", true));
+    let first_share = first as f64 / of_first.max(1) as f64;
+    let later_share = later as f64 / of_later.max(1) as f64;
+    Ok(of_later < 20 || later_share >= first_share / 4.0)
+}
