List what was sent, answered and run in the records of the second review

Cause: the records named the broken requests only.

Added: one line for each request at the end of record.txt.

--- a/review/cases2.rs
+++ b/review/cases2.rs
@@ -60,7 +60,7 @@
     }
 }
 
-fn count_statuses(world: &World, requests: &Requests) {
+fn count_statuses(world: &World, requests: &Requests, runs: &Runs) {
     let mut statuses: HashMap<u16, usize> = HashMap::new();
     for sent in requests.lock().unwrap().iter() {
         *statuses.entry(sent.status).or_default() += 1;
@@ -70,6 +70,7 @@
     for (status, count) in statuses {
         world.note(&format!("{count} requests were answered with {status}"));
     }
+    world.keep(requests, runs);
 }
 
 fn run_of<'a>(runs: &'a [Run], id: &str) -> Option<&'a Run> {
@@ -81,6 +82,7 @@
     const APPLY_MS: u64 = 3_000;
     let store = Store::new(world);
     let runs = Runs::default();
+    let runs_seen = runs.clone();
     let requests = Requests::default();
     let workers: Vec<_> = ["hall-n", "hall-n", "hall-n", "hall-s"]
         .iter()
@@ -188,7 +190,7 @@
             }
         }
     }
-    count_statuses(world, &requests);
+    count_statuses(world, &requests, &runs_seen);
     world.note(&format!(
         "the old version was last seen on a request sent {last_ms} ms after the acknowledgement"
     ));
@@ -204,6 +206,7 @@
     const SLACK_MS: u64 = 250;
     let store = Store::new(world);
     let runs = Runs::default();
+    let runs_seen = runs.clone();
     let requests = Requests::default();
     let mut workers = Vec::new();
     for service in ["alpha", "beta"] {
@@ -294,7 +297,7 @@
             }
         }
     }
-    count_statuses(world, &requests);
+    count_statuses(world, &requests, &runs_seen);
     world.note(&format!(
         "{broken} requests to {} were run as only version 21 allows, more than {SLACK_MS} ms later",
         entry.name
@@ -307,6 +310,7 @@
     const PER_S: f64 = 4.5 * 1.5 + 3.0;
     let store = Store::new(world);
     let runs = Runs::default();
+    let runs_seen = runs.clone();
     let requests = Requests::default();
     let workers: Vec<_> = (0..2)
         .map(|_| Worker::start(world, &runs, "advisor", "hall-n", 64, 30, 4))
@@ -388,7 +392,7 @@
             (most, most_at) = (count, *from_ms);
         }
     }
-    count_statuses(world, &requests);
+    count_statuses(world, &requests, &runs_seen);
     world.note(&format!(
         "the cold worker answered {} health checks and got {} requests in its 3 s",
         workers[0].checks.load(Ordering::SeqCst),
@@ -445,6 +449,7 @@
     const LENGTH_MS: u64 = 75_000;
     let store = Store::new(world);
     let runs = Runs::default();
+    let runs_seen = runs.clone();
     let requests = Requests::default();
     let workers: Vec<_> = (0..6)
         .map(|_| Worker::start(world, &runs, "advisor", "hall-n", 64, 30, 2))
@@ -521,7 +526,7 @@
         .iter()
         .filter(|sent| sent.status == 0 || took_ms(sent) > TIMEOUT_MS + 500)
         .count();
-    count_statuses(world, &requests);
+    count_statuses(world, &requests, &runs_seen);
     world.note(&format!(
         "{} of {} requests were unanswered at the route's timeout of {TIMEOUT_MS} ms; {without} of these had no answer half a second later",
         unanswered.len(),
@@ -535,6 +540,7 @@
     let added: usize = if world.has_trouble { 300 } else { 60 };
     let store = Store::new(world);
     let runs = Runs::default();
+    let runs_seen = runs.clone();
     let requests = Requests::default();
     let mut workers: Vec<_> = ["hall-n", "hall-s"]
         .iter()
@@ -586,7 +592,7 @@
         pause(40);
     }
     pause(5_000);
-    count_statuses(world, &requests);
+    count_statuses(world, &requests, &runs_seen);
     let all = requests.lock().unwrap().clone();
     let share = |prefix: &str, is_steady: bool| {
         let sent: Vec<_> = all
--- a/review/stand2.rs
+++ b/review/stand2.rs
@@ -54,6 +54,8 @@
     pub has_trouble: bool,
     numbers: AtomicU64,
     seed: u64,
+    /// The requests and runs of the case, for the end of the record.
+    kept: Mutex<Option<(Requests, Runs)>>,
 }
 
 impl World {
@@ -73,6 +75,7 @@
             has_trouble: std::env::var("TROUBLE").map_or(true, |value| value != "0"),
             numbers: AtomicU64::new(1),
             seed,
+            kept: Mutex::default(),
         })
     }
 
@@ -88,6 +91,48 @@
         self.record.lock().unwrap().push_str(&line);
     }
 
+    /// Keeps the requests and runs of the case for the end of the record.
+    pub fn keep(&self, requests: &Requests, runs: &Runs) {
+        *self.kept.lock().unwrap() = Some((requests.clone(), runs.clone()));
+    }
+
+    /// Adds what was sent, answered and run to the record.
+    fn list(&self) {
+        let kept = self.kept.lock().unwrap();
+        let Some((requests, runs)) = &*kept else {
+            return;
+        };
+        let mut requests = requests.lock().unwrap().clone();
+        requests.sort_by_key(|sent| sent.at_ms);
+        let runs = runs.lock().unwrap();
+        let mut run_at: HashMap<&str, String> = HashMap::new();
+        for run in runs.iter() {
+            let text = run_at.entry(run.id.as_str()).or_default();
+            let _ = write!(
+                text,
+                ", run by {} ({}) at {} ms",
+                run.worker, run.service, run.at_ms
+            );
+        }
+        let mut record = self.record.lock().unwrap();
+        record.push_str("\nwhat was sent, answered and run:\n");
+        for sent in &requests {
+            let run = run_at
+                .get(sent.id.as_str())
+                .map_or(", not run", String::as_str);
+            let _ = writeln!(
+                record,
+                "{} {} to {} at {} ms, {} after {} ms{run}",
+                sent.id,
+                sent.path,
+                sent.host,
+                sent.at_ms,
+                sent.status,
+                sent.answered_ms - sent.at_ms
+            );
+        }
+    }
+
     /// A random number below `bound`.
     pub fn draw(&self, bound: u64) -> u64 {
         let mut value = self.seed
@@ -115,6 +160,7 @@
     }
 
     fn write_record(&self) {
+        self.list();
         let _ = std::fs::write(
             self.folder.join("record.txt"),
             &*self.record.lock().unwrap(),
