--- a/review/cases2.rs
+++ b/review/cases2.rs
@@ -346,7 +346,7 @@
                 workers[0].id
             ));
         }
-        if turn == 325 {
+        if turn == 310 {
             for host in &hosts {
                 host.door.mode.store(SERVE, Ordering::SeqCst);
             }
