relay: state a key of the request in the lines of failed attempts

Cause: the logs could not tell whether one request was in flight at each crash. Two copies of a request have different attempt ids, and requests to plain services have no prompt parts.

Change: a key of method, host name, path and query, caller, prompt and body, which each host computes from what it forwards. The body is read as a whole before anything is sent, so the key is known in time.

--- a/crates/quarantine/src/part_key.rs
+++ b/crates/quarantine/src/part_key.rs
@@ -1,13 +1,14 @@
-//! Keys of prompt parts.
+//! Keys of prompt parts and of whole requests.
 
 use std::fmt::{Display, Formatter};
 use std::num::ParseIntError;
 use std::str::FromStr;
 
-use lw_base::stable_hash;
+use lw_base::{stable_hash, stable_hash_pair};
 use serde::{Deserialize, Serialize};
 
-/// The hash of a prompt part's id, which is the same on every host and wherever the part stands in a prompt.
+/// The hash of a prompt part's id, or of the content of a whole request. It is the same on every host and wherever the part
+/// stands in a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct PartKey(u64);
 
@@ -17,6 +18,13 @@
     pub fn of_id(id: &[u8]) -> Self {
         Self(stable_hash(id))
     }
+
+    /// Returns the key of the request with these fields, such as its method, path, caller and body.
+    #[must_use]
+    pub fn of_request<'a>(fields: impl IntoIterator<Item = &'a [u8]>) -> Self {
+        let fields = fields.into_iter();
+        Self(fields.fold(0, stable_hash_pair))
+    }
 }
 
 impl Display for PartKey {
--- a/crates/relay/src/event_relay.rs
+++ b/crates/relay/src/event_relay.rs
@@ -202,7 +202,7 @@
                     if let Some(answer) = self.answer.take()
                         && failure != AttemptFailure::DeadlineAfterSend
                     {
-                        log::info!(id = &*self.exchange.incoming.id, to = self.exchange.last_peer.to_string().as_str(), peer = self.exchange.last_peer.kind(), events = self.cursor.events(), parts = self.exchange.prompt_parts(); "the target's stream ended before its end marker");
+                        log::info!(id = &*self.exchange.incoming.id, to = self.exchange.last_peer.to_string().as_str(), peer = self.exchange.last_peer.kind(), events = self.cursor.events(), parts = self.exchange.prompt_parts(), request = self.exchange.incoming.request_key.to_string().as_str(); "the target's stream ended before its end marker");
                         drop(answer);
                     }
                     self.resume(failure).await?;
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -385,7 +385,7 @@
         });
         let slots = chosen.map_or(0, |chosen| chosen.target.slots);
         self.record_broken(failure, CrashStage::Starting);
-        log::info!(id = &*self.incoming.id, route = &*self.incoming.route.name, to = self.last_peer.to_string().as_str(), peer = self.last_peer.kind(), cold = chosen.is_some_and(|chosen| chosen.cold), running = running, slots = slots, parts = self.prompt_parts(), sends = self.sends, failure = format!("{failure:?}").as_str(); "an attempt failed");
+        log::info!(id = &*self.incoming.id, route = &*self.incoming.route.name, to = self.last_peer.to_string().as_str(), peer = self.last_peer.kind(), cold = chosen.is_some_and(|chosen| chosen.cold), running = running, slots = slots, parts = self.prompt_parts(), request = self.incoming.request_key.to_string().as_str(), sends = self.sends, failure = format!("{failure:?}").as_str(); "an attempt failed");
         self.host.metrics.record_attempt_failure(failure);
         AttemptStep::NoAnswer(failure)
     }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -6,9 +6,10 @@
 
 use http::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use http::request;
-use http::{HeaderMap, Request, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use hyper::body::Incoming as HyperBody;
 use lw_mesh::Stage;
+use lw_quarantine::PartKey;
 use rand::Rng;
 
 use crate::exchange::Exchange;
@@ -19,6 +20,7 @@
 use crate::host::Host;
 use crate::incoming::{Hop, Incoming};
 use crate::local_reply::LocalReply;
+use crate::names::HeaderNames;
 use crate::open_requests::{OpenRequestKey, RequestPhase};
 use crate::plan::Plan;
 use crate::prompt::Prompt;
@@ -165,11 +167,13 @@
     };
     let counts = header_text(&head.headers, &host.names.token_counts);
     let parts = header_text(&head.headers, &host.names.prompt_parts);
+    let request_key = request_key(&host.names, &head, &route, &path, &bytes);
     Ok(Incoming {
         id: id.clone(),
         method: head.method,
         path,
         prompt: Prompt::parse(counts, parts),
+        request_key,
         headers: forwarded_request_headers(&head.headers, &host.names),
         body: bytes,
         _room: room,
@@ -233,6 +237,27 @@
     Ok((route.clone(), path.as_str().into()))
 }
 
+/// Returns the key of all requests with the same method, host name, path and query, caller, prompt and body.
+fn request_key(
+    names: &HeaderNames,
+    head: &request::Parts,
+    route: &Route,
+    path: &str,
+    body: &[u8],
+) -> PartKey {
+    // An absent header counts as an empty one, so that a value cannot pass for that of the next header.
+    let value = |name| {
+        head.headers
+            .get(name)
+            .map_or(&b""[..], HeaderValue::as_bytes)
+    };
+    let method: &[u8] = head.method.as_str().as_bytes();
+    let callers = names.caller.iter().map(value);
+    let fields = [method, route.host.as_bytes(), path.as_bytes()];
+    let content = [value(&names.prompt_parts), body];
+    PartKey::of_request(fields.into_iter().chain(callers).chain(content))
+}
+
 fn header_number(headers: &HeaderMap, name: &http::HeaderName) -> Option<u64> {
     header_text(headers, name)?.trim().parse().ok()
 }
--- a/crates/relay/src/incoming.rs
+++ b/crates/relay/src/incoming.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method};
 use lw_base::prelude::*;
+use lw_quarantine::PartKey;
 
 use crate::held_memory::HeldRoom;
 use crate::plan::Plan;
@@ -53,6 +54,8 @@
     /// plan only and the plan may change while the request is in flight.
     pub(crate) service: Arc<str>,
     pub(crate) prompt: Prompt,
+    /// The same for each copy of the request, at any host.
+    pub(crate) request_key: PartKey,
 }
 
 impl Incoming {
--- a/crates/relay/src/names.rs
+++ b/crates/relay/src/names.rs
@@ -33,6 +33,8 @@
     pub cold_remaining_ms: HeaderName,
     /// The scheduling urgency of a request on an engine.
     pub urgency: HeaderName,
+    /// Headers that identify the caller.
+    pub caller: Vec<HeaderName>,
     /// Headers that only hosts may set; those of callers are removed.
     pub reserved: Vec<HeaderName>,
 }
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -299,6 +299,7 @@
             instance: name("x-instance"),
             cold_remaining_ms: name("x-cold"),
             urgency: name("x-urgency"),
+            caller: vec![name("x-customer")],
             reserved: vec![name("x-target"), name("x-urgency"), name("x-hold")],
         },
         paths: PathSet {
