quarantine: report each suspect in turn

Callers saw: with dozens of requests that crash targets, further ones went on to crash targets for as long as the first ones stayed in quarantine.

Cause: a heartbeat reports the quarantined parts and requests first, at most eight. With more of them than that, no suspect was reported any more, so hosts that saw one crash each never added them up. A suspect also waited 1.5 s for the reports that might explain its crash, although a quarantine of the wrong request keeps no other one away.

Class: a bounded message whose contents are chosen by a fixed rank, so that the rest never gets its turn.

Change: what was reported least often since its last change goes first; reports that the datagram had no room for don't count as sent, and a part is dropped from it together with its crashes in the middle of answers. Whole requests don't wait.

--- a/crates/quarantine/src/part_record.rs
+++ b/crates/quarantine/src/part_record.rs
@@ -31,9 +31,17 @@
     pub(crate) quarantined_until: Option<MonoMs>,
     /// When this record last changed.
     pub(crate) changed_at: MonoMs,
+    /// The heartbeats since then that reported it.
+    pub(crate) reported: u32,
 }
 
 impl PartRecord {
+    /// Records that the host knows something new, which other hosts do not know yet.
+    pub(crate) fn record_change(&mut self, now: MonoMs) {
+        self.changed_at = now;
+        self.reported = 0;
+    }
+
     /// Records a crash. Returns false if it was known.
     pub(crate) fn record_crash(&mut self, crash: Crash) -> bool {
         if self.has_crash(crash.target) {
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -263,7 +263,7 @@
         let is_cleared = survived_at.is_some_and(|survived_at| {
             survived_at > began_at && record.last_crash_at() <= Some(survived_at)
         });
-        record.changed_at = now;
+        record.record_change(now);
         if is_cleared || is_lifted {
             return None;
         }
@@ -349,7 +349,8 @@
     }
 
     /// Returns the reports for a heartbeat: quarantined parts, then suspects by their number of crashes, and some parts that
-    /// were answered although other hosts may suspect them.
+    /// were answered although other hosts may suspect them. Those that were reported least often since their last change go
+    /// first, see [`Self::record_reported`].
     #[must_use]
     pub fn reports(&self, now: MonoMs) -> Vec<PartReport> {
         let reported = self.reported_records(now).into_iter();
@@ -382,6 +383,15 @@
             .collect()
     }
 
+    /// Records that a heartbeat with these reports was sent.
+    pub fn record_reported(&mut self, reports: &[PartReport]) {
+        for report in reports {
+            if let Some(record) = self.records.get_mut(&report.part) {
+                record.reported += 1;
+            }
+        }
+    }
+
     fn reported_records(&self, now: MonoMs) -> Vec<(PartKey, &PartRecord)> {
         let records = self.records.iter();
         let (mut suspects, mut cleared): (Vec<_>, Vec<_>) = records
@@ -397,9 +407,11 @@
                 is_unanswered,
                 record.crashes.len(),
             );
-            Reverse((rank, record.changed_at, *part))
+            (record.reported, Reverse((rank, record.changed_at, *part)))
+        });
+        cleared.sort_unstable_by_key(|(part, record)| {
+            (record.reported, Reverse((record.changed_at, *part)))
         });
-        cleared.sort_unstable_by_key(|(part, record)| Reverse((record.changed_at, *part)));
         let suspects = take_of_each_kind(suspects, MAX_REPORTED_SUSPECTS);
         suspects
             .chain(take_of_each_kind(cleared, MAX_REPORTED_CLEARED))
@@ -459,15 +471,15 @@
         if is_cleared || now.since_ms(crash.at) > CRASH_MEMORY_MS {
             // Hosts that suspect the part learn from this host's next heartbeat that it was answered.
             if let Some(record) = self.records.get_mut(&part) {
-                record.changed_at = now;
+                record.record_change(now);
             } else if is_cleared {
-                self.record_of(now, part, position).changed_at = now;
+                self.record_of(now, part, position).record_change(now);
             }
             return;
         }
         let record = self.record_of(now, part, position);
         if record.record_crash(crash) {
-            record.changed_at = now;
+            record.record_change(now);
         }
     }
 
@@ -481,7 +493,7 @@
         let known = record.crashes.len();
         record.crashes.retain(|crash| !answers.clear(crash));
         if record.crashes.len() < known {
-            record.changed_at = now;
+            record.record_change(now);
         }
         let is_later = record
             .quarantined_until
@@ -490,7 +502,7 @@
             record.is_quarantined(now) && record.crashes.is_empty() && (known > 0 || is_later);
         if is_released {
             record.quarantined_until = None;
-            record.changed_at = now;
+            record.record_change(now);
         }
         is_released
     }
@@ -527,7 +539,7 @@
             };
             let until = now.plus_ms(QUARANTINE_MS);
             record.quarantined_until = Some(until);
-            record.changed_at = now;
+            record.record_change(now);
             confirmed.push(QuarantinedPart {
                 part,
                 position: record.position,
@@ -557,6 +569,8 @@
         });
         let quarantined = self.quarantined_records(now);
         let unexplained = |record: &PartRecord| {
+            // A quarantine of the wrong request keeps no other one away, so there is no need to wait.
+            let is_active = is_active && !record.is_whole_request();
             record.count_crashes(|crash| {
                 let is_settled = !is_active || now.since_ms(crash.at) >= EXPLANATION_DELAY_MS;
                 is_settled && !is_explained(crash, record, &quarantined)
--- a/crates/quarantine/tests/fleet/main.rs
+++ b/crates/quarantine/tests/fleet/main.rs
@@ -114,6 +114,7 @@
 #[test_case(&Load { crashing_requests: 1, other_crashes_per_s: 0.5, ..LOAD }; "engines crash for other reasons too")]
 #[test_case(&Load { crashing_requests: 1, restarts_ms: half_restart, ..LOAD }; "half of the hosts restart")]
 #[test_case(&Load { crashing_requests: 5, crashing_per_s: 8.0, engines: 30, sound_per_s: 180.0, ..LOAD }; "five at once")]
+#[test_case(&Load { crashing_requests: 40, crashing_per_s: 12.0, engines: 90, sound_per_s: 180.0, ..LOAD }; "dozens at once")]
 #[test_case(&Load { hosts: 72, engines: 90, sound_per_s: 180.0, crashing_requests: 1, ..LOAD }; "a large fleet")]
 #[test_case(&Load { hosts: 295, engines: 215, sound_per_s: 180.0, crashing_requests: 1, ..LOAD }; "a fleet of hundreds of hosts")]
 fn hosts_keep_a_crashing_request_away_from_engines(load: &Load) {
--- a/crates/quarantine/tests/fleet/model.rs
+++ b/crates/quarantine/tests/fleet/model.rs
@@ -495,6 +495,7 @@
             self.told_at[from] = self.now;
             let reports = self.hosts[from].reports(self.now);
             let stream_reports = self.hosts[from].stream_reports(self.now);
+            self.hosts[from].record_reported(&reports);
             if reports.is_empty() {
                 continue;
             }
--- a/crates/relay/src/peer_heartbeats.rs
+++ b/crates/relay/src/peer_heartbeats.rs
@@ -243,20 +243,28 @@
             same_region.push(ip);
         }
     }
-    send_to_all(host, socket, &detailed, &same_region).await;
-    send_to_all(host, socket, &summary, &recipients.other_regions).await;
+    let in_region = send_to_all(host, socket, &detailed, &same_region).await;
+    let elsewhere = send_to_all(host, socket, &summary, &recipients.other_regions).await;
+    let reported = &summary.parts[..in_region.min(elsewhere)];
+    host.quarantine.borrow_mut().record_reported(reported);
 }
 
-async fn send_to_all(host: &Host, socket: &UdpSocket, heartbeat: &Heartbeat, to: &[Ipv4Addr]) {
-    let bytes = match encode_to_fit(heartbeat) {
-        Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => bytes,
-        Ok(bytes) => {
+/// Sends a heartbeat. Returns the number of its reports on prompt parts and requests that the datagram had room for.
+async fn send_to_all(
+    host: &Host,
+    socket: &UdpSocket,
+    heartbeat: &Heartbeat,
+    to: &[Ipv4Addr],
+) -> usize {
+    let (bytes, reports) = match encode_to_fit(heartbeat) {
+        Ok((bytes, reports)) if bytes.len() <= MAX_DATAGRAM_BYTES => (bytes, reports),
+        Ok((bytes, _)) => {
             log::warn!(bytes = bytes.len(); "a heartbeat exceeds the datagram size");
-            return;
+            return 0;
         }
         Err(error) => {
             log::warn!(reason = error.to_string().as_str(); "a heartbeat could not be encoded");
-            return;
+            return 0;
         }
     };
     for ip in to {
@@ -265,23 +273,25 @@
             log::debug!(to = ip.to_string().as_str(), reason = error.to_string().as_str(); "sending a heartbeat failed");
         }
     }
+    reports
 }
 
-/// Encodes a heartbeat, with as many of its reports on prompt parts and limits as the datagram has room for.
-fn encode_to_fit(heartbeat: &Heartbeat) -> Result<Vec<u8>, HeartbeatError> {
+/// Encodes a heartbeat, with as many of its reports on prompt parts, requests and limits as the datagram has room for. Returns
+/// the bytes, and the number of its reports on parts and requests.
+fn encode_to_fit(heartbeat: &Heartbeat) -> Result<(Vec<u8>, usize), HeartbeatError> {
     let mut bytes = heartbeat.encode()?;
     let mut fitting = None;
     while bytes.len() > MAX_DATAGRAM_BYTES {
         let shorter: &mut Heartbeat = fitting.get_or_insert_with(|| heartbeat.clone());
-        let is_shorter = shorter.streams.pop().is_some()
-            || shorter.parts.pop().is_some()
-            || shorter.limits.pop().is_some();
-        if !is_shorter {
+        if let Some(dropped) = shorter.parts.pop() {
+            shorter.streams.retain(|report| report.part != dropped.part);
+        } else if shorter.limits.pop().is_none() {
             break;
         }
         bytes = shorter.encode()?;
     }
-    Ok(bytes)
+    let reports = fitting.as_ref().unwrap_or(heartbeat).parts.len();
+    Ok((bytes, reports))
 }
 
 fn build_heartbeat(host: &Host, now: MonoMs) -> Heartbeat {
