quarantine: hosts agree on what an answer has cleared

Cause: hosts state the ages of crashes, answers and quarantines, and a report arrives later than it was sent. One host took an answer for later than a crash and dropped the crash, another took it for earlier and reported the crash again, which then counted anew. A quarantine that was passed on began later with each host, so it seemed later than the answer that had ended it. Each host undid what the other had decided.

Class: a decision on reports that is not kept, and is made again from each copy of a report.

Change: a host keeps the targets whose crashes an answer has cleared, at most sixteen for a part, and does not count them again. An adopted quarantine ends a little earlier than it was stated, so it does not begin later with each host.

Tried before and dropped: counting reported answers as earlier by the delay of a report, or taking those within 250 ms for the same one.

--- a/crates/quarantine/src/part_record.rs
+++ b/crates/quarantine/src/part_record.rs
@@ -1,5 +1,7 @@
 //! What is known of one prompt part or request that may crash targets.
 
+use std::collections::VecDeque;
+
 use lw_base::prelude::*;
 
 use crate::part_report::CrashStage;
@@ -25,6 +27,9 @@
 pub(crate) struct PartRecord {
     /// The crashes since a target last answered a request with the part, in order of time.
     pub(crate) crashes: Vec<Crash>,
+    /// The targets of crashes that an answer has cleared. Hosts disagree by the delay of their reports on whether an answer was
+    /// later than a crash, and the crash must not return with the next report.
+    cleared: VecDeque<u32>,
     /// The position of the part in prompts, or [`WHOLE_REQUEST`].
     pub(crate) position: u8,
     /// When the quarantine ends; also kept after its end.
@@ -55,6 +60,23 @@
         true
     }
 
+    /// Drops the crashes that `is_cleared` selects, for good. Returns whether there were any.
+    pub(crate) fn clear_crashes(&mut self, is_cleared: impl Fn(&Crash) -> bool) -> bool {
+        let known = self.crashes.len();
+        for crash in self.crashes.extract_if(.., |crash| is_cleared(crash)) {
+            self.cleared.push_back(crash.target);
+        }
+        while self.cleared.len() > MAX_CRASHES {
+            self.cleared.pop_front();
+        }
+        self.crashes.len() < known
+    }
+
+    /// Returns whether an answer has cleared the crash of the target.
+    pub(crate) fn has_cleared(&self, target: u32) -> bool {
+        self.cleared.contains(&target)
+    }
+
     /// Returns whether the target crashed while it worked on a request with the part.
     pub(crate) fn has_crash(&self, target: u32) -> bool {
         self.crashes.iter().any(|crash| crash.target == target)
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -40,6 +40,9 @@
 const CRASH_MEMORY_MS: u64 = 21_600_000;
 /// A part that is not in quarantine is reported for this long after its last change, in milliseconds.
 const REPORTED_MS: u64 = 30_000;
+/// A quarantine that another host reports ends this much earlier, in milliseconds. A report arrives later than it was sent, so the
+/// same quarantine would otherwise seem to begin later each time that hosts pass it on, and outlast the answers that end it.
+const REPORT_DELAY_MS: u64 = 150;
 /// The maximum number of prompt parts with records, and of whole requests. Beyond it, the one is dropped that changed least
 /// recently, of whole requests one with a single crash first: each crash ends many sound requests that do not come again.
 const MAX_RECORDS: usize = 512;
@@ -212,7 +215,8 @@
                 self.apply_survival(now, report.part, before(age_ms));
             }
             if report.quarantine_left_ms > 0 {
-                let until = now.plus_ms(u64::from(report.quarantine_left_ms));
+                let left_ms = u64::from(report.quarantine_left_ms);
+                let until = now.plus_ms(left_ms.saturating_sub(REPORT_DELAY_MS));
                 entered.extend(self.adopt(now, report.part, report.position, until));
             }
         }
@@ -237,7 +241,7 @@
             }
             let answers = self.answers(report.part);
             if let Some(record) = self.records.get_mut(&report.part) {
-                record.crashes.retain(|crash| !answers.clear(crash));
+                record.clear_crashes(|crash| answers.clear(crash));
             }
         }
         self.confirm(now)
@@ -467,7 +471,9 @@
             self.settle(now, crash.target);
             return;
         }
-        let is_cleared = self.answers(part).clear(&crash);
+        let record = self.records.get(&part);
+        let is_cleared = self.answers(part).clear(&crash)
+            || record.is_some_and(|record| record.has_cleared(crash.target));
         if is_cleared || now.since_ms(crash.at) > CRASH_MEMORY_MS {
             // Hosts that suspect the part learn from this host's next heartbeat that it was answered.
             if let Some(record) = self.records.get_mut(&part) {
@@ -490,16 +496,15 @@
         let Some(record) = self.records.get_mut(&part) else {
             return false;
         };
-        let known = record.crashes.len();
-        record.crashes.retain(|crash| !answers.clear(crash));
-        if record.crashes.len() < known {
+        let has_cleared = record.clear_crashes(|crash| answers.clear(crash));
+        if has_cleared {
             record.record_change(now);
         }
         let is_later = record
             .quarantined_until
             .is_some_and(|until| survived_at > quarantine_start(until));
         let is_released =
-            record.is_quarantined(now) && record.crashes.is_empty() && (known > 0 || is_later);
+            record.is_quarantined(now) && record.crashes.is_empty() && (has_cleared || is_later);
         if is_released {
             record.quarantined_until = None;
             record.record_change(now);
