quarantine: log that a part or request leaves because of another host's report

Cause: hosts logged the end of a quarantine only when an answer of their own ended it, so the logs showed parts that entered and never left.

Change: the quarantine returns what reports have released, and hosts log and announce it like a release of their own.

Measured: a_release_by_a_report_is_returned_once; without the change the record of the release did not exist.

--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -96,6 +96,8 @@
     lifted_at: FastMap<PartKey, MonoMs>,
     /// When the crashes of targets were settled by a lift, by the target.
     settled_at: FastMap<u32, MonoMs>,
+    /// What has left the quarantine because of reports, and was not yet taken.
+    released: Vec<PartKey>,
     /// This host ends quarantines this much later than others, in milliseconds.
     release_delay_ms: u64,
 }
@@ -111,6 +113,7 @@
             request_completions: SurvivalLog::default(),
             lifted_at: FastMap::default(),
             settled_at: FastMap::default(),
+            released: Vec::new(),
             release_delay_ms: host_hash % RELEASE_SPREAD_MS,
         }
     }
@@ -211,8 +214,9 @@
             }
             if let Some(age_ms) = report.survived_age_ms
                 && self.records.contains_key(&report.part)
+                && self.apply_survival(now, report.part, before(age_ms))
             {
-                self.apply_survival(now, report.part, before(age_ms));
+                self.released.push(report.part);
             }
             if report.quarantine_left_ms > 0 {
                 let left_ms = u64::from(report.quarantine_left_ms);
@@ -352,6 +356,11 @@
         !is_quarantined && self.is_answered(now, part)
     }
 
+    /// Returns what has left the quarantine because of the reports of other hosts since the last call.
+    pub fn take_released(&mut self) -> Vec<PartKey> {
+        std::mem::take(&mut self.released)
+    }
+
     /// Returns the reports for a heartbeat: quarantined parts, then suspects by their number of crashes, and some parts that
     /// were answered although other hosts may suspect them. Those that were reported least often since their last change go
     /// first, see [`Self::record_reported`].
--- a/crates/quarantine/tests/rules.rs
+++ b/crates/quarantine/tests/rules.rs
@@ -253,3 +253,16 @@
     }
     assert!(host.refusal(now, &parts).is_some());
 }
+
+/// Guards against a quarantine that ends because of another host's report, and nobody learns of it.
+#[test]
+fn a_release_by_a_report_is_returned_once() {
+    let (mut first, now) = with_quarantined_part(0);
+    let mut second = Quarantine::new(0);
+    second.merge(now, &first.reports(now));
+    let later = now.plus_ms(300);
+    second.record_survival(later, &[key("x")]);
+    first.merge(later, &second.reports(later));
+    assert_eq!(first.take_released(), [key("x")]);
+    assert!(first.take_released().is_empty());
+}
--- a/crates/relay/src/crash_watch.rs
+++ b/crates/relay/src/crash_watch.rs
@@ -126,7 +126,9 @@
         let mut quarantine = self.quarantine.borrow_mut();
         let mut entered = quarantine.merge(now, reports);
         entered.extend(quarantine.merge_streams(now, stream_reports));
+        let released = quarantine.take_released();
         drop(quarantine);
+        self.record_released(released);
         self.record_entered(now, &entered, "another host");
     }
 
