quarantine: don't repeat requests with a part that may be the cause

Callers saw: nothing yet; review of the last changes. While a request is in quarantine, a part that was in all of its crashes counted as explained, so hosts repeated the next request with that part after its first crash.

Cause: the request is the narrower guess of the two, and a guess was taken for an explanation.

Change: such a part stops repeats like any other suspect until a target answers it. Requests with it are still sent once, since their outcome tells the part from the request.

Evidence: a_part_of_a_quarantined_request_is_not_repeated_until_it_is_answered fails without the change.

--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -325,7 +325,9 @@
             self.records.get(&part).is_some_and(|record| {
                 let is_repeated = record.crashes.len() >= MIN_CRASHES_TO_STOP_REPEATS;
                 is_repeated && !self.is_answered(now, part) && {
-                    let causes = self.quarantined_records(now);
+                    let mut causes = self.quarantined_records(now);
+                    // A part that was in all crashes of a request may well be their cause, until a target answers it.
+                    causes.retain(|cause| !cause.is_whole_request() || !record.covers(cause));
                     record.count_crashes(|crash| !is_explained(crash, record, &causes))
                         >= MIN_CRASHES_TO_STOP_REPEATS
                 }
--- a/crates/quarantine/tests/rules.rs
+++ b/crates/quarantine/tests/rules.rs
@@ -1,7 +1,7 @@
 //! The rules by which a host puts prompt parts into quarantine and releases them.
 
 use lw_base::prelude::*;
-use lw_quarantine::{CrashStage, PartKey, QUARANTINE_MS, Quarantine};
+use lw_quarantine::{CrashStage, PartKey, QUARANTINE_MS, Quarantine, Suspects};
 use test_case::test_case;
 
 const START: MonoMs = MonoMs(100_000_000);
@@ -266,3 +266,31 @@
     assert_eq!(first.take_released(), [key("x")]);
     assert!(first.take_released().is_empty());
 }
+
+/// Guards against a part that crashes targets and passes for sound because the first request with it is kept away.
+#[test]
+fn a_part_of_a_quarantined_request_is_not_repeated_until_it_is_answered() {
+    let mut quarantine = Quarantine::new(0);
+    let parts = keys(&["f", "x"]);
+    let first = Suspects {
+        parts: &parts,
+        request: Some(key("the first request")),
+    };
+    let second = Suspects {
+        request: Some(key("the second request")),
+        ..first
+    };
+    let mut now = START;
+    for target in 1..=3 {
+        now = START.plus_ms(u64::from(target) * 400);
+        quarantine.record_crash(now, target, now, CrashStage::Starting, first);
+        quarantine.record_survival(now.plus_ms(100), &[key("f")]);
+    }
+    assert!(quarantine.refusal(now, first).is_some());
+    assert!(quarantine.refusal(now, second).is_none());
+    assert!(!quarantine.may_repeat(now, second));
+    let answered = now.plus_ms(500);
+    quarantine.record_completion(answered, second);
+    assert!(quarantine.may_repeat(answered, second));
+    assert!(quarantine.refusal(answered, first).is_some());
+}
