relay: don't pass on an answer with a status that HTTP does not define

Callers saw: a target in trouble that answers 600 to 999 had its answer passed on, with its seal and body. RFC 9110, section 15, defines the classes 1xx to 5xx only; what a caller makes of another status is open.

Cause: any three digits count as a status in the HTTP library, and the head was classified as an answer unless it was informational.

Change: a status outside 200 to 599 is no answer; the caller gets a 502, whose outcome is unknown.

--- a/crates/relay/src/head_verdict.rs
+++ b/crates/relay/src/head_verdict.rs
@@ -50,7 +50,8 @@
     if is_rejected && !head.status.is_success() {
         return HeadVerdict::AttemptFailed(AttemptFailure::TargetRefused);
     }
-    if head.status.is_informational() {
+    let is_defined = (200..600).contains(&head.status.as_u16());
+    if !is_defined {
         return HeadVerdict::AttemptFailed(AttemptFailure::AnswerIncomplete);
     }
     let is_proven = head.sealed && head.same_attempt == Some(true) && !head.encoded;
--- a/crates/relay/tests/gateway/main.rs
+++ b/crates/relay/tests/gateway/main.rs
@@ -21,5 +21,6 @@
 mod run_delay;
 mod support;
 mod suspension;
+mod troubled_answers;
 mod warming_target;
 mod warmth;
--- a/crates/relay/tests/routing.rs
+++ b/crates/relay/tests/routing.rs
@@ -84,6 +84,7 @@
 }
 
 const CROSSED: HeadVerdict = HeadVerdict::AttemptFailed(AttemptFailure::CrossedAnswer);
+const INCOMPLETE: HeadVerdict = HeadVerdict::AttemptFailed(AttemptFailure::AnswerIncomplete);
 const REFUSED: HeadVerdict = HeadVerdict::AttemptFailed(AttemptFailure::TargetRefused);
 
 // Guards against answers of other requests, successes without a seal, and "not run" without proof.
@@ -93,6 +94,7 @@
 #[test_case(&HeadCase { head: HeadFacts { sealed: false, ..VALID }, verdict: CROSSED }; "a success without a seal")]
 #[test_case(&HeadCase { head: HeadFacts { encoded: true, ..VALID }, verdict: CROSSED }; "an encoded body")]
 #[test_case(&HeadCase { head: HeadFacts { status: StatusCode::INTERNAL_SERVER_ERROR, ..VALID }, verdict: HeadVerdict::TargetError }; "a failure of the target")]
+#[test_case(&HeadCase { head: HeadFacts { status: StatusCode::from_u16(600).expect("three digits"), ..VALID }, verdict: INCOMPLETE }; "a status that HTTP does not define")]
 #[test_case(&HeadCase { head: HeadFacts { status: StatusCode::BAD_REQUEST, ..VALID }, verdict: HeadVerdict::Answer }; "a client error of the request")]
 #[test_case(&HeadCase { head: HeadFacts { status: StatusCode::BAD_REQUEST, same_attempt: None, ..VALID }, verdict: CROSSED }; "a client error without an id on a used connection")]
 #[test_case(&HeadCase { head: HeadFacts { status: StatusCode::BAD_REQUEST, same_attempt: None, reused: false, ..VALID }, verdict: HeadVerdict::Answer }; "a client error without an id on a new connection")]
