daemon: a request that crashes targets in the soak

Cause: the soak let targets crash by themselves only; none of its requests ended a target.

Added: a kind of run with all faults, in which copies of one request come every 0.4 s and end each target that runs them. At most three of them may reach targets in the last 3 s, and none is answered.

--- a/crates/daemon/tests/soak/callers.rs
+++ b/crates/daemon/tests/soak/callers.rs
@@ -10,7 +10,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::targets::{ANSWER_REPEATS, header};
+use crate::targets::{ANSWER_REPEATS, CRASHING_PATH, header};
 
 /// The time that a caller allows a request, in milliseconds.
 const DEADLINE_MS: u64 = 3_000;
@@ -18,6 +18,8 @@
 const LONG_DEADLINE_MS: u64 = 12_000;
 /// A caller waits for this much longer before it gives up, in milliseconds.
 const PATIENCE_MS: u64 = 2_000;
+/// The time between two copies of the request that ends targets.
+const CRASHING_INTERVAL: Duration = Duration::from_millis(400);
 /// The share of requests that take long, where there are any.
 const LONG_SHARE: f64 = 0.05;
 
@@ -116,6 +118,32 @@
     }
 }
 
+/// Sends copies of the request that ends targets to random hosts until the run is over.
+pub(crate) async fn run_crashing_caller(seed: u64, hosts: Vec<SocketAddr>, log: Rc<CallLog>) {
+    let mut random = ChaCha8Rng::seed_from_u64(!seed);
+    let mut count = 0;
+    while !log.is_over.get() {
+        tokio::time::sleep(CRASHING_INTERVAL).await;
+        count += 1;
+        let host = hosts[random.random_range(0..hosts.len())];
+        let request = format!(
+            "GET {CRASHING_PATH} HTTP/1.1\r\nhost: a.example\r\nlacewingstile-attempt-id: {seed:04x}cccc{count:08x}\r\nlacewingstile-time-remaining: {DEADLINE_MS}\r\n\r\n"
+        );
+        let exchange = async {
+            let mut stream = TcpStream::connect(host).await.ok()?;
+            stream.write_all(request.as_bytes()).await.ok()?;
+            read_answer(&mut stream).await
+        };
+        let patience = Duration::from_millis(DEADLINE_MS);
+        if let Ok(Some(answer)) = tokio::time::timeout(patience, exchange).await
+            && answer.status == 200
+        {
+            let violation = format!("copy {count} of the crashing request was answered");
+            log.violations.borrow_mut().push(violation);
+        }
+    }
+}
+
 struct Answer {
     status: u16,
     head: String,
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -20,7 +20,7 @@
 use serde_json::{Value, json};
 use test_case::test_case;
 
-use callers::{CallLog, End, run_caller};
+use callers::{CallLog, End, run_caller, run_crashing_caller};
 use hosts::HostProcess;
 use support::{EraHeader, FakeStore, Fault, on_one_thread};
 use targets::{Runs, Target};
@@ -32,6 +32,10 @@
 /// The time from the last fault to the end, and the part of it in which requests must be served.
 const CALM: Duration = Duration::from_secs(8);
 const SERVED_AGAIN: Duration = Duration::from_secs(3);
+/// A target that a request has ended starts again after this time.
+const RESTART_DELAY: Duration = Duration::from_millis(1_500);
+/// The number of copies of a crashing request that may reach targets at the end, when all hosts must know it.
+const MAX_LATE_COPIES: usize = 3;
 /// The least share of requests that are answered at the end.
 const MIN_SERVED: f64 = 0.7;
 
@@ -42,6 +46,8 @@
     PlannedStops,
     /// All kinds, in overlapping series.
     All,
+    /// The same, and copies of a request that ends each target that runs it.
+    CrashingRequest,
     /// Sound targets name limits that begin, move and end, beside signals to hosts, a failing store and targets that return
     /// under another id.
     Limits,
@@ -95,7 +101,7 @@
         let runs = Rc::<Runs>::default();
         let mut targets = Vec::new();
         for number in 0..TARGETS {
-            let is_sound = case.faults != Faults::All;
+            let is_sound = !matches!(case.faults, Faults::All | Faults::CrashingRequest);
             let target = Target::start(number, seed, is_sound, runs.clone()).await;
             let (key, value) = target.entry();
             store.write(&key, &value);
@@ -117,6 +123,26 @@
         }
     }
 
+    /// Starts the targets again, after a while, that a request has ended.
+    fn restart_ended_targets(&mut self) {
+        for index in 0..self.targets.len() {
+            if self.targets[index].is_ended_by_request.take() {
+                let at = Instant::now() + RESTART_DELAY;
+                self.due.push((at, Step::RestartTarget(index)));
+            }
+        }
+    }
+
+    /// Returns how many copies of the crashing request have reached targets since `from`.
+    fn crashing_arrivals_since(&self, from: Instant) -> usize {
+        let targets = self.targets.iter();
+        let arrivals = targets.map(|target| {
+            let arrivals = target.crashing_arrivals.borrow();
+            arrivals.iter().filter(|at| **at >= from).count()
+        });
+        arrivals.sum()
+    }
+
     fn later(&mut self, step: Step, range_ms: Range<u64>) {
         let delay_ms = self.random.random_range(range_ms);
         let at = Instant::now() + Duration::from_millis(delay_ms);
@@ -158,7 +184,7 @@
         let host = self.random.random_range(0..self.hosts.len());
         let kind = match faults {
             Faults::PlannedStops => 0,
-            Faults::All => self.random.random_range(0..10),
+            Faults::All | Faults::CrashingRequest => self.random.random_range(0..10),
             Faults::Limits if self.random.random_bool(0.5) => return self.change_limit(),
             Faults::Limits => self.random.random_range(0..7),
         };
@@ -263,6 +289,10 @@
         tokio::task::spawn_local(caller)
     });
     let callers: Vec<_> = callers.collect();
+    if case.faults == Faults::CrashingRequest {
+        let caller = run_crashing_caller(seed, addresses.clone(), soak.log.clone());
+        tokio::task::spawn_local(caller);
+    }
     let began_at = Instant::now();
     let mut next_fault_at = began_at + Duration::from_secs(1);
     while began_at.elapsed() < case.faulty {
@@ -271,13 +301,16 @@
             next_fault_at = Instant::now() + Duration::from_millis(gap_ms);
             soak.begin_fault(case.faults);
         }
+        soak.restart_ended_targets();
         soak.take_due_steps(false);
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     soak.end_limits();
     let calm_at = Instant::now();
+    soak.take_due_steps(true);
     while calm_at.elapsed() < CALM {
-        soak.take_due_steps(true);
+        soak.restart_ended_targets();
+        soak.take_due_steps(case.faults != Faults::CrashingRequest);
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     let ended_at = Instant::now();
@@ -287,7 +320,16 @@
     }
     // Requests that callers gave up may still run.
     tokio::time::sleep(Duration::from_millis(1_500)).await;
-    let violations = soak.violations(case.faults);
+    let mut violations = soak.violations(case.faults);
+    let late_copies = soak.crashing_arrivals_since(ended_at - SERVED_AGAIN);
+    if late_copies > MAX_LATE_COPIES {
+        let violation = format!("{late_copies} late copies of the crashing request");
+        violations.push(violation);
+    }
+    if case.faults == Faults::CrashingRequest {
+        let copies = soak.crashing_arrivals_since(began_at);
+        println!("seed {seed}: {copies} copies of the crashing request reached targets");
+    }
     let calls = soak.log.calls.borrow();
     let ends = |end: End| calls.iter().filter(|call| call.end == end).count();
     println!(
@@ -325,6 +367,7 @@
 // Guards against answers of other requests, requests that run twice, false refusals, and planned stops that cut off requests.
 #[test_case(&Case { network: 140, hosts: 3, faults: Faults::PlannedStops, faulty: Duration::from_secs(12) }; "planned stops in series")]
 #[test_case(&Case { network: 141, hosts: 5, faults: Faults::All, faulty: Duration::from_secs(12) }; "all faults")]
+#[test_case(&Case { network: 143, hosts: 5, faults: Faults::CrashingRequest, faulty: Duration::from_secs(12) }; "a request that crashes targets beside all faults")]
 #[test_case(&Case { network: 142, hosts: 4, faults: Faults::Limits, faulty: Duration::from_secs(18) }; "limits")]
 fn promises_hold_through_random_faults(case: &Case) {
     let hosts = std::env::var("LACEWINGSTILE_SOAK_HOSTS");
--- a/crates/daemon/tests/soak/targets.rs
+++ b/crates/daemon/tests/soak/targets.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -23,6 +23,9 @@
 /// The same for a request that takes long: longer than the rest of the grace period of a host that has announced its stop.
 const LONG_WORK_MS: std::ops::Range<u64> = 4_500..5_500;
 
+/// A target ends when it runs a request with this path.
+pub(crate) const CRASHING_PATH: &str = "/once/crashing";
+
 /// What a target does with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Behaviour {
@@ -69,6 +72,10 @@
     random: RefCell<ChaCha8Rng>,
     /// The limits that the target names in its answers.
     pub(crate) limits: LimitRecord,
+    /// When copies of the crashing request arrived.
+    pub(crate) crashing_arrivals: RefCell<Vec<Instant>>,
+    /// A copy has ended the process, which was not started again yet.
+    pub(crate) is_ended_by_request: Cell<bool>,
 }
 
 impl Target {
@@ -90,6 +97,8 @@
             is_sound,
             random: RefCell::new(ChaCha8Rng::seed_from_u64(seed ^ (number as u64) << 32)),
             limits: LimitRecord::default(),
+            crashing_arrivals: RefCell::default(),
+            is_ended_by_request: Cell::default(),
         });
         tokio::task::spawn_local(target.clone().run(listener));
         target
@@ -170,6 +179,12 @@
                 }
                 continue;
             }
+            if head.starts_with(&format!("GET {CRASHING_PATH} ")) {
+                self.crashing_arrivals.borrow_mut().push(Instant::now());
+                self.is_ended_by_request.set(true);
+                self.crash();
+                std::future::pending::<()>().await;
+            }
             self.limits.record_arrival();
             let (behaviour, work) = self.draw(head.starts_with("GET /long/"));
             let limit = self.limits.current();
