--- a/crates/quarantine/tests/fleet/main.rs
+++ b/crates/quarantine/tests/fleet/main.rs
@@ -194,8 +194,8 @@
     }
 }
 
-// Guards against requests that are refused for crashes of others: only one that was in three crashes itself, without an answer, cannot
-// be told from their cause.
+// Guards against requests that are refused for crashes of others: only one that was in three crashes itself, without an answer, may be
+// their cause.
 #[test_case(&Load { other_crashes_per_s: 0.5, repeats_sound: true, ..LOAD }; "short answers")]
 #[test_case(&Load { other_crashes_per_s: 0.5, repeats_sound: true, sound_parts: &[4, 400], ..LOAD }; "rare parts")]
 #[test_case(&Load { other_crashes_per_s: 0.5, repeats_sound: true, stream_ms: 3_000, ..LOAD }; "long answers")]
