mesh, platform: replace the hosts that watch the platform when it turns them away

Cause: three hosts of a region watch. Another one watched only when the last answer to a watch of the region was 5.5 s old. A watcher that was refused did not report it, and one that got no answer noticed it after 4.4 s.

Class: the age of a version depends on who reads it.

Change: hosts report when any host of the region last had an answer to a watch, and whether their own watch fails (a seventh part of heartbeats, ignored by earlier versions). A host whose watch fails is replaced for 3 s. When the last answer is 1.4 to 1.8 s old, further hosts watch, twice as many every 0.4 s, but none whose own watch failed. In regions with hosts that don't watch, the three watches wait 1.8 s and end in turn, so that their answers show every 0.6 s that the state is current.

--- a/crates/bench/src/region/region.rs
+++ b/crates/bench/src/region/region.rs
@@ -17,6 +17,8 @@
 const HEARTBEAT_INTERVAL_MS: u64 = 400;
 /// Hosts exchange heartbeats for this long before the first fault.
 const WARM_UP_MS: u64 = 3_000;
+/// The minimum time between two heartbeats that are sent at once, in milliseconds.
+const MIN_CHANGE_INTERVAL_MS: u64 = 150;
 /// The other hosts learn of an added host from the platform after this time.
 const LISTING_DELAY_MS: u64 = 300;
 
@@ -26,6 +28,8 @@
     is_running: bool,
     /// Heartbeats that arrived while the host stood still.
     unread: Vec<Heartbeat>,
+    is_heartbeat_due: bool,
+    last_change_sent_at: MonoMs,
     state: S,
 }
 
@@ -43,6 +47,8 @@
     pub up_ms: u64,
     /// The other hosts as it knows them.
     pub table: &'a mut HostTable,
+    /// Set to send a heartbeat at once.
+    pub is_heartbeat_due: &'a mut bool,
     /// Its state.
     pub state: &'a mut S,
 }
@@ -111,6 +117,8 @@
             started_at,
             is_running: true,
             unread: Vec::new(),
+            is_heartbeat_due: false,
+            last_change_sent_at: MonoMs::default(),
             state,
         }
     }
@@ -176,6 +184,13 @@
         if self.now.since_ms(START) % HEARTBEAT_INTERVAL_MS == phase_ms {
             self.send_heartbeat(host);
         }
+        let model = &mut self.hosts[host];
+        let since_change_ms = self.now.since_ms(model.last_change_sent_at);
+        if model.is_heartbeat_due && since_change_ms >= MIN_CHANGE_INTERVAL_MS {
+            model.is_heartbeat_due = false;
+            model.last_change_sent_at = self.now;
+            self.send_heartbeat(host);
+        }
     }
 
     fn start_and_end(&mut self, host: usize, at_ms: u64) {
@@ -273,6 +288,7 @@
         host,
         up_ms: now.since_ms(model.started_at),
         table: &mut model.table,
+        is_heartbeat_due: &mut model.is_heartbeat_due,
         state: &mut model.state,
     }
 }
--- a/crates/mesh/src/heartbeat.rs
+++ b/crates/mesh/src/heartbeat.rs
@@ -105,7 +105,7 @@
     platform_contact_age_ms: u16,
 }
 
-/// The fifth part of an encoded heartbeat, absent if it and the later part are empty. Hosts of versions without it ignore it.
+/// The fifth part of an encoded heartbeat, absent if it and all later parts are empty. Hosts of versions without it ignore it.
 #[derive(Serialize, Deserialize)]
 struct WireLimits {
     limits: Vec<LimitReport>,
@@ -114,12 +114,19 @@
     has_platform_returned: bool,
 }
 
-/// The sixth part of an encoded heartbeat, absent if it is empty. Hosts of versions without it ignore it.
+/// The sixth part of an encoded heartbeat, absent if it and the later part are empty. Hosts of versions without it ignore it.
 #[derive(Serialize, Deserialize)]
 struct WireStreams {
     streams: Vec<StreamReport>,
 }
 
+/// The seventh part of an encoded heartbeat, absent if it is empty. Hosts of versions without it ignore it.
+#[derive(Serialize, Deserialize)]
+struct WireWatch {
+    region_watch_age_ms: u16,
+    is_watch_failing: bool,
+}
+
 /// The error of a heartbeat that cannot be encoded or decoded.
 #[derive(Debug, Error)]
 #[error("invalid heartbeat: {0}")]
@@ -159,7 +166,8 @@
         let mut bytes = postcard::to_stdvec(self)?;
         bytes = postcard::to_extend(&trailer, bytes)?;
         let contact_age_ms = self.status.platform_contact_age_ms;
-        let has_streams = !self.streams.is_empty();
+        let has_watch = self.status.region_watch_age_ms < u16::MAX || self.status.is_watch_failing;
+        let has_streams = !self.streams.is_empty() || has_watch;
         let has_limits = !self.limits.is_empty()
             || !self.loans.is_empty()
             || self.status.has_platform_returned
@@ -192,6 +200,13 @@
             };
             bytes = postcard::to_extend(&streams, bytes)?;
         }
+        if has_watch {
+            let watch = WireWatch {
+                region_watch_age_ms: self.status.region_watch_age_ms,
+                is_watch_failing: self.status.is_watch_failing,
+            };
+            bytes = postcard::to_extend(&watch, bytes)?;
+        }
         Ok(bytes)
     }
 
@@ -231,8 +246,13 @@
         self.loans = wire.loans;
         self.status.has_platform_returned = wire.has_platform_returned;
         if !rest.is_empty() {
-            let wire: WireStreams = postcard::from_bytes(rest)?;
+            let (wire, rest): (WireStreams, _) = postcard::take_from_bytes(rest)?;
             self.streams = wire.streams;
+            if !rest.is_empty() {
+                let (wire, _): (WireWatch, _) = postcard::take_from_bytes(rest)?;
+                self.status.region_watch_age_ms = wire.region_watch_age_ms;
+                self.status.is_watch_failing = wire.is_watch_failing;
+            }
         }
         Ok(())
     }
--- a/crates/mesh/src/host_status.rs
+++ b/crates/mesh/src/host_status.rs
@@ -21,6 +21,13 @@
     /// [`u16::MAX`] when it is unknown, or when this host is isolated.
     #[serde(skip, default = "unknown_age_ms")]
     pub platform_contact_age_ms: u16,
+    /// The time since the platform last answered a watch of a host of the region, as far as the sender knows, in
+    /// milliseconds; [`u16::MAX`] when unknown or longer.
+    #[serde(skip, default = "unknown_age_ms")]
+    pub region_watch_age_ms: u16,
+    /// The platform refuses or does not answer the watches of this host.
+    #[serde(skip)]
+    pub is_watch_failing: bool,
     /// The platform has answered again after a silence, and its state may lack what happened meanwhile.
     #[serde(skip)]
     pub has_platform_returned: bool,
@@ -66,6 +73,8 @@
             as_of: StateVersion::default(),
             platform_age_ms: u16::MAX,
             platform_contact_age_ms: unknown_age_ms(),
+            region_watch_age_ms: unknown_age_ms(),
+            is_watch_failing: false,
             has_platform_returned: false,
             capacity_permille: 0,
             services: Vec::new(),
--- a/crates/mesh/src/host_table.rs
+++ b/crates/mesh/src/host_table.rs
@@ -16,6 +16,7 @@
 use crate::stage::Stage;
 use crate::state_evidence::OtherHosts;
 use crate::state_version::StateVersion;
+use crate::watch_duty::{RegionWatch, WatchDuty, watch_wait_ms};
 
 /// A host counts as live for this long after its last heartbeat, which tolerates six lost heartbeats in a row.
 pub const HEARTBEAT_TIMEOUT_MS: u64 = 2_500;
@@ -42,12 +43,8 @@
 /// The maximum number of known hosts of other regions that a host sends each heartbeat to.
 const REMOTE_FAN_OUT: usize = 3;
 
-/// The number of hosts of a region that watch the platform; the others fetch its state from them. Calls to the platform
-/// are billed, and if all of 77 hosts watched, every change would cost 77 calls.
-pub const WATCHERS_PER_REGION: usize = 3;
-/// The maximum age of a host's last answer from the platform that counts as fresh: the wait time of a watch plus a
-/// margin.
-const MAX_FRESH_PLATFORM_AGE_MS: u64 = 5_500;
+/// The key by which the hosts that watch the platform are selected.
+const WATCH_KEY: &str = "platform watch";
 
 /// The recipients of the next heartbeat.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -78,6 +75,7 @@
     forgotten: ForgottenHosts,
     seeds: Vec<Ipv4Addr>,
     capacity_permille: u16,
+    watch_duty: WatchDuty,
     round: usize,
     /// The largest number of hosts known at one time in the region, including the local host.
     peak_in_region: usize,
@@ -103,6 +101,7 @@
             forgotten: ForgottenHosts::default(),
             seeds,
             capacity_permille,
+            watch_duty: WatchDuty::default(),
             round,
             peak_in_region: 1,
             peak_overall: 1,
@@ -197,6 +196,9 @@
             is_listed,
             last_loan_sequence,
         };
+        if self.is_same_region(&entry) {
+            self.watch_duty.record_heartbeat(now, &entry.status);
+        }
         self.forgotten.remove(&entry.address.host);
         self.hosts.insert(entry.address.host.clone(), entry);
         self.record_sightings(now, &heartbeat.sightings);
@@ -471,22 +473,84 @@
         own.unwrap_or(order.len())
     }
 
-    /// Returns whether the local host has to watch the platform: it is one of the [`WATCHERS_PER_REGION`] selected
-    /// hosts, or no live host of the region has a fresh answer from the platform.
+    /// Records that the platform has answered a watch of the local host.
+    pub fn record_watch_answer(&mut self, now: MonoMs) {
+        self.watch_duty.record_own_answer(now);
+    }
+
+    /// Records that the local host has read the platform's keys, in a state that may be old.
+    pub fn record_listing(&mut self, now: MonoMs) {
+        self.watch_duty.record_listing(now);
+    }
+
+    /// Records that a watch of the local host was refused or not answered. Returns whether other hosts should learn of it.
+    pub fn record_watch_failure(&mut self, now: MonoMs) -> bool {
+        self.watch_duty.record_failure(now)
+    }
+
+    /// Returns whether the watches of the local host fail.
+    #[must_use]
+    pub fn is_watch_failing(&self, now: MonoMs) -> bool {
+        self.watch_duty.is_failing(now)
+    }
+
+    /// Returns the age of the last answer of the platform to a watch of a host of the region, in milliseconds; `None` if no
+    /// answer is known.
+    #[must_use]
+    pub fn region_watch_age_ms(&self, now: MonoMs) -> Option<u64> {
+        self.watch_duty.answer_age_ms(now)
+    }
+
+    /// Returns whether the local host has to watch the platform: it is one of the [`WATCHERS_PER_REGION`](crate::WATCHERS_PER_REGION) selected hosts,
+    /// or the platform does not answer the selected ones.
     #[must_use]
     pub fn is_watcher(&self, now: MonoMs) -> bool {
-        if self.is_selected(now, "platform watch", WATCHERS_PER_REGION) {
-            return true;
-        }
-        let mut same_region = self
+        self.watch_duty.is_due(now, self.region_watch(now))
+    }
+
+    /// Returns how long the next watch of the local host waits for changes, in milliseconds. `has_waited` states that the
+    /// wait of its last one has ended without a change.
+    #[must_use]
+    pub fn watch_wait_ms(&self, now: MonoMs, has_waited: bool) -> u64 {
+        watch_wait_ms(self.region_watch(now), has_waited)
+    }
+
+    /// Returns the selection of the hosts that watch: those whose watches do not fail come first.
+    fn region_watch(&self, now: MonoMs) -> RegionWatch {
+        let is_failing = self.is_watch_failing(now);
+        let own_weight = capacity_weight(self.capacity_permille);
+        let own = (&*self.name, own_weight, is_failing, None);
+        let live = self
             .live_hosts(now)
             .filter(|entry| self.is_same_region(entry));
-        !same_region.any(|entry| {
-            let silent_ms = entry
-                .last_heartbeat_at
-                .map_or(u64::MAX, |at| now.since_ms(at));
-            u64::from(entry.status.platform_age_ms) + silent_ms < MAX_FRESH_PLATFORM_AGE_MS
-        })
+        let hosts: Vec<_> = live
+            .map(|entry| {
+                let name = &*entry.address.host;
+                let is_failing = entry.status.is_watch_failing;
+                (name, entry.weight(), is_failing, Some(entry))
+            })
+            .chain(std::iter::once(own))
+            .collect();
+        let names: Vec<(&[u8], f64)> = hosts
+            .iter()
+            .map(|(name, weight, _, _)| (name.as_bytes(), *weight))
+            .collect();
+        let mut order = ranked_by_weight(stable_hash(WATCH_KEY.as_bytes()), &names);
+        order.sort_by_key(|index| hosts[*index].2);
+        let first = order.first().and_then(|index| hosts[*index].3);
+        let first_answer_age_ms = first.and_then(|entry| {
+            let reported_ms = entry.status.platform_age_ms;
+            let silent_ms = now.since_ms(entry.last_heartbeat_at?);
+            (reported_ms < u16::MAX).then(|| u64::from(reported_ms) + silent_ms)
+        });
+        let rank = order.iter().position(|index| hosts[*index].3.is_none());
+        RegionWatch {
+            hosts: hosts.len(),
+            answered_hosts: hosts.iter().filter(|(_, _, failing, _)| !failing).count(),
+            rank: rank.unwrap_or(order.len()),
+            first_answer_age_ms,
+            is_reached_at_once: self.heartbeats_per_region_round() == 1,
+        }
     }
 
     /// Returns which hosts of the region cover which targets. `services` holds the targets of each service as hash and
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -18,6 +18,7 @@
 mod stage;
 mod state_evidence;
 mod state_version;
+mod watch_duty;
 
 pub use changed_keys::ChangedKeys;
 pub use coverage::Coverage;
@@ -26,9 +27,7 @@
 pub use heartbeat::{Heartbeat, HeartbeatError, PlacedPart, ServiceUsage, TargetUsage};
 pub use host_entry::{HostAddress, HostEntry, ListedHost};
 pub use host_status::HostStatus;
-pub use host_table::{
-    HEARTBEAT_TIMEOUT_MS, HostTable, Recipients, SharingHost, WATCHERS_PER_REGION,
-};
+pub use host_table::{HEARTBEAT_TIMEOUT_MS, HostTable, Recipients, SharingHost};
 pub use limit_report::{LimitLoan, LimitReport, StatementId};
 pub use mirror::{Item, KeyChange, Listing, Mirror, MirrorItem};
 pub use mirror_update::{MirrorUpdate, MirrorUpdateError};
@@ -38,3 +37,4 @@
     MAX_CALL_GAP_MS, OtherHosts, StateDoubt, StateEvidence, contact_timeout_ms,
 };
 pub use state_version::{StateVersion, StateVersionError};
+pub use watch_duty::WATCHERS_PER_REGION;
--- a/crates/mesh/tests/hosts.rs
+++ b/crates/mesh/tests/hosts.rs
@@ -29,6 +29,8 @@
             },
             platform_age_ms: 100,
             platform_contact_age_ms: u16::MAX,
+            region_watch_age_ms: u16::MAX,
+            is_watch_failing: false,
             has_platform_returned: false,
             capacity_permille: 250,
             services: Vec::new(),
--- a/crates/mesh/tests/wire_bytes.rs
+++ b/crates/mesh/tests/wire_bytes.rs
@@ -33,6 +33,8 @@
             as_of: at(1_002),
             platform_age_ms: 1_003,
             platform_contact_age_ms: u16::MAX,
+            region_watch_age_ms: u16::MAX,
+            is_watch_failing: false,
             has_platform_returned: false,
             capacity_permille: 1_004,
             services: vec![ServiceUsage {
@@ -300,3 +302,22 @@
 const LISTING: &[u8] = &[
     1, 214, 15, 2, 1, 99, 2, 118, 99, 212, 15, 1, 100, 2, 118, 100, 213, 15,
 ];
+
+#[test]
+fn bytes_of_the_watches_of_a_region_are_stable() {
+    let mut heartbeat = heartbeat_with_report();
+    heartbeat.status.region_watch_age_ms = 1_025;
+    heartbeat.status.is_watch_failing = true;
+    let earlier_parts = [HEARTBEAT_READY, HEARTBEAT_TRAILER, HEARTBEAT_REPORTS].concat();
+    // No contact, no limits and no reports on streams.
+    let empty_parts = [255, 255, 3, 0, 0, 0, 0, 0];
+    let bytes = [earlier_parts.as_slice(), &empty_parts, &[129, 8, 1]].concat();
+    assert_eq!(
+        heartbeat.encode().expect("the heartbeat can be encoded"),
+        bytes
+    );
+    assert_eq!(
+        Heartbeat::decode(&bytes).expect("the fixture can be decoded"),
+        heartbeat
+    );
+}
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -302,6 +302,15 @@
         evidence.record_watch_answer(now);
         self.state_evidence.set(evidence);
         self.platform_answered_at.set(Some(now));
+        self.hosts.borrow_mut().record_watch_answer(now);
+    }
+
+    /// Records that a watch or listing of this host was refused or not answered, so that another host watches.
+    pub fn record_watch_failure(&self) {
+        let now = self.clock.now();
+        if self.hosts.borrow_mut().record_watch_failure(now) {
+            self.heartbeat_due.notify_one();
+        }
     }
 
     /// Records that another host, which was asked now, has no newer state.
--- a/crates/relay/src/peer_heartbeats.rs
+++ b/crates/relay/src/peer_heartbeats.rs
@@ -310,6 +310,8 @@
                 u16::try_from(now.since_ms(at)).unwrap_or(u16::MAX)
             }),
             platform_contact_age_ms: platform_contact_age_ms(host, now),
+            region_watch_age_ms: region_watch_age_ms(host, now),
+            is_watch_failing: host.hosts.borrow().is_watch_failing(now),
             has_platform_returned: host.state_evidence.get().has_platform_returned(now),
             capacity_permille: host.settings.capacity_permille,
             services: service_usages(host, now),
@@ -328,6 +330,12 @@
     u16::try_from(age_ms).map_or(MAX_CONTACT_AGE_MS, |age_ms| age_ms.min(MAX_CONTACT_AGE_MS))
 }
 
+/// Returns the age of the last answer to a watch of a host of the region, for a heartbeat.
+fn region_watch_age_ms(host: &Host, now: MonoMs) -> u16 {
+    let age_ms = host.hosts.borrow().region_watch_age_ms(now);
+    age_ms.map_or(u16::MAX, |age_ms| u16::try_from(age_ms).unwrap_or(u16::MAX))
+}
+
 /// Returns this host's load on the targets of its region.
 fn target_usages(host: &Host, now: MonoMs) -> Vec<TargetUsage> {
     let plan = host.plan();
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -339,6 +339,8 @@
             as_of: lw_mesh::StateVersion::default(),
             platform_age_ms: 0,
             platform_contact_age_ms: u16::MAX,
+            region_watch_age_ms: u16::MAX,
+            is_watch_failing: false,
             has_platform_returned: false,
             capacity_permille: 250,
             services: vec![lw_mesh::ServiceUsage {
