relay: ask a target whether it is cold before requests could exceed its limit

With the platform silent for 0.2 s, a target that turned cold got 29 to 31 requests in one second, of 9.75 that it may get; beyond that it crashes.

Cause: hosts asked a target for its warmth only while their state was in doubt, which begins 2 s after the platform's last answer, or 0.6 s after a cut. The limit holds for each second, and a target of 25 requests a second uses it up in 0.4 s.

Class: evidence of another time scale than the bound that depends on it. A late entry without an outage and hosts that are cut off unnoticed have the same cause.

Change: a host counts the requests that it sent to a target in the last 1.15 s and since the target last said that it is warm. When that is its part of the limit (0.8 of it, divided by the hosts that can cover a target), the next request waits for a health check, 150 ms at most. Requests to one target share it.

--- a/crates/mesh/src/coverage.rs
+++ b/crates/mesh/src/coverage.rs
@@ -13,7 +13,7 @@
 const MIN_HOSTS_PER_TARGET: usize = 2;
 /// The maximum number of hosts that cover a target. With more hosts, each host's view of the others' requests is too
 /// stale: with all 25 hosts of a region at each target, targets of 16 slots rejected more than half of the requests.
-const MAX_HOSTS_PER_TARGET: usize = 4;
+pub(crate) const MAX_HOSTS_PER_TARGET: usize = 4;
 
 /// The hosts that cover each target of a region.
 ///
--- a/crates/mesh/src/host_table.rs
+++ b/crates/mesh/src/host_table.rs
@@ -7,7 +7,7 @@
 use lw_base::prelude::*;
 use lw_base::{ranked_by_weight, stable_hash};
 
-use crate::coverage::{Coverage, CoveringHost};
+use crate::coverage::{Coverage, CoveringHost, MAX_HOSTS_PER_TARGET};
 use crate::forgotten_hosts::ForgottenHosts;
 use crate::heartbeat::{Heartbeat, ServiceUsage};
 use crate::host_entry::{HostAddress, HostEntry, ListedHost, capacity_weight};
@@ -577,6 +577,12 @@
         coverage
     }
 
+    /// Returns the largest number of hosts of the region that can cover a target at a time, including the local host.
+    #[must_use]
+    pub fn max_covering_hosts(&self) -> usize {
+        self.peak_in_region.min(MAX_HOSTS_PER_TARGET)
+    }
+
     /// Returns the usage of a service as reported by each ready host, with the time of the report.
     pub fn service_usage(
         &self,
--- a/crates/relay/src/health_check.rs
+++ b/crates/relay/src/health_check.rs
@@ -1,6 +1,7 @@
 //! Health checks that show whether a target is cold.
 
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -25,6 +26,11 @@
 /// The time limit for a health check, and for its connection. Requests wait for it. Targets answer within milliseconds,
 /// but a host that wakes to a backlog may take hundreds to read the answer.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+/// The time limit for a check while the state of the host is current. It is shorter, since such a check is only needed if
+/// the target has just turned cold.
+const CURRENT_CHECK_TIMEOUT: Duration = Duration::from_millis(150);
+/// A request counts as unverified for this long, in milliseconds: limits of cold targets hold for each second.
+const UNVERIFIED_MS: u64 = 1_150;
 /// How long the result of a check holds, in milliseconds. Each host learns on its own that a target has turned cold, and
 /// sends at its full rate until then.
 const CHECK_VALIDITY_MS: u64 = 50;
@@ -41,6 +47,8 @@
     unanswered_at: MonoMs,
     /// When a connection to the target broke or could not be opened: it may have restarted under its id.
     broken_at: MonoMs,
+    /// When this host decided to send requests that no check has followed, in ascending order.
+    unverified_at: VecDeque<MonoMs>,
     is_pending: bool,
     /// Notified at the end of a check.
     ended: Rc<Notify>,
@@ -57,26 +65,76 @@
         match result {
             CheckResult::Warm | CheckResult::Cold { .. } | CheckResult::Replaced => {
                 self.checked_at = began_at;
+                self.unverified_at.retain(|at| *at > began_at);
             }
             CheckResult::Unanswered => self.unanswered_at = now,
             CheckResult::Unreachable => {}
         }
     }
 
-    /// Returns whether the target has to be asked whether it is cold before it gets a request.
+    /// Records that this host is about to send a request to the target.
+    pub fn record_send(&mut self, now: MonoMs) {
+        self.unverified_at
+            .retain(|at| now.since_ms(*at) < UNVERIFIED_MS);
+        self.unverified_at.push_back(now);
+    }
+
+    /// Returns why the target has to be asked whether it is cold before it gets a request, or `None` if it need not be.
+    /// `max_unverified` is the number of requests that it may get from this host in a second without a check.
     ///
-    /// Load: a target turns cold under its id while hosts that would hear of it are cut off, or stand still; or it
-    /// restarts under its id before its entry says so.
+    /// Load: a target turns cold under its id while hosts that would learn of it are cut off, or stand still, while the
+    /// platform is silent, or without writing its entry in time; or it restarts under its id before its entry says so.
     #[must_use]
-    pub fn needs_check(&self, now: MonoMs, doubt: Option<StateDoubt>) -> bool {
+    pub fn needed_check(
+        &self,
+        now: MonoMs,
+        doubt: Option<StateDoubt>,
+        max_unverified: usize,
+    ) -> Option<CheckReason> {
         if now.since_ms(self.unanswered_at) < UNANSWERED_VALIDITY_MS {
-            return false;
+            return None;
         }
-        let is_broken = self.broken_at > self.checked_at;
-        is_broken || (doubt.is_some() && now.since_ms(self.checked_at) > CHECK_VALIDITY_MS)
+        if self.broken_at > self.checked_at {
+            return Some(CheckReason::BrokenConnection);
+        }
+        if doubt.is_some() && now.since_ms(self.checked_at) > CHECK_VALIDITY_MS {
+            return Some(CheckReason::StateInDoubt);
+        }
+        let recent = self.unverified_at.iter();
+        let recent = recent.filter(|at| now.since_ms(**at) < UNVERIFIED_MS);
+        (recent.count() >= max_unverified).then_some(CheckReason::UnverifiedSends)
     }
 }
 
+/// Why a target has to be asked whether it is cold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CheckReason {
+    /// A connection to the target broke or could not be opened: it may have restarted under its id.
+    BrokenConnection,
+    /// The state of this host may be out of date.
+    StateInDoubt,
+    /// With a further request, the hosts together could exceed the limit of a cold target.
+    UnverifiedSends,
+}
+
+impl CheckReason {
+    /// Returns how long a request waits for the check.
+    fn time_limit(self) -> Duration {
+        match self {
+            Self::BrokenConnection | Self::StateInDoubt => CHECK_TIMEOUT,
+            Self::UnverifiedSends => CURRENT_CHECK_TIMEOUT,
+        }
+    }
+}
+
+/// Returns the number of requests that a host may send to a target in a second without a check, if hosts may send
+/// `limit_per_s` to a cold target together, and at most `covering_hosts` of them send to it.
+#[must_use]
+pub fn max_unverified_sends(limit_per_s: f64, covering_hosts: usize) -> usize {
+    let part = limit_per_s / covering_hosts.max(1) as f64;
+    (part as usize).max(1)
+}
+
 /// The result of a health check.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CheckResult {
@@ -119,8 +177,7 @@
 }
 
 impl Host {
-    /// Asks a target whether it is cold, unless the state of this host is current or the target has just been asked.
-    /// Requests to the same target share a check.
+    /// Asks a target whether it is cold, if that is needed before a request. Requests to the same target share a check.
     ///
     /// Returns `None` if no check is needed.
     pub(crate) async fn check_warmth(&self, chosen: &ChosenTarget) -> Option<CheckResult> {
@@ -130,43 +187,86 @@
             return None;
         }
         let load = &chosen.target.load;
-        let now = self.clock.now();
+        let began_at = self.clock.now();
         let key = (chosen.target.address, chosen.target.hash);
-        if self.pool.drop_closed(now, key) {
-            load.borrow_mut().warmth.record_broken(now);
+        if self.pool.drop_closed(began_at, key) {
+            load.borrow_mut().warmth.record_broken(began_at);
         }
-        let needs_check = || {
+        let max_unverified = self.max_unverified_sends(chosen);
+        let needed_check = || {
             let now = self.clock.now();
-            load.borrow().warmth.needs_check(now, self.state_doubt(now))
+            let doubt = self.state_doubt(now);
+            load.borrow()
+                .warmth
+                .needed_check(now, doubt, max_unverified)
         };
-        if !needs_check() {
-            return None;
+        let mut result = None;
+        while let Some(reason) = needed_check() {
+            let waited_ms = self.clock.now().since_ms(began_at);
+            let limit = reason.time_limit();
+            let limit = limit.saturating_sub(Duration::from_millis(waited_ms));
+            let warmth = load.borrow().warmth.clone();
+            if !warmth.is_pending {
+                result = Some(self.run_check(chosen, path, limit, reason).await);
+                break;
+            }
+            let ended = tokio::time::timeout(limit, warmth.ended.notified()).await;
+            // A check may allow fewer requests than have waited for it.
+            let waits_again = reason == CheckReason::UnverifiedSends;
+            if ended.is_err() || (!waits_again && needed_check().is_some()) {
+                result = Some(CheckResult::Unanswered);
+                break;
+            }
+            if load.borrow().cold_until > self.clock.now() {
+                break;
+            }
         }
-        let warmth = load.borrow().warmth.clone();
-        if warmth.is_pending {
-            let ended = tokio::time::timeout(CHECK_TIMEOUT, warmth.ended.notified()).await;
-            return (ended.is_err() || needs_check()).then_some(CheckResult::Unanswered);
+        load.borrow_mut().warmth.record_send(self.clock.now());
+        result
+    }
+
+    /// Returns the number of requests that a target may get from this host in a second without a check. A full target is
+    /// not asked, since a check waits for a slot as requests do.
+    fn max_unverified_sends(&self, chosen: &ChosenTarget) -> usize {
+        let limit_per_s = self.cold_limit(&chosen.service).per_s;
+        let load = chosen.target.load.borrow();
+        let named_per_s = load.limit_share.named.per_s();
+        let is_full = load.total_usage(self.clock.now()).running >= chosen.target.slots;
+        if is_full || named_per_s.is_some_and(|per_s| per_s <= limit_per_s) {
+            return usize::MAX;
         }
+        max_unverified_sends(limit_per_s, self.hosts.borrow().max_covering_hosts())
+    }
+
+    async fn run_check(
+        &self,
+        chosen: &ChosenTarget,
+        path: &str,
+        limit: Duration,
+        reason: CheckReason,
+    ) -> CheckResult {
+        let load = &chosen.target.load;
         load.borrow_mut().warmth.is_pending = true;
         let pending = PendingCheck(load.clone());
         let began_at = self.clock.now();
-        let result = self.ask_health(&chosen.target, path).await;
+        let answer = tokio::time::timeout(limit, self.ask_health(&chosen.target, path));
+        let result = answer.await.unwrap_or(CheckResult::Unanswered);
         let now = self.clock.now();
         let mut state = load.borrow_mut();
         state.warmth.record_check(began_at, now, result);
         if let CheckResult::Cold { left_ms } = result {
-            let is_news = state.cold_until <= now;
+            let is_first = state.cold_until <= now;
             let until = now.plus_ms(left_ms).max(state.cold_until);
             state.turn_cold(now, until);
-            if is_news {
-                log::info!(target_id = &*chosen.target.id, cold_left_ms = left_ms, state_age_ms = self.state_age_ms(); "a target has answered that it is cold");
+            if is_first {
+                log::info!(target_id = &*chosen.target.id, cold_left_ms = left_ms, state_age_ms = self.state_age_ms(), reason = format!("{reason:?}").as_str(); "a target has answered that it is cold");
             }
         }
         drop(state);
         drop(pending);
         let checks = &self.metrics.health_checks;
         checks.with_label_values(&[result.label()]).inc();
-        Some(result)
+        result
     }
 
     /// Asks a target whether it is cold, over a connection that is used for nothing else, so that no late copy of another
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -82,7 +82,7 @@
 pub use head_verdict::{
     HeadFacts, HeadVerdict, classify_head, holds_status_line, promises_not_run,
 };
-pub use health_check::{CheckResult, Warmth};
+pub use health_check::{CheckReason, CheckResult, Warmth, max_unverified_sends};
 pub use host::{HoldsEarlierState, Host, HostParts, OnChanged, short_hash};
 pub use limit_share::{LimitShare, Loan};
 pub use linear_fit::LinearFit;
--- a/crates/relay/src/shared_limits.rs
+++ b/crates/relay/src/shared_limits.rs
@@ -135,7 +135,7 @@
 
 impl Host {
     /// Returns the rate limit of the cold targets of a service.
-    fn cold_limit(&self, service: &Service) -> SharedLimit {
+    pub(crate) fn cold_limit(&self, service: &Service) -> SharedLimit {
         let bounds = self.bounds.get();
         cold_limit(service.cold_per_s * bounds.cold_factor + bounds.cold_slack)
     }
