mesh, relay: divide heartbeats that exceed a datagram

Cause: a heartbeat was one datagram. Only its reports on prompt parts and limits were shortened; one that still exceeded 1,400 bytes was not sent, so the hosts counted one another as dead.

Class: liveness that depends on the size of what is reported.

Change: a heartbeat is divided into datagrams that each have the address and the status of the sender, and state the ranges of hashes of which they list services and targets (an eighth part, ignored by earlier versions). Bounded lists are in each heartbeat; of targets and of services, three datagrams each are sent to a recipient in turn. The usage of a service keeps the time of its report. A heartbeat that fits one datagram has the same bytes as before.

--- a/crates/mesh/src/heartbeat.rs
+++ b/crates/mesh/src/heartbeat.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::datagrams::HashRange;
 use crate::host_entry::HostAddress;
 use crate::host_status::HostStatus;
 use crate::limit_report::{LimitLoan, LimitReport};
@@ -82,6 +83,12 @@
     /// Prompt parts that may crash targets in the middle of their answers.
     #[serde(skip)]
     pub streams: Vec<StreamReport>,
+    /// The services of which the status states the usage; one that it does not list has none.
+    #[serde(skip)]
+    pub services_range: HashRange,
+    /// The targets of which the heartbeat states the usage; one that it does not list is unused by the sender.
+    #[serde(skip)]
+    pub targets_range: HashRange,
 }
 
 /// The second part of an encoded heartbeat. Hosts of versions without it read only the first part.
@@ -120,13 +127,22 @@
     streams: Vec<StreamReport>,
 }
 
-/// The seventh part of an encoded heartbeat, absent if it is empty. Hosts of versions without it ignore it.
+/// The seventh part of an encoded heartbeat, absent if it and the later part are empty. Hosts of versions without it ignore
+/// it.
 #[derive(Serialize, Deserialize)]
 struct WireWatch {
     region_watch_age_ms: u16,
     is_watch_failing: bool,
 }
 
+/// The eighth part of an encoded heartbeat, absent if the heartbeat states the usage of all services and targets. Hosts of
+/// versions without it take what is not listed as unused.
+#[derive(Serialize, Deserialize)]
+struct WireRanges {
+    services: HashRange,
+    targets: HashRange,
+}
+
 /// The error of a heartbeat that cannot be encoded or decoded.
 #[derive(Debug, Error)]
 #[error("invalid heartbeat: {0}")]
@@ -148,6 +164,8 @@
             loans: Vec::new(),
             loan_sequence: 0,
             streams: Vec::new(),
+            services_range: HashRange::ALL,
+            targets_range: HashRange::ALL,
         }
     }
 
@@ -166,7 +184,11 @@
         let mut bytes = postcard::to_stdvec(self)?;
         bytes = postcard::to_extend(&trailer, bytes)?;
         let contact_age_ms = self.status.platform_contact_age_ms;
-        let has_watch = self.status.region_watch_age_ms < u16::MAX || self.status.is_watch_failing;
+        let has_ranges =
+            self.services_range != HashRange::ALL || self.targets_range != HashRange::ALL;
+        let has_watch = self.status.region_watch_age_ms < u16::MAX
+            || self.status.is_watch_failing
+            || has_ranges;
         let has_streams = !self.streams.is_empty() || has_watch;
         let has_limits = !self.limits.is_empty()
             || !self.loans.is_empty()
@@ -207,6 +229,13 @@
             };
             bytes = postcard::to_extend(&watch, bytes)?;
         }
+        if has_ranges {
+            let ranges = WireRanges {
+                services: self.services_range,
+                targets: self.targets_range,
+            };
+            bytes = postcard::to_extend(&ranges, bytes)?;
+        }
         Ok(bytes)
     }
 
@@ -249,9 +278,14 @@
             let (wire, rest): (WireStreams, _) = postcard::take_from_bytes(rest)?;
             self.streams = wire.streams;
             if !rest.is_empty() {
-                let (wire, _): (WireWatch, _) = postcard::take_from_bytes(rest)?;
+                let (wire, rest): (WireWatch, _) = postcard::take_from_bytes(rest)?;
                 self.status.region_watch_age_ms = wire.region_watch_age_ms;
                 self.status.is_watch_failing = wire.is_watch_failing;
+                if !rest.is_empty() {
+                    let wire: WireRanges = postcard::from_bytes(rest)?;
+                    self.services_range = wire.services;
+                    self.targets_range = wire.targets;
+                }
             }
         }
         Ok(())
--- a/crates/mesh/src/host_entry.rs
+++ b/crates/mesh/src/host_entry.rs
@@ -6,6 +6,8 @@
 use lw_base::prelude::*;
 use serde::{Deserialize, Serialize};
 
+use crate::datagrams::HashRange;
+use crate::heartbeat::ServiceUsage;
 use crate::host_status::HostStatus;
 
 /// The address of a host process.
@@ -41,8 +43,11 @@
     pub address: HostAddress,
     /// When the last heartbeat was received; `None` if the host is known only from the platform.
     pub last_heartbeat_at: Option<MonoMs>,
-    /// The status from the last heartbeat. Without one, it is the default with the listed capacity.
+    /// The status from the last heartbeat, without the usage of services. Without one, it is the default with the listed
+    /// capacity.
     pub status: HostStatus,
+    /// The usage of services, by their hash, with the time of its last report.
+    pub services: FastMap<u32, (MonoMs, ServiceUsage)>,
     /// When another host last heard from this one, if that is known.
     pub last_sighting_at: Option<MonoMs>,
     /// The host has said in an answer that it is leaving, or another host has heard so.
@@ -54,6 +59,22 @@
 }
 
 impl HostEntry {
+    /// Records the usage of the services of a range. Those that are not listed have none.
+    pub(crate) fn record_services(
+        &mut self,
+        now: MonoMs,
+        range: HashRange,
+        usages: &[ServiceUsage],
+    ) {
+        if range == HashRange::ALL {
+            self.services.clear();
+        } else {
+            self.services.retain(|service, _| !range.contains(*service));
+        }
+        let usages = usages.iter().map(|usage| (usage.service, (now, *usage)));
+        self.services.extend(usages);
+    }
+
     /// Returns when the host was last heard from, by this host or by another one.
     #[must_use]
     pub fn heard_at(&self) -> Option<MonoMs> {
--- a/crates/mesh/src/host_table.rs
+++ b/crates/mesh/src/host_table.rs
@@ -134,6 +134,7 @@
             address,
             last_heartbeat_at: None,
             status,
+            services: FastMap::default(),
             last_sighting_at: None,
             is_seen_leaving: false,
             is_listed: true,
@@ -174,10 +175,12 @@
         }
         let mut is_listed = false;
         let mut last_loan_sequence = 0;
-        if let Some(known) = self.hosts.get(&heartbeat.address.host) {
+        let mut services = FastMap::default();
+        if let Some(known) = self.hosts.get_mut(&heartbeat.address.host) {
             is_listed = known.is_listed;
             if known.address.started_ms == heartbeat.address.started_ms {
                 last_loan_sequence = known.last_loan_sequence;
+                services = std::mem::take(&mut known.services);
             }
             let is_earlier_process = heartbeat.address.started_ms < known.address.started_ms;
             let is_silent = known
@@ -187,15 +190,21 @@
                 return false;
             }
         }
-        let entry = HostEntry {
+        let status = HostStatus {
+            services: Vec::new(),
+            ..heartbeat.status.clone()
+        };
+        let mut entry = HostEntry {
             address: heartbeat.address.clone(),
             last_heartbeat_at: Some(now),
-            status: heartbeat.status.clone(),
+            status,
+            services,
             last_sighting_at: None,
             is_seen_leaving: false,
             is_listed,
             last_loan_sequence,
         };
+        entry.record_services(now, heartbeat.services_range, &heartbeat.status.services);
         if self.is_same_region(&entry) {
             self.watch_duty.record_heartbeat(now, &entry.status);
         }
@@ -590,9 +599,8 @@
         service: u32,
     ) -> impl Iterator<Item = (&HostEntry, MonoMs, ServiceUsage)> {
         self.ready(now).filter_map(move |entry| {
-            let mut usages = entry.status.services.iter();
-            let found = usages.find(|used| used.service == service)?;
-            Some((entry, entry.last_heartbeat_at?, *found))
+            let (at, usage) = entry.services.get(&service)?;
+            Some((entry, *at, *usage))
         })
     }
 
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod changed_keys;
 mod coverage;
+mod datagrams;
 mod earlier_state;
 mod forgotten_hosts;
 mod heartbeat;
@@ -22,6 +23,7 @@
 
 pub use changed_keys::ChangedKeys;
 pub use coverage::Coverage;
+pub use datagrams::{DividedHeartbeat, HashRange, MAX_DATAGRAM_BYTES};
 pub use earlier_state::{EarlierState, EarlierStateView};
 pub use forgotten_hosts::HELD_WITHOUT_CONTACT_MS;
 pub use heartbeat::{Heartbeat, HeartbeatError, PlacedPart, ServiceUsage, TargetUsage};
--- a/crates/mesh/tests/wire_bytes.rs
+++ b/crates/mesh/tests/wire_bytes.rs
@@ -7,9 +7,9 @@
 use bytes::Bytes;
 use lw_base::prelude::*;
 use lw_mesh::{
-    EarlierState, Heartbeat, HostAddress, HostStatus, Item, KeyChange, LimitLoan, LimitReport,
-    Listing, MirrorItem, MirrorUpdate, PlacedPart, ServiceUsage, Sighting, Stage, StateVersion,
-    StatementId, TargetUsage,
+    EarlierState, HashRange, Heartbeat, HostAddress, HostStatus, Item, KeyChange, LimitLoan,
+    LimitReport, Listing, MirrorItem, MirrorUpdate, PlacedPart, ServiceUsage, Sighting, Stage,
+    StateVersion, StatementId, TargetUsage,
 };
 use lw_quarantine::{CrashReport, PartReport, StreamReport};
 use test_case::test_case;
@@ -66,6 +66,8 @@
         loans: Vec::new(),
         loan_sequence: 0,
         streams: Vec::new(),
+        services_range: HashRange::ALL,
+        targets_range: HashRange::ALL,
     }
 }
 
@@ -321,3 +323,22 @@
         heartbeat
     );
 }
+
+#[test]
+fn bytes_of_ranges_are_stable() {
+    let mut heartbeat = heartbeat_with_report();
+    heartbeat.services_range = HashRange { first: 5, last: 6 };
+    let earlier_parts = [HEARTBEAT_READY, HEARTBEAT_TRAILER, HEARTBEAT_REPORTS].concat();
+    // No contact, no limits, no reports on streams and no watches.
+    let empty_parts = [255, 255, 3, 0, 0, 0, 0, 0, 255, 255, 3, 0];
+    let ranges = [5, 6, 0, 255, 255, 255, 255, 15];
+    let bytes = [earlier_parts.as_slice(), &empty_parts, &ranges].concat();
+    assert_eq!(
+        heartbeat.encode().expect("the heartbeat can be encoded"),
+        bytes
+    );
+    assert_eq!(
+        Heartbeat::decode(&bytes).expect("the fixture can be decoded"),
+        heartbeat
+    );
+}
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -102,6 +102,8 @@
     pub(crate) process_hash: u32,
     /// The number of heartbeats with loans that this host has sent.
     pub(crate) loan_sequence: Cell<u32>,
+    /// The number of heartbeats of several datagrams that were sent to each address; their datagrams take turns.
+    heartbeat_turns: RefCell<FastMap<Ipv4Addr, usize>>,
     /// Notified when other hosts should learn of a change without waiting for the next regular heartbeat.
     pub(crate) heartbeat_due: Rc<tokio::sync::Notify>,
     /// A fetch of the platform state from another host is under way.
@@ -184,6 +186,7 @@
             newcomers: RefCell::default(),
             process_hash,
             loan_sequence: Cell::default(),
+            heartbeat_turns: RefCell::default(),
             heartbeat_due: Rc::default(),
             is_fetching_mirror: Cell::default(),
             is_restart: Cell::default(),
@@ -343,6 +346,17 @@
         self.state_evidence.get().doubt(now, others)
     }
 
+    /// Returns the number of the next heartbeat of `datagrams` datagrams to an address, among those of several datagrams.
+    pub(crate) fn take_heartbeat_turn(&self, ip: Ipv4Addr, datagrams: usize) -> usize {
+        if datagrams == 1 {
+            return 0;
+        }
+        let mut turns = self.heartbeat_turns.borrow_mut();
+        let turn = turns.entry(ip).or_default();
+        *turn = turn.wrapping_add(1);
+        *turn
+    }
+
     /// Returns whether the process has just begun to run again after it had stood still, and has not noticed it yet.
     pub(crate) fn wakes(&self, now: MonoMs) -> bool {
         stood_still(now, self.ran_at.get())
--- a/crates/relay/src/peer_heartbeats.rs
+++ b/crates/relay/src/peer_heartbeats.rs
@@ -8,7 +8,7 @@
 use lw_base::prelude::*;
 use lw_base::stable_hash;
 use lw_mesh::{
-    Heartbeat, HeartbeatError, HostAddress, HostStatus, ServiceUsage, StateVersion, TargetUsage,
+    DividedHeartbeat, Heartbeat, HostAddress, HostStatus, ServiceUsage, StateVersion, TargetUsage,
 };
 use tokio::net::UdpSocket;
 
@@ -20,8 +20,6 @@
 /// How often a host sends a heartbeat. Load that is half a second old still distinguishes a busy engine from a free
 /// one, and a lost host is noticed within the time that callers cache an answer of the directory.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(LENDING_INTERVAL_MS);
-/// The largest datagram that passes unfragmented on common network paths.
-const MAX_DATAGRAM_BYTES: usize = 1_400;
 /// The answer length that the wait in heartbeats is computed for, in tokens: a short answer.
 const REPORTED_WAIT_OUTPUT_TOKENS: u64 = 60;
 /// The greatest age of the last contact with the platform that a heartbeat states, in milliseconds.
@@ -187,40 +185,46 @@
     if is_newcomer {
         host.tell_newcomer(heartbeat.address.ip);
     }
+    record_target_usages(host, now, &heartbeat);
+}
+
+/// Records the sender's usage of the targets of which the heartbeat states it, and the prompt parts that it has placed.
+fn record_target_usages(host: &Host, now: MonoMs, heartbeat: &Heartbeat) {
     let sender = stable_hash(heartbeat.address.host.as_bytes());
+    let reported: FastMap<u32, &TargetUsage> = heartbeat
+        .targets
+        .iter()
+        .map(|usage| (usage.target, usage))
+        .collect();
     let plan = host.plan();
-    for (service, targets) in plan.targets.iter().enumerate() {
-        let engine = plan.services[ServiceKey::from_index(service)].engine;
-        for target in targets {
-            let reported = heartbeat
-                .targets
-                .iter()
-                .find(|usage| usage.target == target.hash);
-            let mut load = target.load.borrow_mut();
-            // The sender has no requests left at a target that the heartbeat does not list.
-            let usage =
-                reported.map_or_else(HostTargetUsage::default, |reported| HostTargetUsage {
-                    running: u32::from(reported.running),
-                    backlog_ms: f64::from(reported.backlog_ms),
-                    prefill_share: f64::from(reported.prefill_permille) / 1_000.0,
-                    tokens: u64::from(reported.kilotokens) * 1_000,
-                });
-            load.record_remote_usage(now, sender, usage);
-            let Some(engine) = engine else {
-                continue;
-            };
-            for placed in heartbeat
-                .placed
-                .iter()
-                .filter(|part| part.target == target.hash)
-            {
-                let part = PromptPart {
-                    prefix_hash: placed.part,
-                    tokens: placed.tokens,
-                };
-                load.cache.record(now, part, engine.memory_tokens);
-            }
+    for target in plan.targets.iter().flatten() {
+        if !heartbeat.targets_range.contains(target.hash) {
+            continue;
         }
+        // The sender has no requests left at a target of the range that the heartbeat does not list.
+        let reported = reported.get(&target.hash);
+        let usage = reported.map_or_else(HostTargetUsage::default, |reported| HostTargetUsage {
+            running: u32::from(reported.running),
+            backlog_ms: f64::from(reported.backlog_ms),
+            prefill_share: f64::from(reported.prefill_permille) / 1_000.0,
+            tokens: u64::from(reported.kilotokens) * 1_000,
+        });
+        let mut load = target.load.borrow_mut();
+        load.record_remote_usage(now, sender, usage);
+    }
+    for placed in &heartbeat.placed {
+        let Some(target) = plan.target_with_hash(placed.target) else {
+            continue;
+        };
+        let Some(engine) = &plan.services[target.service].engine else {
+            continue;
+        };
+        let part = PromptPart {
+            prefix_hash: placed.part,
+            tokens: placed.tokens,
+        };
+        let mut load = target.load.borrow_mut();
+        load.cache.record(now, part, engine.memory_tokens);
     }
 }
 
@@ -245,53 +249,44 @@
     }
     let in_region = send_to_all(host, socket, &detailed, &same_region).await;
     let elsewhere = send_to_all(host, socket, &summary, &recipients.other_regions).await;
-    let reported = &summary.parts[..in_region.min(elsewhere)];
-    host.quarantine.borrow_mut().record_reported(reported);
+    if in_region && elsewhere {
+        let mut quarantine = host.quarantine.borrow_mut();
+        quarantine.record_reported(&summary.parts);
+    }
 }
 
-/// Sends a heartbeat. Returns the number of its reports on prompt parts and requests that the datagram had room for.
+/// Sends a heartbeat in as many datagrams as it needs. Returns false if it could not be encoded.
 async fn send_to_all(
     host: &Host,
     socket: &UdpSocket,
     heartbeat: &Heartbeat,
     to: &[Ipv4Addr],
-) -> usize {
-    let (bytes, reports) = match encode_to_fit(heartbeat) {
-        Ok((bytes, reports)) if bytes.len() <= MAX_DATAGRAM_BYTES => (bytes, reports),
-        Ok((bytes, _)) => {
-            log::warn!(bytes = bytes.len(); "a heartbeat exceeds the datagram size");
-            return 0;
+) -> bool {
+    let divided = match DividedHeartbeat::new(heartbeat) {
+        Ok(divided) => divided,
+        Err(error) => {
+            log::warn!(reason = error.to_string().as_str(); "a heartbeat could not be divided");
+            return false;
         }
+    };
+    let encoded: Result<Vec<Vec<u8>>, _> = divided.all().iter().map(Heartbeat::encode).collect();
+    let datagrams = match encoded {
+        Ok(datagrams) => datagrams,
         Err(error) => {
             log::warn!(reason = error.to_string().as_str(); "a heartbeat could not be encoded");
-            return 0;
+            return false;
         }
     };
     for ip in to {
-        let sent = socket.send_to(&bytes, (*ip, host.settings.peer_port)).await;
-        if let Err(error) = sent {
-            log::debug!(to = ip.to_string().as_str(), reason = error.to_string().as_str(); "sending a heartbeat failed");
-        }
-    }
-    reports
-}
-
-/// Encodes a heartbeat, with as many of its reports on prompt parts, requests and limits as the datagram has room for. Returns
-/// the bytes, and the number of its reports on parts and requests.
-fn encode_to_fit(heartbeat: &Heartbeat) -> Result<(Vec<u8>, usize), HeartbeatError> {
-    let mut bytes = heartbeat.encode()?;
-    let mut fitting = None;
-    while bytes.len() > MAX_DATAGRAM_BYTES {
-        let shorter: &mut Heartbeat = fitting.get_or_insert_with(|| heartbeat.clone());
-        if let Some(dropped) = shorter.parts.pop() {
-            shorter.streams.retain(|report| report.part != dropped.part);
-        } else if shorter.limits.pop().is_none() {
-            break;
+        let turn = host.take_heartbeat_turn(*ip, datagrams.len());
+        for index in divided.due(turn) {
+            let address = (*ip, host.settings.peer_port);
+            if let Err(error) = socket.send_to(&datagrams[index], address).await {
+                log::debug!(to = ip.to_string().as_str(), reason = error.to_string().as_str(); "sending a heartbeat failed");
+            }
         }
-        bytes = shorter.encode()?;
     }
-    let reports = fitting.as_ref().unwrap_or(heartbeat).parts.len();
-    Ok((bytes, reports))
+    true
 }
 
 fn build_heartbeat(host: &Host, now: MonoMs) -> Heartbeat {
