relay: don't copy the state of a health check to wait for one

Cause: a request that waits for the check of another one copied the target's whole warmth, which now has the times of its requests.

Change: it takes the notification alone.

--- a/crates/mesh/src/host_table.rs
+++ b/crates/mesh/src/host_table.rs
@@ -510,8 +510,8 @@
         self.watch_duty.answer_age_ms(now)
     }
 
-    /// Returns whether the local host has to watch the platform: it is one of the [`WATCHERS_PER_REGION`](crate::WATCHERS_PER_REGION) selected hosts,
-    /// or the platform does not answer the selected ones.
+    /// Returns whether the local host has to watch the platform: it is one of the selected hosts, or the platform does not
+    /// answer these.
     #[must_use]
     pub fn is_watcher(&self, now: MonoMs) -> bool {
         self.watch_duty.is_due(now, self.region_watch(now))
--- a/crates/relay/src/health_check.rs
+++ b/crates/relay/src/health_check.rs
@@ -60,6 +60,11 @@
         self.broken_at = now;
     }
 
+    /// Returns what is notified at the end of the check that is under way, if there is one.
+    fn pending_check_ended(&self) -> Option<Rc<Notify>> {
+        self.is_pending.then(|| self.ended.clone())
+    }
+
     /// Records the end of a check that began at `began_at`. A target that could not be reached has to be asked again.
     pub fn record_check(&mut self, began_at: MonoMs, now: MonoMs, result: CheckResult) {
         match result {
@@ -205,12 +210,12 @@
             let waited_ms = self.clock.now().since_ms(began_at);
             let limit = reason.time_limit();
             let limit = limit.saturating_sub(Duration::from_millis(waited_ms));
-            let warmth = load.borrow().warmth.clone();
-            if !warmth.is_pending {
+            let pending_check_ended = load.borrow().warmth.pending_check_ended();
+            let Some(pending_check_ended) = pending_check_ended else {
                 result = Some(self.run_check(chosen, path, limit, reason).await);
                 break;
-            }
-            let ended = tokio::time::timeout(limit, warmth.ended.notified()).await;
+            };
+            let ended = tokio::time::timeout(limit, pending_check_ended.notified()).await;
             // A check may allow fewer requests than have waited for it.
             let waits_again = reason == CheckReason::UnverifiedSends;
             if ended.is_err() || (!waits_again && needed_check().is_some()) {
