relay: a request without time left for a health check does not end the checks

Callers saw: nothing at once. After a burst of 200 requests to one target whose health answers take 20 ms, hosts asked it nothing for 2 s, so that it could be flooded if it turned cold then.

Cause: a check had the time that was left to its request after waiting for others. With none left it counted as unanswered, and a target that answers no check is used without checks for 2 s.

Change: a check has its whole time limit. A request that has waited for as long goes on without one, and nothing is recorded.

--- a/crates/relay/src/health_check.rs
+++ b/crates/relay/src/health_check.rs
@@ -219,15 +219,19 @@
         };
         let mut result = None;
         while let Some(reason) = needed_check() {
-            let waited_ms = self.clock.now().since_ms(began_at);
             let limit = reason.time_limit();
-            let limit = limit.saturating_sub(Duration::from_millis(waited_ms));
+            let waited = Duration::from_millis(self.clock.now().since_ms(began_at));
+            let Some(left) = limit.checked_sub(waited) else {
+                // Other requests wait for checks too; the target has answered those that were made.
+                result = Some(CheckResult::Unanswered);
+                break;
+            };
             let pending_check_ended = load.borrow().warmth.pending_check_ended();
             let Some(pending_check_ended) = pending_check_ended else {
-                result = Some(self.run_check(chosen, path, limit, reason).await);
+                result = Some(self.run_check(chosen, path, reason).await);
                 break;
             };
-            let ended = tokio::time::timeout(limit, pending_check_ended.notified()).await;
+            let ended = tokio::time::timeout(left, pending_check_ended.notified()).await;
             // A check may allow fewer requests than have waited for it.
             let waits_again = reason == CheckReason::UnverifiedSends;
             if ended.is_err() || (!waits_again && needed_check().is_some()) {
@@ -260,15 +264,15 @@
         &self,
         chosen: &ChosenTarget,
         path: &str,
-        limit: Duration,
         reason: CheckReason,
     ) -> CheckResult {
         let load = &chosen.target.load;
         load.borrow_mut().warmth.is_pending = true;
         let pending = PendingCheck(load.clone());
         let began_at = self.clock.now();
-        let answer = tokio::time::timeout(limit, self.ask_health(&chosen.target, path));
-        let result = answer.await.unwrap_or(CheckResult::Unanswered);
+        let answer = self.ask_health(&chosen.target, path);
+        let answer = tokio::time::timeout(reason.time_limit(), answer).await;
+        let result = answer.unwrap_or(CheckResult::Unanswered);
         let now = self.clock.now();
         let mut state = load.borrow_mut();
         state.warmth.record_check(began_at, now, result);
--- a/crates/relay/tests/gateway/warming_target.rs
+++ b/crates/relay/tests/gateway/warming_target.rs
@@ -20,6 +20,8 @@
 pub(crate) enum Health {
     /// Whether it is cold, at once.
     Told,
+    /// The same, after this time.
+    ToldAfter(Duration),
     /// A rejection, because all its slots are taken.
     Rejected,
     /// Nothing.
@@ -102,6 +104,9 @@
             let answer = match is_health_check {
                 true => {
                     self.health_checks.set(self.health_checks.get() + 1);
+                    if let Health::ToldAfter(delay) = self.options.health {
+                        tokio::time::sleep(delay).await;
+                    }
                     self.health_answer()
                 }
                 false => {
@@ -123,7 +128,7 @@
             false => "",
         };
         match self.options.health {
-            Health::Told => {
+            Health::Told | Health::ToldAfter(_) => {
                 format!("HTTP/1.1 200 OK\r\nx-instance: t0\r\n{cold}content-length: 0\r\n\r\n")
             }
             Health::Rejected => {
--- a/crates/relay/tests/gateway/warmth.rs
+++ b/crates/relay/tests/gateway/warmth.rs
@@ -339,3 +339,42 @@
         assert!(checks <= case.max_checks * REQUESTS as f64, "{checks}");
     });
 }
+
+/// Guards against a burst whose last requests have no time left for a check, so that the target counts as one that answers
+/// none, and is not asked any more.
+#[test]
+fn a_burst_does_not_end_the_checks() {
+    const BURST: usize = 200;
+    on_one_thread(async {
+        let target = WarmingTarget::start(TargetOptions {
+            health: Health::ToldAfter(Duration::from_millis(20)),
+            ..STAYS_WARM
+        })
+        .await;
+        let host = start_host_in(
+            "north",
+            unique_loopback_address(),
+            Vec::new(),
+            plan_with(&target),
+        )
+        .await;
+        host.record_watch_answer();
+        let address = host.settings.caller_address;
+        let burst: Vec<_> = (0..BURST)
+            .map(|index| {
+                tokio::task::spawn_local(async move {
+                    call(address, &request(&format!("b{index}"))).await
+                })
+            })
+            .collect();
+        for answer in burst {
+            answer.await.expect("a caller that ends");
+        }
+        let checks = target.health_checks.get();
+        for index in 0..BURST {
+            host.record_watch_answer();
+            call(address, &request(&format!("a{index}"))).await;
+        }
+        assert!(target.health_checks.get() > checks, "{checks} checks");
+    });
+}
