--- a/crates/mesh/src/watch_duty.rs
+++ b/crates/mesh/src/watch_duty.rs
@@ -1,6 +1,6 @@
 //! Decides which hosts of a region watch the platform, and when their watches end.
 //!
-//! A few selected hosts watch, and the others get changes from them. The platform may stop to answer exactly these hosts,
+//! A few selected hosts watch, and the others get changes from them. The platform may stop answering exactly these hosts,
 //! while the others have contact with it by other calls. So a host that gets no answer to a watch reports this, and the
 //! hosts of a region pass on when any of them last had an answer to a watch. When that is too long ago, further hosts
 //! watch.
@@ -103,7 +103,7 @@
 
     /// Returns whether the local host has to watch.
     ///
-    /// Load: the platform stops to answer the hosts of a region that watch, by refusals or by silence, while it answers the
+    /// Load: the platform stops answering the hosts of a region that watch, by refusals or by silence, while it answers the
     /// others; then those that replace them. If it answers none of them, the number of hosts that go on trying stays small.
     pub(crate) fn is_due(&self, now: MonoMs, region: RegionWatch) -> bool {
         if region.rank < WATCHERS_PER_REGION {
