mesh, relay: usual terms in two comments

Cause: comments on watches and heartbeats used figurative words.

Change: comments only, one of them in a test.

Measured: lw_mesh checks and the formatter is clean; nothing else was run again.

--- a/crates/mesh/src/watch_duty.rs
+++ b/crates/mesh/src/watch_duty.rs
@@ -130,7 +130,7 @@
 /// ended without a change.
 ///
 /// A change ends the waits of all watchers at the same moment, so their next ones differ by rank. Without a change, the
-/// first host sets the pace, and the waits of the others end at fixed offsets from its own.
+/// waits of the other watchers end at fixed offsets from those of the first one.
 pub(crate) fn watch_wait_ms(region: RegionWatch, has_waited: bool) -> u64 {
     if region.hosts <= WATCHERS_PER_REGION {
         return UNSHARED_WAIT_MS;
--- a/crates/relay/tests/gateway/warmth.rs
+++ b/crates/relay/tests/gateway/warmth.rs
@@ -30,7 +30,7 @@
     Hosts,
     /// They hear one another, and the platform answers.
     HostsAndPlatform,
-    /// They hear one another, and the platform answers. It falls silent just before the target turns cold.
+    /// They receive heartbeats of one another, and the platform answers. It falls silent just before the target turns cold.
     PlatformFallsSilent,
     /// They hear one another, and the platform answers again from [`RETURN_AT`] on. It does not know yet that the target
     /// has turned cold.
