relay: a forwarded request carries the version and the service of its decision

Cause: the host that gets a forwarded request looked its route up in its own configuration, which may be older than that of the sender, and drew the service once more. Neither the version nor the service travelled with the request.

Class: two hosts decide on one request, the second one by an older state.

Change: a header between hosts states version, service and address of the sender. A host that is behind fetches the state from the sender and waits for it, for up to 1 s and half of the remaining time; if it stays behind, it refuses the request as not run, also where its older configuration has no route. A host that is as new or newer keeps the service while its route uses it. Hosts of earlier versions send no decision and are handled as before.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -18,11 +18,12 @@
 use crate::answer::OpenAnswer;
 use crate::choose::ChosenTarget;
 use crate::connection::{Connection, connect};
+use crate::forwarded_decision::ForwardedDecision;
 use crate::head_verdict::{HeadFacts, HeadVerdict, classify_head, holds_status_line};
 use crate::headers::{
-    CLOSED_MS, LEAVING_HOST, LEAVING_TARGET, LOCAL_OUTCOME, QUARANTINED_PART, REMAINING_MS,
-    SAME_REGION, TRIED_TARGETS, forwarded_answer_headers, header_text, header_value, is_encoded,
-    is_framed, keep_alive_ms,
+    CLOSED_MS, DECISION, LEAVING_HOST, LEAVING_TARGET, LOCAL_OUTCOME, QUARANTINED_PART,
+    REMAINING_MS, SAME_REGION, TRIED_TARGETS, forwarded_answer_headers, header_text, header_value,
+    is_encoded, is_framed, keep_alive_ms,
 };
 use crate::health_check::CheckResult;
 use crate::host::Host;
@@ -224,6 +225,12 @@
             false => CROSS_REGION_CONNECT_TIMEOUT,
         };
         headers.remove(&self.names.remaining_ms);
+        let decision = ForwardedDecision {
+            version: incoming.version,
+            service: incoming.service_hash,
+            host: self.settings.ip,
+        };
+        headers.insert(DECISION, header_value(decision));
         let key = (address, 0);
         let peer = AttemptPeer {
             key,
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -8,13 +8,15 @@
 use http::request;
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use hyper::body::Incoming as HyperBody;
+use lw_base::prelude::*;
 use lw_mesh::Stage;
 use lw_quarantine::PartKey;
 use rand::Rng;
 
 use crate::exchange::Exchange;
+use crate::forwarded_decision::{ForwardedDecision, ForwardedDecisionError};
 use crate::headers::{
-    LEAVING_HOST, MIRROR_AS_OF, REMAINING_MS, SAME_REGION, TRIED_TARGETS,
+    DECISION, LEAVING_HOST, MIRROR_AS_OF, REMAINING_MS, SAME_REGION, TRIED_TARGETS,
     forwarded_request_headers, header_text, header_value, size_bytes,
 };
 use crate::host::Host;
@@ -22,6 +24,7 @@
 use crate::local_reply::LocalReply;
 use crate::names::HeaderNames;
 use crate::open_requests::{OpenRequestKey, RequestPhase};
+use crate::peer_mirror;
 use crate::plan::Plan;
 use crate::prompt::Prompt;
 use crate::reply::Reply;
@@ -35,6 +38,12 @@
 /// The retry delay for callers of a host that has no configuration yet, in milliseconds.
 const NO_PLAN_RETRY_MS: u64 = 500;
 
+/// The longest time for which a forwarded request waits until this host has the configuration of its sender, in
+/// milliseconds: a few round trips between regions.
+const MAX_CATCH_UP_MS: u64 = 1_000;
+/// How often a request that waits for a configuration checks whether another fetch is due.
+const CATCH_UP_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Counts a request as in flight until its answer was sent completely.
 pub(crate) struct RequestGuard {
     host: Rc<Host>,
@@ -75,7 +84,7 @@
     key: OpenRequestKey,
 ) -> Reply {
     if kind == ListenerKind::Peers && request.headers().contains_key(MIRROR_AS_OF) {
-        return crate::peer_mirror::update_reply(&host, request.headers());
+        return peer_mirror::update_reply(&host, request.headers());
     }
     let serve = async {
         let (head, body) = request.into_parts();
@@ -109,7 +118,7 @@
     key: OpenRequestKey,
 ) -> Result<Incoming, (String, LocalReply)> {
     let received_at = host.clock.now();
-    let plan = wait_for_plan(host).await;
+    let mut plan = wait_for_plan(host).await;
     let id = header_text(&head.headers, &host.names.attempt_id).unwrap_or("-");
     let id: Arc<str> = id.into();
     let reject = |reply: LocalReply| (id.to_string(), reply);
@@ -119,11 +128,28 @@
         _ => Hop::Caller,
     };
     let is_from_host = hop != Hop::Caller;
-    let (route, path) = find_route(&plan, &head).map_err(reject)?;
     let remaining_ms = match is_from_host {
         true => header_number(&head.headers, &REMAINING_MS),
         false => header_number(&head.headers, &host.names.remaining_ms),
     };
+    let decision = match is_from_host {
+        true => forwarded_decision(&head.headers),
+        false => None,
+    };
+    if let Some(decision) = decision.filter(|decision| decision.is_newer_than(&plan)) {
+        let timeout_ms = remaining_ms.map_or(MAX_CATCH_UP_MS, |left_ms| left_ms / 2);
+        let until = received_at.plus_ms(timeout_ms.min(MAX_CATCH_UP_MS));
+        plan = catch_up(host, decision, until).await;
+    }
+    let is_behind = decision.is_some_and(|decision| decision.is_newer_than(&plan));
+    if is_behind {
+        log::info!(id = &*id, version = plan.version; "refusing a request because its sender has a newer configuration");
+    }
+    let behind = || LocalReply::not_run("the host has an older configuration", NO_PLAN_RETRY_MS);
+    let (route, path) = match find_route(&plan, &head) {
+        Err(_) if is_behind => return Err(reject(behind())),
+        found => found.map_err(reject)?,
+    };
     let max_runs = match is_from_host {
         // The host that received the request from the caller counts the runs, so this one makes at most one.
         true => 1,
@@ -160,8 +186,12 @@
         let reason = "the host stops and may not complete the request";
         return Err(reject(LocalReply::not_run(reason, 0)));
     }
+    if is_behind {
+        return Err(reject(behind()));
+    }
     let draw = rand::rng().random_range(0.0..1.0);
-    let Some(service) = route.service(draw) else {
+    let decided = decision.and_then(|decision| decision.service(&plan, &route));
+    let Some(service) = decided.or_else(|| route.service(draw)) else {
         let reply = LocalReply::not_run("the route has no service", NO_PLAN_RETRY_MS);
         return Err(reject(reply));
     };
@@ -185,6 +215,7 @@
         route,
         version: plan.version,
         service: plan.services[service].name.clone(),
+        service_hash: plan.services[service].hash,
     })
 }
 
@@ -202,6 +233,36 @@
     }
 }
 
+/// Returns the decision of the host that forwarded a request, or `None` if it has stated none.
+fn forwarded_decision(headers: &HeaderMap) -> Option<ForwardedDecision> {
+    let text = header_text(headers, &DECISION)?;
+    match text.parse() {
+        Ok(decision) => Some(decision),
+        Err(error) => {
+            let error: ForwardedDecisionError = error;
+            log::warn!(value = text, reason = error.to_string().as_str(); "ignored an invalid decision of another host");
+            None
+        }
+    }
+}
+
+/// Fetches the platform state from the host that has forwarded a request, and returns the plan once it is as new as the
+/// decision of that host, or the current plan at `until`.
+async fn catch_up(host: &Rc<Host>, decision: ForwardedDecision, until: MonoMs) -> Rc<Plan> {
+    loop {
+        let changed = host.capacity_changed.notified();
+        let plan = host.plan();
+        let now = host.clock.now();
+        if !decision.is_newer_than(&plan) || until <= now {
+            return plan;
+        }
+        peer_mirror::fetch_for_decision(host, now, decision.host);
+        let wait = Duration::from_millis(until.since_ms(now)).min(CATCH_UP_POLL_INTERVAL);
+        // The loop checks the plan after a timeout, too.
+        let _ = tokio::time::timeout(wait, changed).await;
+    }
+}
+
 /// Checks a request head against the limits and finds its route.
 fn find_route(plan: &Plan, head: &request::Parts) -> Result<(Arc<Route>, Arc<str>), LocalReply> {
     if plan.version == 0 {
--- a/crates/relay/src/headers.rs
+++ b/crates/relay/src/headers.rs
@@ -19,6 +19,8 @@
 pub(crate) const SAME_REGION: HeaderName = HeaderName::from_static("x-relay-near");
 /// The hashes of the targets on which the request was already tried, so that another host does not try them again.
 pub(crate) const TRIED_TARGETS: HeaderName = HeaderName::from_static("x-relay-tried");
+/// The version and the service by which the sender of a forwarded request has decided.
+pub(crate) const DECISION: HeaderName = HeaderName::from_static("x-relay-decision");
 /// The outcome of a request that a host answered itself.
 pub(crate) const LOCAL_OUTCOME: HeaderName = HeaderName::from_static("x-relay-end");
 /// Requests a host's copy of the platform state, with the version that the sender already has.
@@ -55,10 +57,11 @@
 ];
 
 /// Headers of the protocol between hosts; they are removed from requests of callers.
-const PEER_HEADERS: [HeaderName; 9] = [
+const PEER_HEADERS: [HeaderName; 10] = [
     REMAINING_MS,
     SAME_REGION,
     TRIED_TARGETS,
+    DECISION,
     LOCAL_OUTCOME,
     MIRROR_AS_OF,
     LEAVING_TARGET,
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -108,6 +108,8 @@
     pub(crate) heartbeat_due: Rc<tokio::sync::Notify>,
     /// A fetch of the platform state from another host is under way.
     pub(crate) is_fetching_mirror: Cell<bool>,
+    /// When this host last fetched the platform state for a request with a newer decision.
+    pub(crate) caught_up_at: Cell<Option<MonoMs>>,
     /// The platform listed an earlier process of this host when this one started.
     pub(crate) is_restart: Cell<bool>,
     /// What shows that the mirror is current.
@@ -189,6 +191,7 @@
             heartbeat_turns: RefCell::default(),
             heartbeat_due: Rc::default(),
             is_fetching_mirror: Cell::default(),
+            caught_up_at: Cell::default(),
             is_restart: Cell::default(),
             state_evidence: Cell::new(StateEvidence::new(clock.now())),
             ran_at: Cell::default(),
--- a/crates/relay/src/incoming.rs
+++ b/crates/relay/src/incoming.rs
@@ -48,11 +48,13 @@
     pub(crate) max_runs: u32,
     /// The route at the time of arrival; its limits apply until the request ends.
     pub(crate) route: Arc<Route>,
-    /// The version of the configuration at the time of arrival, for logs.
+    /// The version of the configuration at the time of arrival.
     pub(crate) version: u64,
     /// The name of the service that was drawn on arrival. It is a name and not a key, because keys are valid for one
     /// plan only and the plan may change while the request is in flight.
     pub(crate) service: Arc<str>,
+    /// The hash of the service.
+    pub(crate) service_hash: u32,
     pub(crate) prompt: Prompt,
     /// The same for each copy of the request, at any host.
     pub(crate) request_key: PartKey,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -22,6 +22,7 @@
 mod event_relay;
 mod exchange;
 mod forward;
+mod forwarded_decision;
 mod head_timer;
 mod head_verdict;
 mod headers;
--- a/crates/relay/src/peer_mirror.rs
+++ b/crates/relay/src/peer_mirror.rs
@@ -1,11 +1,12 @@
 //! Transfers the platform state between hosts.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
+use lw_base::prelude::*;
 use lw_mesh::{MirrorUpdate, StateVersion};
 
 use crate::connection::connect;
@@ -17,6 +18,8 @@
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The connect timeout between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// The least time between two fetches for forwarded requests, in milliseconds.
+const DECISION_FETCH_INTERVAL_MS: u64 = 200;
 /// The largest update that is accepted.
 const MAX_UPDATE_BYTES: usize = 32 * 1024 * 1024;
 
@@ -74,6 +77,23 @@
     }
 }
 
+/// Starts to fetch the platform state from a host that has forwarded a request with a newer decision, unless such a fetch
+/// was started a short time ago.
+pub(crate) fn fetch_for_decision(host: &Rc<Host>, now: MonoMs, from: Ipv4Addr) {
+    let last = host.caught_up_at.get();
+    if last.is_some_and(|at| now.since_ms(at) < DECISION_FETCH_INTERVAL_MS) {
+        return;
+    }
+    host.caught_up_at.set(Some(now));
+    let mirror = host.mirror.borrow();
+    let known = match mirror.lacks_earlier_states() {
+        true => StateVersion::default(),
+        false => mirror.as_of(),
+    };
+    let address = SocketAddr::from((from, host.settings.peer_port));
+    tokio::task::spawn_local(fetch(host.clone(), address, known));
+}
+
 fn apply_update(host: &Host, update: MirrorUpdate) {
     let before = host.mirror.borrow().as_of();
     let changed = host.update_mirror(|mirror, now| mirror.apply_update(now, update));
--- a/crates/relay/tests/gateway/main.rs
+++ b/crates/relay/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod endless_bytes;
 mod engine_fleet;
 mod failing_target;
+mod forwarded_decisions;
 mod header_timeout;
 mod limited_targets;
 mod limiting_fleet;
--- a/crates/relay/tests/gateway/support.rs
+++ b/crates/relay/tests/gateway/support.rs
@@ -10,8 +10,8 @@
 use lw_base::prelude::*;
 use lw_relay::{
     AnswerForm, Bounds, CallerLimits, EngineCapacity, HeaderNames, Host, HostParts, HostSettings,
-    ListenerKind, PathSet, Plan, Route, RouteTable, RunPolicy, Service, Target, TargetLoad,
-    WeightedService, serve,
+    ListenerKind, OnChanged, PathSet, Plan, Route, RouteTable, RunPolicy, Service, Target,
+    TargetLoad, WeightedService, serve,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -280,6 +280,15 @@
 
 /// Starts a host with its settings.
 pub(crate) async fn start_host_with(settings: HostSettings, plan: Plan) -> Rc<Host> {
+    start_host_with_changes(settings, plan, Box::new(|_, _| ())).await
+}
+
+/// Starts a host that calls `on_changed` when its copy of the platform state changes.
+pub(crate) async fn start_host_with_changes(
+    settings: HostSettings,
+    plan: Plan,
+    on_changed: OnChanged,
+) -> Rc<Host> {
     let peer_address = SocketAddr::from((settings.ip, settings.peer_port));
     let name = HeaderName::from_static;
     let host = Rc::new(Host::new(HostParts {
@@ -307,7 +316,7 @@
             directory: "/entry",
         },
         started_ms: 1,
-        on_changed: Box::new(|_, _| ()),
+        on_changed,
         holds_earlier_state: Box::new(|_| false),
     }));
     for (address, kind) in [
