relay: a host whose watch fails fetches a newer state at once

Cause: a host that watches the store gave its own watch time to deliver a version that a heartbeat had named, counted in heartbeats of its own: it fetched the state 400 to 800 ms later, also when its watch was known to fail.

Class: a host waits for a source that is known to fail, while another one has what it needs.

Change: a host whose watch fails fetches the state when it receives the heartbeat. Others give their watch 100 ms for the version that the heartbeat named, and fetch it then if they still lack it. The time counts for one version, so a host that follows continuous changes does not fetch what its watch delivers.

Evidence: a_host_gets_the_configuration_of_the_hosts_that_it_forwards_to failed before in both cases (250 ms are allowed).

--- a/crates/relay/src/peer_heartbeats.rs
+++ b/crates/relay/src/peer_heartbeats.rs
@@ -32,7 +32,15 @@
 const MAX_QUEUED_DATAGRAMS: usize = 4_096;
 /// How long a host that learns of a newer platform state waits for its own watch before it fetches the state from
 /// another host, in milliseconds.
-const OWN_WATCH_GRACE_MS: u64 = 250;
+const OWN_WATCH_GRACE_MS: u64 = 100;
+
+/// A version of the platform state that another host has and this one lacks.
+#[derive(Clone, Copy, Debug)]
+struct MissingState {
+    version: StateVersion,
+    /// When this host learned of the version.
+    known_at: MonoMs,
+}
 
 /// Sends and receives heartbeats until the process ends.
 ///
@@ -51,7 +59,7 @@
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut stop = host.stop.subscribe();
     let mut bytes = [0; 2_048];
-    let mut behind_since: Option<MonoMs> = None;
+    let mut missing: Option<MissingState> = None;
     let mut last_change_sent_at = host.clock.now();
     let mut is_waking = false;
     host.ran_at.set(Some(host.clock.now()));
@@ -67,9 +75,7 @@
                 }
                 Ok((length, from)) => {
                     receive(&host, &bytes[..length], from.ip());
-                    if !host.hosts.borrow().is_watcher(host.clock.now()) {
-                        behind_since = fetch_if_behind(&host, behind_since);
-                    }
+                    missing = fetch_if_behind(&host, missing);
                 }
                 Err(error) => log::debug!(reason = error.to_string().as_str(); "receiving a heartbeat failed"),
             },
@@ -82,7 +88,7 @@
                 host.update_coverage();
                 host.log_state_doubt();
                 send_heartbeats(&host, &socket).await;
-                behind_since = fetch_if_behind(&host, behind_since);
+                missing = fetch_if_behind(&host, missing);
             }
             () = host.heartbeat_due.notified() => {
                 let now = host.clock.now();
@@ -130,30 +136,57 @@
 
 /// Fetches the platform state from a host that has a newer one, after this host's own watch had time to deliver it.
 ///
-/// Returns the time since which this host is behind, or `None` when it is up to date.
-fn fetch_if_behind(host: &Rc<Host>, behind_since: Option<MonoMs>) -> Option<MonoMs> {
+/// Returns the version that this host lacks, or `None` when it is up to date.
+fn fetch_if_behind(host: &Rc<Host>, missing: Option<MissingState>) -> Option<MissingState> {
     let now = host.clock.now();
     let mirror = host.mirror.borrow();
     let as_of = mirror.as_of();
     let hosts = host.hosts.borrow();
-    let (source, known) = match hosts.host_with_newer_state(now, as_of) {
-        Some(newer_host) => (newer_host, as_of),
-        None if mirror.lacks_earlier_states() => {
-            let holding_host = hosts.host_with_earlier_states(now, as_of.era)?;
-            (holding_host, StateVersion::default())
+    let Some(newer_host) = hosts.host_with_newer_state(now, as_of) else {
+        if mirror.lacks_earlier_states()
+            && let Some(holding_host) = hosts.host_with_earlier_states(now, as_of.era)
+        {
+            start_fetch(host, holding_host.address.ip, StateVersion::default());
         }
-        None => return None,
+        return None;
     };
-    let since = behind_since.unwrap_or(now);
-    let grace_ms = match host.hosts.borrow().is_watcher(now) {
+    let still_missing = missing.filter(|missing| as_of < missing.version);
+    let missing = still_missing.unwrap_or(MissingState {
+        version: newer_host.status.as_of,
+        known_at: now,
+    });
+    let is_own_watch_due = hosts.is_watcher(now) && !hosts.is_watch_failing(now);
+    let grace_ms = match is_own_watch_due {
         true => OWN_WATCH_GRACE_MS,
         false => 0,
     };
-    if now.since_ms(since) >= grace_ms && !host.is_fetching_mirror.replace(true) {
-        let address = SocketAddr::from((source.address.ip, host.settings.peer_port));
+    if now.since_ms(missing.known_at) >= grace_ms {
+        start_fetch(host, newer_host.address.ip, as_of);
+    } else if still_missing.is_none() {
+        tokio::task::spawn_local(fetch_after_grace(host.clone(), missing));
+    }
+    Some(missing)
+}
+
+/// Fetches a version of the platform state if this host's own watch has not delivered it in time.
+async fn fetch_after_grace(host: Rc<Host>, missing: MissingState) {
+    tokio::time::sleep(Duration::from_millis(OWN_WATCH_GRACE_MS)).await;
+    let as_of = host.mirror.borrow().as_of();
+    if as_of >= missing.version {
+        return;
+    }
+    let hosts = host.hosts.borrow();
+    if let Some(newer_host) = hosts.host_with_newer_state(host.clock.now(), as_of) {
+        start_fetch(&host, newer_host.address.ip, as_of);
+    }
+}
+
+/// Starts to fetch the changes after `known` from another host, unless a fetch is under way.
+fn start_fetch(host: &Rc<Host>, from: Ipv4Addr, known: StateVersion) {
+    if !host.is_fetching_mirror.replace(true) {
+        let address = SocketAddr::from((from, host.settings.peer_port));
         tokio::task::spawn_local(crate::peer_mirror::fetch(host.clone(), address, known));
     }
-    Some(since)
 }
 
 fn receive(host: &Rc<Host>, bytes: &[u8], from: IpAddr) {
--- a/crates/relay/tests/gateway/forwarded_decisions.rs
+++ b/crates/relay/tests/gateway/forwarded_decisions.rs
@@ -1,13 +1,14 @@
 //! Requests that are forwarded between hosts with different versions of the configuration.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use lw_base::prelude::*;
 use lw_mesh::{Item, Listing, ServiceUsage, StateVersion};
-use lw_relay::{Host, Plan, Route, RouteTable, WeightedService};
+use lw_relay::{Host, Plan, Route, RouteTable, WeightedService, run_heartbeats};
 use test_case::test_case;
 
+use crate::run_delay::RunDelays;
 use crate::support::*;
 
 /// The key of the configuration's version in the platform state.
@@ -255,3 +256,40 @@
         );
     });
 }
+
+/// A host may act on an older version for this long after the effect of a newer one was seen.
+const MAX_REGRESSION: Duration = Duration::from_millis(250);
+/// After this time a test gives up waiting.
+const TEST_TIMEOUT: Duration = Duration::from_secs(10);
+
+// Guards against a host that keeps an older configuration than the hosts that it forwards requests to, because it waits for its
+// own watch of the platform.
+#[test_case(true; "its watches are refused")]
+#[test_case(false; "its watches are not answered")]
+fn a_host_gets_the_configuration_of_the_hosts_that_it_forwards_to(is_refused: bool) {
+    on_one_thread(async {
+        let delays = RunDelays::start();
+        let first = start_following_host(plan_at(1, None), None).await;
+        let second = start_following_host(plan_at(1, None), None).await;
+        for (host, other) in [(&first, &second), (&second, &first)] {
+            record_free_slots(host, other);
+            write_version(host, 1);
+            run_heartbeats(host.clone()).await.expect("a free port");
+        }
+        for version in [MOVED, MOVED + 1, MOVED + 2] {
+            // Not a multiple of the interval of heartbeats.
+            tokio::time::sleep(Duration::from_millis(930)).await;
+            if is_refused {
+                first.record_watch_failure();
+            }
+            write_version(&second, version);
+            let written_at = Instant::now();
+            while first.plan().version < version {
+                assert!(written_at.elapsed() < TEST_TIMEOUT, "version {version}");
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            let took = delays.undelayed_since(written_at).await;
+            assert!(took < MAX_REGRESSION, "version {version}: {took:?}");
+        }
+    });
+}
