relay: a host announces its state to senders with an older configuration

Cause: hosts learn of a newer state from heartbeats, and in a large region or between regions these reach some hosts only, in turn. The host that got the request knew that the sender was behind and did not say so.

Class: a host decides by a newer state than another one, which has seen the effect.

Only hosts that state a decision get it, so earlier versions never receive one.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -141,6 +141,12 @@
         let until = received_at.plus_ms(timeout_ms.min(MAX_CATCH_UP_MS));
         plan = catch_up(host, decision, until).await;
     }
+    if let Some(decision) = decision.filter(|decision| decision.version < plan.version) {
+        let mut announcements = host.state_announcements.borrow_mut();
+        if announcements.request(host.clock.now(), decision.host) {
+            host.announcement_due.notify_one();
+        }
+    }
     let is_behind = decision.is_some_and(|decision| decision.is_newer_than(&plan));
     if is_behind {
         log::info!(id = &*id, version = plan.version; "refusing a request because its sender has a newer configuration");
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -28,6 +28,7 @@
 use crate::service_timings::ServiceTimings;
 use crate::settings::{Bounds, HostSettings, budget_bytes};
 use crate::spill::RecentSpills;
+use crate::state_announcements::StateAnnouncements;
 use crate::stop::{PlannedStop, StopStep, ends_in_time, takes_request};
 use crate::suspension::stood_still;
 use crate::target::Target;
@@ -108,6 +109,10 @@
     pub(crate) heartbeat_due: Rc<tokio::sync::Notify>,
     /// A fetch of the platform state from another host is under way.
     pub(crate) is_fetching_mirror: Cell<bool>,
+    /// Hosts with an older configuration that are informed of this host's state.
+    pub(crate) state_announcements: RefCell<StateAnnouncements>,
+    /// Notified when such an announcement is due.
+    pub(crate) announcement_due: tokio::sync::Notify,
     /// When this host last fetched the platform state for a request with a newer decision.
     pub(crate) caught_up_at: Cell<Option<MonoMs>>,
     /// The platform listed an earlier process of this host when this one started.
@@ -191,6 +196,8 @@
             heartbeat_turns: RefCell::default(),
             heartbeat_due: Rc::default(),
             is_fetching_mirror: Cell::default(),
+            state_announcements: RefCell::default(),
+            announcement_due: tokio::sync::Notify::default(),
             caught_up_at: Cell::default(),
             is_restart: Cell::default(),
             state_evidence: Cell::new(StateEvidence::new(clock.now())),
--- a/crates/relay/src/peer_heartbeats.rs
+++ b/crates/relay/src/peer_heartbeats.rs
@@ -8,7 +8,8 @@
 use lw_base::prelude::*;
 use lw_base::stable_hash;
 use lw_mesh::{
-    DividedHeartbeat, Heartbeat, HostAddress, HostStatus, ServiceUsage, StateVersion, TargetUsage,
+    DividedHeartbeat, HashRange, Heartbeat, HostAddress, HostStatus, ServiceUsage, StateVersion,
+    TargetUsage,
 };
 use tokio::net::UdpSocket;
 
@@ -97,6 +98,7 @@
                     send_heartbeats(&host, &socket).await;
                 }
             }
+            () = host.announcement_due.notified() => announce_state(&host, &socket).await,
             changed = stop.changed() => {
                 if changed.is_ok() {
                     send_heartbeats(&host, &socket).await;
@@ -266,7 +268,7 @@
     host.hosts.borrow_mut().prune(now);
     let recipients = host.hosts.borrow_mut().recipients();
     host.review_quarantine(now);
-    let mut summary = build_heartbeat(host, now);
+    let mut summary = build_heartbeat(host, now, service_usages(host, now));
     summary.parts = host.quarantine.borrow().reports(now);
     summary.streams = host.quarantine.borrow().stream_reports(now);
     let mut detailed = summary.clone();
@@ -288,6 +290,17 @@
     }
 }
 
+/// Sends the version of this host's state to the hosts that have an older one. Nothing is stated of targets and services, so
+/// that what the hosts know of them remains.
+async fn announce_state(host: &Host, socket: &UdpSocket) {
+    let mut heartbeat = build_heartbeat(host, host.clock.now(), Vec::new());
+    heartbeat.services_range = HashRange::NONE;
+    heartbeat.targets_range = HashRange::NONE;
+    let to = host.state_announcements.borrow_mut().take();
+    log::debug!(hosts = to.len(); "announcing the state to hosts with an older configuration");
+    send_to_all(host, socket, &heartbeat, &to).await;
+}
+
 /// Sends a heartbeat in as many datagrams as it needs. Returns false if it could not be encoded.
 async fn send_to_all(
     host: &Host,
@@ -322,7 +335,7 @@
     true
 }
 
-fn build_heartbeat(host: &Host, now: MonoMs) -> Heartbeat {
+fn build_heartbeat(host: &Host, now: MonoMs, services: Vec<ServiceUsage>) -> Heartbeat {
     Heartbeat::new(
         HostAddress {
             host: host.settings.host.clone(),
@@ -342,7 +355,7 @@
             is_watch_failing: host.hosts.borrow().is_watch_failing(now),
             has_platform_returned: host.state_evidence.get().has_platform_returned(now),
             capacity_permille: host.settings.capacity_permille,
-            services: service_usages(host, now),
+            services,
             earlier_states: u16::try_from(host.mirror.borrow().earlier_states())
                 .unwrap_or(u16::MAX),
         },
--- a/crates/relay/tests/gateway/forwarded_decisions.rs
+++ b/crates/relay/tests/gateway/forwarded_decisions.rs
@@ -1,5 +1,6 @@
 //! Requests that are forwarded between hosts with different versions of the configuration.
 
+use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -79,8 +80,8 @@
 }
 
 /// Starts a host whose plan follows its copy of the platform state.
-async fn start_following_host(plan: Plan, targets: Option<Targets>) -> Rc<Host> {
-    let settings = host_settings("north", unique_loopback_address(), PEER_PORT, Vec::new());
+async fn start_following_host(region: &str, plan: Plan, targets: Option<Targets>) -> Rc<Host> {
+    let settings = host_settings(region, unique_loopback_address(), PEER_PORT, Vec::new());
     let on_changed = move |host: &Host, _: &_| {
         let mirror = host.mirror.borrow();
         let item = mirror.get(VERSION_KEY).expect("a version");
@@ -170,9 +171,9 @@
         if case.is_route_new {
             plan.routes = RouteTable::default();
         }
-        let second = start_following_host(plan, Some(targets.clone())).await;
+        let second = start_following_host("north", plan, Some(targets.clone())).await;
         let plan = plan_at(case.first_version, None);
-        let first = start_following_host(plan, None).await;
+        let first = start_following_host("north", plan, None).await;
         if case.may_fetch {
             write_version(&first, case.first_version);
         }
@@ -193,8 +194,8 @@
     on_one_thread(async {
         let targets = Targets::start().await;
         let plan = plan_at(1, Some(&targets));
-        let second = start_following_host(plan, Some(targets.clone())).await;
-        let first = start_following_host(plan_at(MOVED, None), None).await;
+        let second = start_following_host("north", plan, Some(targets.clone())).await;
+        let first = start_following_host("north", plan_at(MOVED, None), None).await;
         record_free_slots(&first, &second);
         let address = first.settings.caller_address;
         let caller = tokio::task::spawn_local(async move { call(address, &request("a1")).await });
@@ -233,7 +234,7 @@
         let targets = Targets::start().await;
         let [old, new] = case.weights;
         let plan = plan_of(MOVED, &[(OLD, old), (NEW, new)], Some(&targets));
-        let host = start_following_host(plan, None).await;
+        let host = start_following_host("north", plan, None).await;
         let peer_address = (host.settings.ip, PEER_PORT).into();
         let decision = case.decision.map(|(version, service)| {
             format!(
@@ -262,6 +263,16 @@
 /// After this time a test gives up waiting.
 const TEST_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Returns the time until a host has a version of the configuration.
+async fn time_until_version(host: &Host, version: u64, delays: &RunDelays) -> Duration {
+    let began_at = Instant::now();
+    while host.plan().version < version {
+        assert!(began_at.elapsed() < TEST_TIMEOUT, "version {version}");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    delays.undelayed_since(began_at).await
+}
+
 // Guards against a host that keeps an older configuration than the hosts that it forwards requests to, because it waits for its
 // own watch of the platform.
 #[test_case(true; "its watches are refused")]
@@ -269,8 +280,8 @@
 fn a_host_gets_the_configuration_of_the_hosts_that_it_forwards_to(is_refused: bool) {
     on_one_thread(async {
         let delays = RunDelays::start();
-        let first = start_following_host(plan_at(1, None), None).await;
-        let second = start_following_host(plan_at(1, None), None).await;
+        let first = start_following_host("north", plan_at(1, None), None).await;
+        let second = start_following_host("north", plan_at(1, None), None).await;
         for (host, other) in [(&first, &second), (&second, &first)] {
             record_free_slots(host, other);
             write_version(host, 1);
@@ -283,13 +294,54 @@
                 first.record_watch_failure();
             }
             write_version(&second, version);
-            let written_at = Instant::now();
-            while first.plan().version < version {
-                assert!(written_at.elapsed() < TEST_TIMEOUT, "version {version}");
-                tokio::time::sleep(Duration::from_millis(5)).await;
-            }
-            let took = delays.undelayed_since(written_at).await;
+            let took = time_until_version(&first, version, &delays).await;
             assert!(took < MAX_REGRESSION, "version {version}: {took:?}");
         }
     });
 }
+
+/// The other hosts of a large region: a heartbeat of a host of another region reaches some of them only.
+const OTHER_HOSTS: u8 = 200;
+
+/// Lets a host know many hosts of a region.
+fn fill_region(host: &Host, region: &str) {
+    for index in 0..OTHER_HOSTS {
+        let mut heartbeat = heartbeat_with_free_slots(host);
+        heartbeat.address.host = format!("other-{index}").into();
+        heartbeat.address.ip = Ipv4Addr::new(127, 1, 0, index);
+        heartbeat.address.region = region.into();
+        heartbeat.status.services.clear();
+        let now = host.clock.now();
+        assert!(host.hosts.borrow_mut().record_heartbeat(now, &heartbeat));
+    }
+}
+
+// Guards against a host of a large region that goes on with an older configuration after a host with a newer one has handled its
+// request: the next heartbeat to it may be seconds away.
+#[test_case(true; "its watches are refused")]
+#[test_case(false; "its watches are not answered")]
+fn a_host_gets_the_configuration_of_a_host_that_is_ahead(is_refused: bool) {
+    on_one_thread(async {
+        let targets = Targets::start().await;
+        let delays = RunDelays::start();
+        let first = start_following_host("south", plan_at(1, None), None).await;
+        let plan = plan_at(1, Some(&targets));
+        let second = start_following_host("north", plan, Some(targets.clone())).await;
+        record_free_slots(&first, &second);
+        for host in [&first, &second] {
+            write_version(host, 1);
+            run_heartbeats(host.clone()).await.expect("a free port");
+        }
+        tokio::time::sleep(Duration::from_millis(930)).await;
+        if is_refused {
+            first.record_watch_failure();
+        }
+        fill_region(&second, "south");
+        write_version(&second, MOVED);
+        let answer = call(first.settings.caller_address, &request("a1")).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+        assert_eq!(targets.runs(), [0, 1]);
+        let took = time_until_version(&first, MOVED, &delays).await;
+        assert!(took < MAX_REGRESSION, "{took:?}");
+    });
+}
