relay: the headers that a host adds do not count against the caller's limit

Cause: the host that gets a forwarded request checked the size of its headers once more, with those that the first host had added; the version of the decision has added another 60 bytes.

Change: the host that receives a request from its caller checks the size; others do not.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -152,7 +152,7 @@
         log::info!(id = &*id, version = plan.version; "refusing a request because its sender has a newer configuration");
     }
     let behind = || LocalReply::not_run("the host has an older configuration", NO_PLAN_RETRY_MS);
-    let (route, path) = match find_route(&plan, &head) {
+    let (route, path) = match find_route(&plan, &head, hop) {
         Err(_) if is_behind => return Err(reject(behind())),
         found => found.map_err(reject)?,
     };
@@ -270,14 +270,19 @@
 }
 
 /// Checks a request head against the limits and finds its route.
-fn find_route(plan: &Plan, head: &request::Parts) -> Result<(Arc<Route>, Arc<str>), LocalReply> {
+fn find_route(
+    plan: &Plan,
+    head: &request::Parts,
+    hop: Hop,
+) -> Result<(Arc<Route>, Arc<str>), LocalReply> {
     if plan.version == 0 {
         return Err(LocalReply::not_run(
             "the host has no configuration yet",
             NO_PLAN_RETRY_MS,
         ));
     }
-    if size_bytes(&head.headers) > plan.limits.header_bytes {
+    // Another host has checked the headers of its caller, and has added its own.
+    if hop == Hop::Caller && size_bytes(&head.headers) > plan.limits.header_bytes {
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
         return Err(LocalReply::rejected(status, "the headers are too large"));
     }
