relay: accept 512 headers

Callers saw (review of requests, and tried on hosts): a request with 120 small headers was refused with 431, and an answer of a target with 120 small headers was lost with 502.

Cause: the HTTP library parses at most 100 headers unless it is told otherwise. The configuration limits their size only.

Change: 512 headers of a caller's request, and 32 more in answers and between hosts, which add their own.

Evidence: many_small_headers_pass_through_another_host failed before in 4 of 4 cases (431 and 502).

--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -12,6 +12,7 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 
+use crate::headers::MAX_PEER_HEADERS;
 use crate::paced_stream::{PacedStream, ReadProgress};
 
 /// `TCP_USER_TIMEOUT`: how long sent bytes may stay unacknowledged before the connection is closed. Nothing else
@@ -67,6 +68,7 @@
     let stream = PacedStream::new(stream, progress.clone());
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
+        .max_headers(MAX_PEER_HEADERS)
         .handshake(TokioIo::new(stream))
         .await?;
     tokio::task::spawn_local(async move {
--- a/crates/relay/src/headers.rs
+++ b/crates/relay/src/headers.rs
@@ -41,6 +41,11 @@
 /// Marks the answers of a host that is leaving to other hosts.
 pub(crate) const LEAVING_HOST: HeaderName = HeaderName::from_static("x-relay-host-leaving");
 
+/// The maximum number of headers of a caller's request.
+pub(crate) const MAX_HEADERS: usize = 512;
+/// The maximum number of headers of an answer and of messages between hosts, which add some of their own.
+pub(crate) const MAX_PEER_HEADERS: usize = MAX_HEADERS + 32;
+
 /// Headers that apply to one connection only.
 const HOP_BY_HOP: [HeaderName; 11] = [
     CONNECTION,
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -13,6 +13,7 @@
 
 use crate::forward::RequestGuard;
 use crate::head_timer::{ConnectionProgress, HeadTimedStream};
+use crate::headers::{MAX_HEADERS, MAX_PEER_HEADERS};
 use crate::host::Host;
 use crate::local_reply::UnreadBody;
 use crate::paced_stream::{PacedStream, ReadProgress};
@@ -211,8 +212,13 @@
             Ok::<_, Infallible>(reply)
         }
     });
+    let max_headers = match kind {
+        ListenerKind::Peers => MAX_PEER_HEADERS,
+        _ => MAX_HEADERS,
+    };
     let mut builder = http1::Builder::new();
     builder
+        .max_headers(max_headers)
         .timer(TokioTimer::new())
         .max_buf_size(max_head_bytes)
         // Covers the idle time and the head together; `HeadTimedStream` enforces the timeout of the head alone.
--- a/crates/relay/tests/gateway/answers.rs
+++ b/crates/relay/tests/gateway/answers.rs
@@ -443,6 +443,41 @@
     });
 }
 
+struct ManyHeaders {
+    of_request: usize,
+    of_answer: usize,
+}
+
+// Guards against a request that is refused, or an answer that is lost, because of the number of its headers: the limits state their
+// size.
+#[test_case(&ManyHeaders { of_request: 120, of_answer: 0 }; "120 of a request")]
+#[test_case(&ManyHeaders { of_request: 300, of_answer: 0 }; "300 of a request")]
+#[test_case(&ManyHeaders { of_request: 0, of_answer: 120 }; "120 of an answer")]
+#[test_case(&ManyHeaders { of_request: 300, of_answer: 300 }; "300 of both")]
+fn many_small_headers_pass_through_another_host(case: &ManyHeaders) {
+    on_one_thread(async {
+        let small = |count: usize| -> String { (0..count).map(|_| "a: b\r\n").collect() };
+        let headers = format!("\r\n{}content-length", small(case.of_answer));
+        let answer = ok_response("x").replace("\r\ncontent-length", &headers);
+        let target = ScriptedTarget::start(vec![vec![send(answer)]]).await;
+        let first = start_host(ONCE, &[]).await;
+        let second = start_host(ONCE, std::slice::from_ref(&target)).await;
+        for host in [&first, &second] {
+            let mut plan = (*host.plan()).clone();
+            plan.limits.header_bytes = 16 * 1024;
+            host.set_plan(plan);
+        }
+        let now = first.clock.now();
+        let heartbeat = heartbeat_with_free_slots(&second);
+        assert!(first.hosts.borrow_mut().record_heartbeat(now, &heartbeat));
+        let headers = format!("{}x-remaining", small(case.of_request));
+        let request = request("a1").replace("x-remaining", &headers);
+        let answer = call(first.settings.caller_address, &request).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+        assert_eq!(answer.head.matches("\r\na: b").count(), case.of_answer);
+    });
+}
+
 /// Guards against targets that continue to work on a request after its caller has disconnected.
 #[test]
 fn a_disconnect_of_the_caller_cancels_the_request() {
