daemon: let versions cross on the way of forwarded requests in the soak

Change: a kind of the soak with four hosts beside the targets and two in another region, each with an address of the store of its own. The store turns away up to two of them by 503, 429, lost answers or silence, for all calls or for watches alone, while eight versions move the route from service to service. A request to a host must not run by an older version more than 250 ms after an answer by a newer one there. Probes of each host measure for how long it did not run, and this time is subtracted.

--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -4,6 +4,7 @@
 //! the number of hosts.
 
 mod callers;
+mod crossing;
 mod hosts;
 mod limits;
 #[path = "../../../../platform/tests/support/mod.rs"]
@@ -32,6 +33,8 @@
 const USUAL_SEEDS: Range<u64> = 1..3;
 /// The network of the hosts whose watchers are turned away.
 const WATCHERS_NETWORK: u8 = 144;
+/// The network of the hosts that forward requests while versions cross.
+const CROSSING_NETWORK: u8 = 145;
 /// The time from the last fault to the end, and the part of it in which requests must be served.
 const CALM: Duration = Duration::from_secs(8);
 const SERVED_AGAIN: Duration = Duration::from_secs(3);
@@ -396,3 +399,14 @@
         });
     }
 }
+
+/// Guards against a host that goes back to an older configuration, because the hosts on the way of a request have different ones.
+#[test]
+fn no_host_goes_back_to_an_older_configuration() {
+    for seed in seeds() {
+        on_one_thread(async move {
+            let violations = crossing::run(CROSSING_NETWORK, seed).await;
+            assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+        });
+    }
+}
