relay: separate how the versions of two hosts are aligned

Cause: the function that reads a request had grown by the steps that bring two hosts to one version, and the retry delay had the name of one of its uses.

Change: align_with_sender has these steps; the delay is CONFIGURATION_RETRY_MS. No change of behaviour.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -35,9 +35,8 @@
 /// How long a request waits for the first configuration: the host gets it with its first calls to the platform, which
 /// take some round trips.
 const FIRST_PLAN_TIMEOUT: Duration = Duration::from_millis(900);
-/// The retry delay for callers of a host that has no configuration yet, in milliseconds.
-const NO_PLAN_RETRY_MS: u64 = 500;
-
+/// The retry delay for callers of a host that lacks a configuration or a version of it, in milliseconds.
+const CONFIGURATION_RETRY_MS: u64 = 500;
 /// The longest time for which a forwarded request waits until this host has the configuration of its sender, in
 /// milliseconds: a few round trips between regions.
 const MAX_CATCH_UP_MS: u64 = 1_000;
@@ -136,22 +135,21 @@
         true => forwarded_decision(&head.headers),
         false => None,
     };
-    if let Some(decision) = decision.filter(|decision| decision.is_newer_than(&plan)) {
+    if let Some(decision) = decision {
         let timeout_ms = remaining_ms.map_or(MAX_CATCH_UP_MS, |left_ms| left_ms / 2);
         let until = received_at.plus_ms(timeout_ms.min(MAX_CATCH_UP_MS));
-        plan = catch_up(host, decision, until).await;
-    }
-    if let Some(decision) = decision.filter(|decision| decision.version < plan.version) {
-        let mut announcements = host.state_announcements.borrow_mut();
-        if announcements.request(host.clock.now(), decision.host) {
-            host.announcement_due.notify_one();
-        }
+        plan = align_with_sender(host, decision, until).await;
     }
     let is_behind = decision.is_some_and(|decision| decision.is_newer_than(&plan));
     if is_behind {
         log::info!(id = &*id, version = plan.version; "refusing a request because its sender has a newer configuration");
     }
-    let behind = || LocalReply::not_run("the host has an older configuration", NO_PLAN_RETRY_MS);
+    let behind = || {
+        LocalReply::not_run(
+            "the host has an older configuration",
+            CONFIGURATION_RETRY_MS,
+        )
+    };
     let (route, path) = match find_route(&plan, &head, hop) {
         Err(_) if is_behind => return Err(reject(behind())),
         found => found.map_err(reject)?,
@@ -198,7 +196,7 @@
     let draw = rand::rng().random_range(0.0..1.0);
     let decided = decision.and_then(|decision| decision.service(&plan, &route));
     let Some(service) = decided.or_else(|| route.service(draw)) else {
-        let reply = LocalReply::not_run("the route has no service", NO_PLAN_RETRY_MS);
+        let reply = LocalReply::not_run("the route has no service", CONFIGURATION_RETRY_MS);
         return Err(reject(reply));
     };
     let counts = header_text(&head.headers, &host.names.token_counts);
@@ -252,8 +250,25 @@
     }
 }
 
-/// Fetches the platform state from the host that has forwarded a request, and returns the plan once it is as new as the
-/// decision of that host, or the current plan at `until`.
+/// Returns the plan for a forwarded request, after the older of the two hosts was brought to the version of the other one, or
+/// at `until`.
+async fn align_with_sender(
+    host: &Rc<Host>,
+    decision: ForwardedDecision,
+    until: MonoMs,
+) -> Rc<Plan> {
+    let plan = catch_up(host, decision, until).await;
+    if decision.version < plan.version {
+        let mut announcements = host.state_announcements.borrow_mut();
+        if announcements.request(host.clock.now(), decision.host) {
+            host.announcement_due.notify_one();
+        }
+    }
+    plan
+}
+
+/// Returns the plan once it is as new as the decision of the host that has forwarded a request, or the current one at
+/// `until`. Meanwhile, fetches the platform state from that host.
 async fn catch_up(host: &Rc<Host>, decision: ForwardedDecision, until: MonoMs) -> Rc<Plan> {
     loop {
         let changed = host.capacity_changed.notified();
@@ -278,7 +293,7 @@
     if plan.version == 0 {
         return Err(LocalReply::not_run(
             "the host has no configuration yet",
-            NO_PLAN_RETRY_MS,
+            CONFIGURATION_RETRY_MS,
         ));
     }
     // Another host has checked the headers of its caller, and has added its own.
